--- /dev/null
+++ b/src/topazlug/_errors.py
@@ -0,0 +1,317 @@
+"""Every failure that crosses a module's edge, each with a stable code.
+
+The codes are part of the callers' and operators' interface: once shipped, a
+code keeps its meaning.
+"""
+
+import enum
+from http import HTTPStatus
+from typing import final
+
+
+class Outcome(enum.Enum):
+    """What is known about whether a request ran at a target."""
+
+    NOT_RUN = "not-run"
+    UNKNOWN = "unknown"
+    RAN = "ran"
+
+
+class Code(enum.Enum):
+    """Stable codes of errors."""
+
+    BAD_KEY = "invalid_api_key"
+    BAD_TOKEN = "invalid_operator_token"
+    FORBIDDEN = "forbidden"
+    BAD_BODY = "invalid_body"
+    BODY_TOO_LARGE = "body_too_large"
+    BODY_TOO_SLOW = "body_too_slow"
+    BAD_HEADER = "invalid_header"
+    UNKNOWN_MODEL = "model_not_found"
+    UNKNOWN_SERVICE = "service_not_found"
+    UNKNOWN_PATH = "path_not_found"
+    BAD_METHOD = "method_not_allowed"
+    KEY_REQUIRED = "idempotency_key_required"
+    KEY_REUSED = "idempotency_key_reused"
+    KEY_IN_USE = "idempotency_key_in_use"
+    OVERLOADED = "overloaded"
+    TEAM_CEILING = "team_ceiling_reached"
+    NO_TARGET = "no_target"
+    TARGET_REFUSED = "target_refused"
+    TARGET_FAILED = "target_failed"
+    TARGET_TRUNCATED = "target_truncated"
+    TARGET_SILENT = "target_silent"
+    DEADLINE = "deadline_exceeded"
+    STORE_UNAVAILABLE = "store_unavailable"
+    STORE_CONFLICT = "store_conflict"
+    ROW_CONFLICT = "row_conflict"
+    ROW_NOT_FOUND = "row_not_found"
+    ROW_INVALID = "row_invalid"
+    SETTINGS_INVALID = "settings_invalid"
+    PEER_UNREACHABLE = "peer_unreachable"
+    PEER_REFUSED = "peer_refused"
+    PEER_MESSAGE_INVALID = "peer_message_invalid"
+    NOT_READY = "not_ready"
+    INTERNAL = "internal_error"
+
+
+class TopazlugError(Exception):
+    """Root of all failures of this program.
+
+    Parameters
+    ----------
+    message : str
+        What happened, with the offending value, and what helps.
+    """
+
+    code = Code.INTERNAL
+    status = HTTPStatus.INTERNAL_SERVER_ERROR
+
+    def __init__(self, message: str) -> None:
+        super().__init__(message)
+        self.message = message
+
+
+class RequestError(TopazlugError):
+    """A caller's request that gets no answer from a target.
+
+    Parameters
+    ----------
+    message : str
+        What happened, for the caller to read.
+    outcome : Outcome
+        Whether the request may have run.
+    retry_after : float or None
+        Seconds after which a repeat makes sense.
+    """
+
+    def __init__(
+        self,
+        message: str,
+        *,
+        outcome: Outcome = Outcome.NOT_RUN,
+        retry_after: float | None = None,
+    ) -> None:
+        super().__init__(message)
+        self.outcome = outcome
+        self.retry_after = retry_after
+
+
+@final
+class BadKey(RequestError):
+    """No team holds the API key."""
+
+    code = Code.BAD_KEY
+    status = HTTPStatus.UNAUTHORIZED
+
+
+@final
+class Forbidden(RequestError):
+    """The team or operator may not do this."""
+
+    code = Code.FORBIDDEN
+    status = HTTPStatus.FORBIDDEN
+
+
+@final
+class BadBody(RequestError):
+    """The body is not what the interface asks for."""
+
+    code = Code.BAD_BODY
+    status = HTTPStatus.BAD_REQUEST
+
+
+@final
+class BodyTooLarge(RequestError):
+    """The body passes the bound on its size."""
+
+    code = Code.BODY_TOO_LARGE
+    status = HTTPStatus.REQUEST_ENTITY_TOO_LARGE
+
+
+@final
+class BodyTooSlow(RequestError):
+    """The body did not arrive in time."""
+
+    code = Code.BODY_TOO_SLOW
+    status = HTTPStatus.REQUEST_TIMEOUT
+
+
+@final
+class BadHeader(RequestError):
+    """A header's value is not understood."""
+
+    code = Code.BAD_HEADER
+    status = HTTPStatus.BAD_REQUEST
+
+
+@final
+class UnknownModel(RequestError):
+    """No pool serves the model."""
+
+    code = Code.UNKNOWN_MODEL
+    status = HTTPStatus.NOT_FOUND
+
+
+@final
+class UnknownService(RequestError):
+    """No such plain service."""
+
+    code = Code.UNKNOWN_SERVICE
+    status = HTTPStatus.NOT_FOUND
+
+
+@final
+class UnknownPath(RequestError):
+    """The path is not part of the interface."""
+
+    code = Code.UNKNOWN_PATH
+    status = HTTPStatus.NOT_FOUND
+
+
+@final
+class BadMethod(RequestError):
+    """The path knows no such method."""
+
+    code = Code.BAD_METHOD
+    status = HTTPStatus.METHOD_NOT_ALLOWED
+
+
+@final
+class KeyRequired(RequestError):
+    """The service's row demands an Idempotency-Key."""
+
+    code = Code.KEY_REQUIRED
+    status = HTTPStatus.BAD_REQUEST
+
+
+@final
+class KeyReused(RequestError):
+    """The Idempotency-Key came before with another request."""
+
+    code = Code.KEY_REUSED
+    status = HTTPStatus.UNPROCESSABLE_ENTITY
+
+
+@final
+class KeyInUse(RequestError):
+    """The claimed request has no answer kept: in progress, or unknown."""
+
+    code = Code.KEY_IN_USE
+    status = HTTPStatus.CONFLICT
+
+
+@final
+class Overloaded(RequestError):
+    """No place is free and none will be before the deadline."""
+
+    code = Code.OVERLOADED
+    status = HTTPStatus.SERVICE_UNAVAILABLE
+
+
+@final
+class TeamCeiling(RequestError):
+    """The team uses all that its row allows."""
+
+    code = Code.TEAM_CEILING
+    status = HTTPStatus.TOO_MANY_REQUESTS
+
+
+@final
+class NoTarget(RequestError):
+    """No replica of the group can be reached."""
+
+    code = Code.NO_TARGET
+    status = HTTPStatus.SERVICE_UNAVAILABLE
+
+
+@final
+class TargetRefused(RequestError):
+    """The target said that it did not run the request."""
+
+    code = Code.TARGET_REFUSED
+    status = HTTPStatus.SERVICE_UNAVAILABLE
+
+
+@final
+class TargetFailed(RequestError):
+    """The connection to the target broke before its answer began."""
+
+    code = Code.TARGET_FAILED
+    status = HTTPStatus.BAD_GATEWAY
+
+
+@final
+class TargetTruncated(RequestError):
+    """The target's answer ended before it was whole."""
+
+    code = Code.TARGET_TRUNCATED
+    status = HTTPStatus.BAD_GATEWAY
+
+
+@final
+class TargetSilent(RequestError):
+    """The target said nothing for too long."""
+
+    code = Code.TARGET_SILENT
+    status = HTTPStatus.GATEWAY_TIMEOUT
+
+
+@final
+class DeadlineExceeded(RequestError):
+    """The request's own deadline passed."""
+
+    code = Code.DEADLINE
+    status = HTTPStatus.GATEWAY_TIMEOUT
+
+
+@final
+class NotReady(RequestError):
+    """The daemon has no configuration yet."""
+
+    code = Code.NOT_READY
+    status = HTTPStatus.SERVICE_UNAVAILABLE
+
+
+@final
+class StoreUnavailable(RequestError):
+    """The platform's service did not answer, or said that it can't."""
+
+    code = Code.STORE_UNAVAILABLE
+    status = HTTPStatus.SERVICE_UNAVAILABLE
+
+
+@final
+class StoreAmbiguous(TopazlugError):
+    """The answer to a write was lost: it may or may not have taken effect."""
+
+    code = Code.STORE_UNAVAILABLE
+    status = HTTPStatus.SERVICE_UNAVAILABLE
+
+
+@final
+class SettingsInvalid(TopazlugError):
+    """A settings file that can't be used."""
+
+    code = Code.SETTINGS_INVALID
+
+
+@final
+class PeerUnreachable(TopazlugError):
+    """No answer from a peer."""
+
+    code = Code.PEER_UNREACHABLE
+
+
+@final
+class PeerRefused(TopazlugError):
+    """A peer did not prove who it is."""
+
+    code = Code.PEER_REFUSED
+
+
+@final
+class PeerMessageInvalid(TopazlugError):
+    """A frame that is no message of ours."""
+
+    code = Code.PEER_MESSAGE_INVALID
--- /dev/null
+++ b/src/topazlug/_generated/__init__.py
@@ -0,0 +1,1 @@
+"""Code generated from schema/ by schema/generate.sh."""
--- /dev/null
+++ b/src/topazlug/_ids.py
@@ -0,0 +1,12 @@
+"""Types of the names that the program passes around."""
+
+from typing import NewType
+
+DaemonId = NewType("DaemonId", str)
+ReplicaId = NewType("ReplicaId", str)
+GroupName = NewType("GroupName", str)
+TeamName = NewType("TeamName", str)
+RequestId = NewType("RequestId", str)
+ChatHash = NewType("ChatHash", int)
+AskNumber = NewType("AskNumber", int)
+Revision = NewType("Revision", int)
--- /dev/null
+++ b/src/topazlug/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' command line."""
