--- /dev/null
+++ b/standins/_relay.py
@@ -0,0 +1,156 @@
+"""A TCP relay that cuts, delays or swallows what passes."""
+
+import socket
+from typing import Any
+from typing import final
+
+import click
+import gevent
+from gevent import event
+from gevent import queue
+from gevent import server as gevent_server
+from gevent import socket as gevent_socket
+import msgspec
+
+from standins import _http
+
+CHUNK_BYTES = 65536
+QUEUE_CHUNKS = 1024
+
+
+@final
+class Faults(msgspec.Struct, kw_only=True):
+    """Faults of the link; `delay` in seconds, one way."""
+
+    cut: bool = False
+    blackhole: bool = False
+    delay: float = 0.0
+
+
+@final
+class Relay:
+    """Passes connections on to one address.
+
+    Parameters
+    ----------
+    host, port
+        Where to.
+    """
+
+    def __init__(self, *, host: str, port: int) -> None:
+        self.faults = Faults()
+        self._target = (host, port)
+        self._open: set[Any] = set()
+        self._passing = event.Event()
+        self._passing.set()
+
+    def control_answer(self, request: _http.Request) -> _http.Answer:
+        """Answer one request on the control port."""
+        if request.path != "/faults":
+            return _http.error_answer(404, "no_path", request.path)
+        answer = _http.faults_answer(self.faults, request)
+        if self.faults.blackhole:
+            self._passing.clear()
+        else:
+            self._passing.set()
+        if self.faults.cut:
+            self._close_all()
+        return answer
+
+    def handle(self, client: Any, _: Any) -> None:
+        """Relay one accepted connection until either end closes."""
+        if self.faults.cut:
+            _reset(client)
+            return
+        self._open.add(client)
+        try:
+            self._relay(client)
+        finally:
+            self._open.discard(client)
+            client.close()
+
+    def _relay(self, client: Any) -> None:
+        self._passing.wait()
+        try:
+            target = gevent_socket.create_connection(self._target)
+        except OSError:
+            return
+        self._open.add(target)
+        for end in (client, target):
+            end.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        ways = [
+            gevent.spawn(self._pass, client, target),
+            gevent.spawn(self._pass, target, client),
+        ]
+        try:
+            gevent.joinall(ways)
+        finally:
+            gevent.killall(ways)
+            self._open.discard(target)
+            target.close()
+
+    def _pass(self, source: Any, sink: Any) -> None:
+        chunks: queue.Queue[tuple[float, bytes]] = queue.Queue(QUEUE_CHUNKS)
+        writer = gevent.spawn(self._write, chunks, sink)
+        try:
+            while True:
+                data = source.recv(CHUNK_BYTES)
+                due = gevent.get_hub().loop.now() + self.faults.delay
+                chunks.put((due, data))
+                if not data:
+                    break
+            writer.join()
+        except OSError:
+            _shut(sink)
+        finally:
+            writer.kill()
+
+    def _write(self, chunks: Any, sink: Any) -> None:
+        while True:
+            due, data = chunks.get()
+            wait = due - gevent.get_hub().loop.now()
+            if wait > 0:
+                gevent.sleep(wait)
+            self._passing.wait()
+            try:
+                if not data:
+                    sink.shutdown(socket.SHUT_WR)
+                    return
+                sink.sendall(data)
+            except OSError:
+                return
+
+    def _close_all(self) -> None:
+        for end in list(self._open):
+            _shut(end)
+
+
+def _shut(end: Any) -> None:
+    try:
+        end.shutdown(socket.SHUT_RDWR)
+    except OSError:
+        pass
+
+
+def _reset(end: Any) -> None:
+    linger = b"\x01\x00\x00\x00\x00\x00\x00\x00"
+    end.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    end.close()
+
+
+@click.command()
+@click.option("--listen", default=0)
+@click.option("--to", "target", required=True, help="host:port.")
+@click.option("--control", default=0)
+@click.option("--max-seconds", default=3600.0)
+def relay(listen: int, target: str, control: int, max_seconds: float) -> None:
+    """Relay TCP; READY shows the relay's port, then the control's."""
+    host, _, port = target.rpartition(":")
+    made = Relay(host=host, port=int(port))
+    listener = gevent_server.StreamServer(
+        (_http.HOST, listen), made.handle, backlog=_http.BACKLOG
+    )
+    listener.start()
+    controls = _http.server(made.control_answer, control)
+    ports = {"relay": listener.server_port, "control": controls.server_port}
+    _http.run_until_stopped(ports, max_seconds)
