--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Loads, experiments and the demo; not part of what ships."""
--- /dev/null
+++ b/bench/fleet.py
@@ -0,0 +1,360 @@
+"""A whole deployment as processes on loopback."""
+
+import json
+import pathlib
+import shutil
+import tempfile
+import time
+from typing import Any
+from typing import Callable
+from typing import final
+import urllib.error
+import urllib.request
+
+import yaml
+
+from bench import deployment as _deployment
+from bench import processes
+from topazlug import _clock
+from topazlug import _configuration
+from topazlug import _edit_plan
+from topazlug import _table_client
+from topazlug import _table_edits
+from topazlug import _table_snapshot
+from topazlug import _table_storage
+from topazlug import _tokens
+
+HOST = "127.0.0.1"
+_SECRET = "demo-peer-secret-of-the-fleet"
+
+
+class _StoreReader:
+    """Stands in for the daemon's follower while the table is seeded."""
+
+    def __init__(
+        self,
+        store: _table_client.TableStore,
+        holder: _configuration.ConfigurationHolder,
+    ) -> None:
+        self._store = store
+        self._holder = holder
+
+    def publish(self, changes: object) -> None:
+        return
+
+    def catch_up(self) -> None:
+        meta, rows = _table_storage.read_whole(self._store)
+        self._holder.apply_whole(revision=meta.revision, rows=rows)
+
+
+@final
+class DaemonProcess:
+    """One daemon and its addresses."""
+
+    def __init__(
+        self, *, process: processes.Process, settings: dict[str, Any]
+    ) -> None:
+        self.process = process
+        self.settings = settings
+        listen = settings["listen"]
+        self.callers_port: int = listen["callers"]["port"]
+        self.peers_port: int = listen["peers"]["port"]
+        self.administration_port: int = listen["administration"]["port"]
+
+    @property
+    def name(self) -> str:
+        """Give the daemon's id."""
+        name: str = self.settings["daemon"]["id"]
+        return name
+
+    @property
+    def url(self) -> str:
+        """Give the callers' address."""
+        return f"http://{HOST}:{self.callers_port}"
+
+    @property
+    def administration_url(self) -> str:
+        """Give the administration's address."""
+        return f"http://{HOST}:{self.administration_port}"
+
+
+@final
+class TargetProcess:
+    """One stand-in engine or service and its address."""
+
+    def __init__(
+        self, *, name: str, process: processes.Process, port: int
+    ) -> None:
+        self.name = name
+        self.process = process
+        self.port = port
+
+    @property
+    def url(self) -> str:
+        """Give its address."""
+        return f"http://{HOST}:{self.port}"
+
+
+@final
+class Fleet:
+    """All processes of a deployment.
+
+    Parameters
+    ----------
+    deployment : Deployment
+        What to start.
+    daemons : int or None
+        How many daemons, where the deployment's number is too many.
+    """
+
+    def __init__(
+        self,
+        deployment: _deployment.Deployment,
+        *,
+        daemons: int | None = None,
+    ) -> None:
+        self.deployment = deployment
+        self._count = daemons or deployment.daemons
+        self.folder = pathlib.Path(tempfile.mkdtemp(prefix="topazlug-"))
+        self.platform_port = 0
+        self.platform: processes.Process | None = None
+        self.daemons: list[DaemonProcess] = []
+        self.engines: list[TargetProcess] = []
+        self.services: list[TargetProcess] = []
+
+    def __enter__(self) -> "Fleet":
+        try:
+            self.start()
+        except BaseException:
+            self.stop()
+            raise
+        return self
+
+    def __exit__(self, *error: object) -> None:
+        self.stop()
+
+    @property
+    def platform_url(self) -> str:
+        """Give the platform's address."""
+        return f"http://{HOST}:{self.platform_port}"
+
+    def start(self) -> None:
+        """Start everything and wait until all daemons are ready."""
+        self._start_platform()
+        self.seed()
+        for pool in self.deployment.pools:
+            for number in range(pool.replicas):
+                self.engines.append(self.start_engine(pool, number))
+        for service in self.deployment.services:
+            for number in range(service.replicas):
+                self.services.append(self._start_service(service, number))
+        for number in range(self._count):
+            self.daemons.append(self.start_daemon(number))
+        self.wait_ready()
+
+    def _run(self, name: str, arguments: list[str]) -> processes.Process:
+        process = processes.Process(
+            name=name, arguments=arguments, folder=self.folder
+        )
+        process.start()
+        return process
+
+    def _start_platform(self) -> None:
+        self.platform = self._run(
+            "platform",
+            [
+                "-m",
+                "standins",
+                "platform",
+                "--port",
+                "0",
+                "--list-lag",
+                str(self.deployment.list_lag),
+            ],
+        )
+        self.platform_port = _port_of(self.platform)
+
+    def _zone(self, number: int) -> str:
+        zones = self.deployment.zones
+        return zones[number % len(zones)]
+
+    def start_engine(
+        self, pool: _deployment.Pool, number: int
+    ) -> TargetProcess:
+        """Start one engine of a pool."""
+        name = f"{pool.name}-{number}"
+        engine = self.deployment.engine
+        options = {
+            "--id": name,
+            "--pool": pool.name,
+            "--port": "0",
+            "--zone": self._zone(number),
+            "--region": self.deployment.region,
+            "--platform": f"{HOST}:{self.platform_port}",
+            "--slots": str(pool.slots),
+            "--token-interval": str(engine.token_interval),
+            "--token-interval-per-running": str(
+                engine.token_interval_per_running
+            ),
+            "--prefill-tokens-per-second": str(
+                engine.prefill_tokens_per_second
+            ),
+            "--prefix-cache-tokens": str(engine.prefix_cache_tokens),
+            "--load-lag": str(engine.load_lag),
+        }
+        process = self._run(name, _stand_in("engine", options))
+        return TargetProcess(
+            name=name, process=process, port=_port_of(process)
+        )
+
+    def _start_service(
+        self, service: _deployment.Service, number: int
+    ) -> TargetProcess:
+        name = f"{service.name}-{number}"
+        options = {
+            "--id": name,
+            "--service": service.name,
+            "--port": "0",
+            "--zone": self._zone(number),
+            "--region": self.deployment.region,
+            "--platform": f"{HOST}:{self.platform_port}",
+            "--slots": str(service.slots),
+        }
+        process = self._run(name, _stand_in("service", options))
+        return TargetProcess(
+            name=name, process=process, port=_port_of(process)
+        )
+
+    def start_daemon(self, number: int) -> DaemonProcess:
+        """Start one daemon."""
+        settings = self.daemon_settings(number)
+        name = settings["daemon"]["id"]
+        path = self.folder / f"{name}.yaml"
+        path.write_text(yaml.safe_dump(settings, sort_keys=False))
+        process = self._run(
+            name, ["-m", "topazlug._daemon_command", "--settings", str(path)]
+        )
+        return DaemonProcess(process=process, settings=settings)
+
+    def daemon_settings(self, number: int) -> dict[str, Any]:
+        """Make the settings of one daemon."""
+        platform = {"host": HOST, "port": self.platform_port}
+        listen = {
+            name: {"host": HOST, "port": processes.free_port()}
+            for name in ("callers", "peers", "administration")
+        }
+        settings: dict[str, Any] = {
+            "daemon": {
+                "id": f"daemon-{number}",
+                "zone": self._zone(number),
+                "region": self.deployment.region,
+            },
+            "listen": listen,
+            "platform": {
+                "tables": platform,
+                "objects": platform,
+                "instances": platform,
+            },
+            "peers": {"secret": _SECRET},
+            "logs": {"format": "text", "level": "info"},
+        }
+        for section, values in self.deployment.settings.items():
+            settings.setdefault(section, {}).update(values)
+        return settings
+
+    def seed(self) -> None:
+        """Put the deployment's rows into the table."""
+        clock = _clock.SystemClock()
+        holder = _configuration.ConfigurationHolder()
+        store = _table_client.TableClient(
+            host=HOST, port=self.platform_port, timeout=5.0, clock=clock
+        )
+        editor = _table_edits.TableEditor(
+            store=store,
+            holder=holder,
+            publisher=_StoreReader(store, holder),
+            clock=clock,
+        )
+        edits = [
+            _edit_plan.RowEdit(
+                table=_table_snapshot.TableName(table),
+                key=row["name"],
+                value=row,
+                force=True,
+            )
+            for table, rows in _deployment.rows(self.deployment).items()
+            for row in rows
+        ]
+        stamp = _edit_plan.Stamp(
+            who="seed", why="first table", edit_id=_tokens.new_edit_id()
+        )
+        editor.edit(edits, stamp=stamp)
+
+    def wait_ready(self, *, seconds: float = 40.0) -> None:
+        """Wait until each daemon serves and sees all others."""
+        end = time.monotonic() + seconds
+        for daemon in self.daemons:
+            _wait_until(
+                lambda: _is_serving(daemon, len(self.daemons)),
+                end,
+                f"{daemon.name} is not ready: {daemon.process.log[-3000:]}",
+            )
+
+    def stop(self) -> None:
+        """End everything that this fleet started."""
+        started = [item.process for item in self.daemons]
+        started += [item.process for item in self.engines + self.services]
+        if self.platform is not None:
+            started.append(self.platform)
+        for process in started:
+            process.kill()
+        shutil.rmtree(self.folder, ignore_errors=True)
+
+
+def _stand_in(kind: str, options: dict[str, str]) -> list[str]:
+    arguments = ["-m", "standins", kind]
+    for name, value in options.items():
+        arguments += [name, value]
+    return arguments
+
+
+def _port_of(process: processes.Process) -> int:
+    return int(process.wait_for_line("READY").split()[1])
+
+
+def _wait_until(
+    condition: Callable[[], bool], end: float, message: str
+) -> None:
+    while not condition():
+        if time.monotonic() > end:
+            raise processes.NotReady(message)
+        time.sleep(0.05)
+
+
+def _is_serving(daemon: DaemonProcess, count: int) -> bool:
+    if not daemon.process.is_running():
+        raise processes.NotReady(daemon.process.log[-3000:])
+    try:
+        text = get(f"{daemon.administration_url}/metrics").decode()
+    except OSError:
+        return False
+    return f"topazlug_members {count}.0" in text
+
+
+def get(url: str, *, timeout: float = 5.0) -> bytes:
+    """Fetch a document."""
+    with urllib.request.urlopen(url, timeout=timeout) as answer:
+        body: bytes = answer.read()
+        return body
+
+
+def post(url: str, document: object, *, timeout: float = 5.0) -> bytes:
+    """Send a JSON document."""
+    request = urllib.request.Request(
+        url,
+        data=json.dumps(document).encode(),
+        headers={"Content-Type": "application/json"},
+    )
+    with urllib.request.urlopen(request, timeout=timeout) as answer:
+        body: bytes = answer.read()
+        return body
--- /dev/null
+++ b/bench/processes.py
@@ -0,0 +1,120 @@
+"""Starts, pauses and ends processes that this program started itself."""
+
+import os
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import time
+from typing import final
+
+_READY_SECONDS = 30.0
+
+
+class NotReady(RuntimeError):
+    """A process did not say in time that it is ready."""
+
+
+def free_port() -> int:
+    """Give a port on loopback that nobody listens on just now."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        port: int = probe.getsockname()[1]
+        return port
+
+
+@final
+class Process:
+    """One process of ours.
+
+    Parameters
+    ----------
+    name : str
+        For messages, and for the name of its log.
+    arguments : list of str
+        What follows the interpreter.
+    folder : pathlib.Path
+        Where its log goes.
+    """
+
+    def __init__(
+        self, *, name: str, arguments: list[str], folder: pathlib.Path
+    ) -> None:
+        self.name = name
+        self._arguments = arguments
+        self._log_path = folder / f"{name}.log"
+        self._process: subprocess.Popen[bytes] | None = None
+
+    @property
+    def pid(self) -> int:
+        """Give the process number."""
+        if self._process is None:
+            raise NotReady(f"{self.name} was not started")
+        return self._process.pid
+
+    @property
+    def log(self) -> str:
+        """Give what it wrote so far."""
+        return self._log_path.read_text(errors="replace")
+
+    def start(self) -> None:
+        """Start it; its output goes to its log."""
+        with self._log_path.open("ab") as log:
+            self._process = subprocess.Popen(
+                [sys.executable, *self._arguments],
+                stdout=log,
+                stderr=subprocess.STDOUT,
+                stdin=subprocess.DEVNULL,
+            )
+
+    def is_running(self) -> bool:
+        """Say whether it still runs."""
+        return self._process is not None and self._process.poll() is None
+
+    def send(self, number: signal.Signals) -> None:
+        """Send a signal, if it still runs."""
+        if self.is_running():
+            os.kill(self.pid, number)
+
+    def kill(self) -> None:
+        """End it at once, as a failing instance would."""
+        self.send(signal.SIGCONT)
+        self.send(signal.SIGKILL)
+        self.wait(10.0)
+
+    def freeze(self) -> None:
+        """Stop it from running, without ending it."""
+        self.send(signal.SIGSTOP)
+
+    def thaw(self) -> None:
+        """Let a frozen one go on."""
+        self.send(signal.SIGCONT)
+
+    def terminate(self) -> None:
+        """Ask it to stop as planned."""
+        self.send(signal.SIGTERM)
+
+    def wait(self, seconds: float) -> int | None:
+        """Wait until it has ended; give its exit code, None if it runs."""
+        if self._process is None:
+            return None
+        try:
+            return self._process.wait(seconds)
+        except subprocess.TimeoutExpired:
+            return None
+
+    def wait_for_line(self, text: str, *, seconds: float = 30.0) -> str:
+        """Wait until its log has a line with a text, and give the line."""
+        end = time.monotonic() + seconds
+        while time.monotonic() < end:
+            for line in self.log.splitlines() if self._has_log() else []:
+                if text in line:
+                    return line
+            if not self.is_running():
+                break
+            time.sleep(0.02)
+        raise NotReady(f"{self.name} never said {text!r}: {self.log[-2000:]}")
+
+    def _has_log(self) -> bool:
+        return self._log_path.exists()
--- /dev/null
+++ b/src/topazlug/_administration_http.py
@@ -0,0 +1,226 @@
+"""Requests, answers and routes of the administration listener."""
+
+from http import HTTPStatus
+import re
+from typing import Any
+from typing import Callable
+from typing import Iterable
+from typing import Sequence
+from typing import final
+from urllib import parse
+
+import gevent
+import msgspec
+
+from topazlug import _errors
+from topazlug import _table_errors
+from topazlug import _tokens
+from topazlug._generated import table
+
+MAX_BODY_BYTES = 256 * 1024
+MAX_IMPORT_BYTES = 16 * 1024 * 1024
+BODY_TIMEOUT = 30.0
+MAX_TEXT = 500
+_JSON = "application/json"
+_EDIT_ID = re.compile(r"^[A-Za-z0-9._-]{8,128}$")
+_TRUE = frozenset(("1", "true", "yes"))
+
+
+@final
+class Answer(msgspec.Struct, frozen=True, kw_only=True):
+    """An answer; a body of bytes goes out as it is, others as JSON."""
+
+    body: Any = None
+    status: HTTPStatus = HTTPStatus.OK
+    headers: Sequence[tuple[str, str]] = ()
+    content_type: str = _JSON
+
+
+@final
+class Request:
+    """One request to the administration API.
+
+    Parameters
+    ----------
+    environ : dict
+        WSGI environment.
+
+    Attributes
+    ----------
+    who : str
+        Name of the operator, set once the token is known.
+    role : OperatorRole or None
+        What the operator may do.
+    """
+
+    def __init__(self, environ: dict[str, Any]) -> None:
+        self._environ = environ
+        self.method: str = environ["REQUEST_METHOD"]
+        path = environ.get("PATH_INFO", "").encode("latin-1")
+        self.segments = path.decode("utf-8", "replace").strip("/").split("/")
+        query = environ.get("QUERY_STRING", "")
+        self._query = dict(parse.parse_qsl(query, keep_blank_values=True))
+        self.who = ""
+        self.role: table.OperatorRole | None = None
+
+    @property
+    def token(self) -> str:
+        """Give the bearer token, empty without one."""
+        return _tokens.bearer_of(self.header("Authorization"))
+
+    def header(self, name: str) -> str:
+        """Give a header's value, empty without one."""
+        key = "HTTP_" + name.upper().replace("-", "_")
+        value: str = self._environ.get(key, "")
+        return value
+
+    def query(self, name: str) -> str:
+        """Give a query parameter, empty without one."""
+        return self._query.get(name, "")
+
+    def flag(self, name: str) -> bool:
+        """Tell whether a query parameter is true."""
+        return self.query(name).lower() in _TRUE
+
+    def number(self, name: str, *, default: int) -> int:
+        """Give a query parameter that is a whole number from 0.
+
+        Raises
+        ------
+        BadHeader
+            It is something else.
+        """
+        text = self.query(name)
+        if not text:
+            return default
+        if not text.isascii() or not text.isdigit() or len(text) > 15:
+            raise _errors.BadHeader(
+                f"{name}={text!r}; give a whole number from 0"
+            )
+        return int(text)
+
+    def etag(self) -> str | None:
+        """Give the ETag of If-Match, None without one."""
+        value = self.header("If-Match").strip()
+        if not value:
+            return None
+        return value.removeprefix("W/").strip('"')
+
+    def edit_id(self) -> str:
+        """Give the edit's id, a new one when the client gave none.
+
+        Raises
+        ------
+        BadHeader
+            It is not 8 to 128 letters, digits, dots, hyphens, underscores.
+        """
+        value = self.header("X-Edit-Id") or _tokens.new_edit_id()
+        if not _EDIT_ID.match(value):
+            raise _errors.BadHeader(
+                f"X-Edit-Id {value!r}: give 8 to 128 letters, digits, dots,"
+                " hyphens or underscores"
+            )
+        return value
+
+    def reason(self) -> str:
+        """Give why the edit is made, in the operator's words."""
+        value = parse.unquote(self.header("X-Reason"))
+        return value[:MAX_TEXT]
+
+    def decoded(self, kind: Any, *, limit: int = MAX_BODY_BYTES) -> Any:
+        """Read the body as JSON of a type.
+
+        Raises
+        ------
+        BodyTooLarge, BodyTooSlow, BadBody
+            It is too large, came too slowly, or is something else.
+        """
+        try:
+            return msgspec.json.decode(self._body(limit) or b"{}", type=kind)
+        except msgspec.DecodeError as error:
+            raise _errors.BadBody(f"the body: {error}") from error
+
+    def _body(self, limit: int) -> bytes:
+        length = self._environ.get("CONTENT_LENGTH") or "0"
+        if length.isdigit() and int(length) > limit:
+            raise _too_large(limit)
+        with gevent.Timeout(BODY_TIMEOUT, _too_slow()):
+            body: bytes = self._environ["wsgi.input"].read(limit + 1)
+        if len(body) > limit:
+            raise _too_large(limit)
+        return body
+
+
+def _too_large(limit: int) -> _errors.BodyTooLarge:
+    return _errors.BodyTooLarge(f"the body passes {limit} bytes; send less")
+
+
+def _too_slow() -> _errors.BodyTooSlow:
+    return _errors.BodyTooSlow(
+        f"the body did not arrive within {BODY_TIMEOUT:g} s"
+    )
+
+
+Handler = Callable[[Request], Answer]
+
+
+@final
+class Route(msgspec.Struct, frozen=True, kw_only=True):
+    """A path with what answers it.
+
+    Attributes
+    ----------
+    path : str
+        As in ``/v1/{table}/{name}``; a segment in braces matches any.
+    role : OperatorRole or None
+        Least role that may ask; None for everybody, without a token.
+    """
+
+    method: str
+    path: str
+    handler: Handler
+    role: table.OperatorRole | None = table.OperatorRole.read
+
+    def matches(self, segments: Sequence[str]) -> bool:
+        """Tell whether a request's path is this route's."""
+        own = self.path.strip("/").split("/")
+        return len(own) == len(segments) and all(
+            mine == other or (mine.startswith("{") and other != "")
+            for mine, other in zip(own, segments)
+        )
+
+
+def error_answer(error: _errors.TopazlugError) -> Answer:
+    """Give an error in the OpenAI shape."""
+    body: dict[str, Any] = {
+        "code": error.code.value,
+        "message": error.message,
+        "type": type(error).__name__,
+    }
+    if isinstance(error, _table_errors.RowConflict):
+        body |= {"mine": error.mine, "current": error.current}
+    headers = []
+    if isinstance(error, _errors.RequestError) and error.retry_after:
+        headers.append(("Retry-After", f"{error.retry_after:.0f}"))
+    if error.status is HTTPStatus.UNAUTHORIZED:
+        headers.append(("WWW-Authenticate", "Bearer"))
+    return Answer(body={"error": body}, status=error.status, headers=headers)
+
+
+def sent(
+    answer: Answer, start_response: Callable[..., Any]
+) -> Iterable[bytes]:
+    """Write an answer the WSGI way."""
+    body = answer.body
+    if not isinstance(body, bytes):
+        body = msgspec.json.encode(body)
+    start_response(
+        f"{answer.status.value} {answer.status.phrase}",
+        [
+            ("Content-Type", answer.content_type),
+            ("Content-Length", str(len(body))),
+            ("Cache-Control", "no-store"),
+            *answer.headers,
+        ],
+    )
+    return [body]
--- /dev/null
+++ b/src/topazlug/_administration_status.py
@@ -0,0 +1,158 @@
+"""What the administration API shows of the fleet at work."""
+
+from typing import Any
+from typing import Protocol
+from typing import final
+
+import msgspec
+
+from topazlug import _administration_http
+from topazlug import _configuration
+from topazlug import _errors
+
+
+@final
+class DaemonStatus(msgspec.Struct, frozen=True, kw_only=True):
+    """One daemon as this one sees it; revision -1 when unknown."""
+
+    id: str
+    zone: str = ""
+    state: str = "live"
+    incarnation: int = 0
+    revision: int = int(_configuration.NOTHING_HELD)
+
+
+@final
+class ReplicaStatus(msgspec.Struct, frozen=True, kw_only=True):
+    """One replica; load, bound and slots in load units, -1 unknown."""
+
+    id: str
+    group: str
+    zone: str = ""
+    state: str = "live"
+    owner: str = ""
+    load: float = -1
+    bound: float = -1
+    slots: int = -1
+
+
+@final
+class TeamStatus(msgspec.Struct, frozen=True, kw_only=True):
+    """One team's use; requests and requests a second, ceilings 0 for none."""
+
+    name: str
+    running: int = 0
+    ceiling_running: int = 0
+    rate: float = 0
+    ceiling_rate: float = 0
+    refused: int = 0
+
+
+@final
+class FleetStatus(msgspec.Struct, frozen=True, kw_only=True):
+    """The fleet as the daemon that was asked sees it."""
+
+    daemon: str
+    revision: int
+    daemons: list[DaemonStatus] = []
+    replicas: list[ReplicaStatus] = []
+    teams: list[TeamStatus] = []
+
+
+@final
+class Candidate(msgspec.Struct, frozen=True, kw_only=True):
+    """One replica in a chat's rank and why it was taken or passed over."""
+
+    rank: int
+    replica: str
+    owner: str = ""
+    state: str = "live"
+    load: float = -1
+    bound: float = -1
+    verdict: str = ""
+
+
+@final
+class Explanation(msgspec.Struct, frozen=True, kw_only=True):
+    """Why a chat goes where it goes."""
+
+    group: str
+    chat: str
+    chosen: str = ""
+    reason: str = ""
+    candidates: list[Candidate] = []
+
+
+class StatusSource(Protocol):
+    """What the daemon at work tells the administration API."""
+
+    def status(self) -> FleetStatus:
+        """Give the fleet as this daemon sees it."""
+
+    def explain(self, *, chat: str, pool: str) -> Explanation:
+        """Give why a chat goes where it goes.
+
+        Raises
+        ------
+        TopazlugError
+            There is no such pool.
+        """
+
+
+@final
+class StatusResource:
+    """Answers the questions about the fleet at work."""
+
+    def __init__(
+        self,
+        *,
+        source: StatusSource,
+        holder: _configuration.ConfigurationHolder,
+    ) -> None:
+        self._source = source
+        self._holder = holder
+
+    def routes(self) -> list[_administration_http.Route]:
+        """Give the paths."""
+        made = _administration_http.Route
+        return [
+            made(method="GET", path="/v1/status", handler=self._status),
+            made(method="GET", path="/v1/config/status", handler=self._config),
+            made(method="GET", path="/v1/explain", handler=self._explain),
+        ]
+
+    def _status(
+        self, request: _administration_http.Request
+    ) -> _administration_http.Answer:
+        return _administration_http.Answer(body=self._source.status())
+
+    def _config(
+        self, request: _administration_http.Request
+    ) -> _administration_http.Answer:
+        status = self._source.status()
+        newest = max(
+            [self._holder.revision, *(d.revision for d in status.daemons)]
+        )
+        wanted = request.number("revision", default=newest)
+        counted = [d for d in status.daemons if d.state != "dead"]
+        behind = [d.id for d in counted if d.revision < wanted]
+        body: dict[str, Any] = {
+            "revision": self._holder.revision,
+            "wanted": wanted,
+            "in_force": not behind and self._holder.revision >= wanted,
+            "behind": behind,
+            "refused_revision": self._holder.refused_revision,
+            "daemons": counted,
+        }
+        return _administration_http.Answer(body=body)
+
+    def _explain(
+        self, request: _administration_http.Request
+    ) -> _administration_http.Answer:
+        chat = request.query("chat")
+        if not chat:
+            raise _errors.BadHeader("chat is missing; give ?chat=<chat id>")
+        explanation = self._source.explain(
+            chat=chat, pool=request.query("pool")
+        )
+        return _administration_http.Answer(body=explanation)
--- /dev/null
+++ b/src/topazlug/_admission.py
@@ -0,0 +1,423 @@
+"""The entry daemon's role: find a place for a request.
+
+The entry daemon asks the owners of the replicas in the chat's rank, one
+after the other. It talks to the replica itself, so no stream crosses two
+daemons.
+"""
+
+from collections.abc import Callable
+import itertools
+import math
+from typing import Protocol
+from typing import final
+
+from gevent import event
+import logbook
+import msgspec
+
+from topazlug import _clock
+from topazlug import _errors
+from topazlug import _ids
+from topazlug import _owner
+from topazlug import _ownership
+from topazlug import _place
+from topazlug import _ranking
+from topazlug import _targets
+from topazlug._generated import messages
+from topazlug._generated import settings as _settings_types
+
+_log = logbook.Logger("admission")
+
+_SILENT_SECONDS = 1.0
+_REDIRECTS = 1
+
+
+class Links(Protocol):
+    """What the entry role needs of the peers' streams."""
+
+    def send(self, to: _ids.DaemonId, message: msgspec.Struct) -> None:
+        """Send one way; raises PeerUnreachable."""
+
+    def call(
+        self, to: _ids.DaemonId, message: msgspec.Struct, *, timeout: float
+    ) -> msgspec.Struct:
+        """Ask and wait; raises PeerUnreachable."""
+
+
+class _Round:
+    """What one request has learned while it looks for a place."""
+
+    def __init__(self, ranked: list[_ids.ReplicaId]) -> None:
+        self.ranked = ranked
+        self.asked: set[_ids.ReplicaId] = set()
+        self.least: _ids.ReplicaId | None = None
+        self.least_load = math.inf
+        self.seat: _ids.ReplicaId | None = None
+        self.retry_after = 0.0
+
+    def note(
+        self, replica: _ids.ReplicaId, reply: messages.AdmitReply
+    ) -> None:
+        self.retry_after = max(self.retry_after, reply.retry_after)
+        if reply.load < self.least_load:
+            self.least = replica
+            self.least_load = reply.load
+
+
+@final
+class OwnersAdmission:
+    """Finds places by asking owners.
+
+    Parameters
+    ----------
+    daemon : DaemonId
+        This daemon.
+    owner : Owner
+        This daemon's own ledgers.
+    ownership : Ownership
+        Who owns what.
+    targets : TargetDirectory
+        Which replicas may get new work.
+    links : Links
+        Streams to peers.
+    routing : RoutingSettings
+        Settings.
+    clock : Clock
+        Time.
+    fleet_size : callable
+        Gives the number of usable daemons.
+    """
+
+    def __init__(
+        self,
+        *,
+        daemon: _ids.DaemonId,
+        owner: _owner.Owner,
+        ownership: _ownership.Ownership,
+        targets: _targets.TargetDirectory,
+        links: Links,
+        routing: _settings_types.RoutingSettings,
+        clock: _clock.Clock,
+        fleet_size: Callable[[], int],
+    ) -> None:
+        self._daemon = daemon
+        self._owner = owner
+        self._ownership = ownership
+        self._targets = targets
+        self._links = links
+        self._routing = routing
+        self._clock = clock
+        self._fleet_size = fleet_size
+        self._numbers = itertools.count(1)
+        self._silent_until: dict[_ids.DaemonId, float] = {}
+        self._renewed: set[_ids.DaemonId] = set()
+        self.place_by_ask: dict[_ids.AskNumber, _place.Place] = {}
+        self.pending_by_ask: dict[_ids.AskNumber, _ids.DaemonId] = {}
+        self.decided_alone = 0
+        self.passed_over = 0
+
+    def admit(self, request: _place.PlaceRequest) -> _place.Place:
+        """Find a place, asking the owners in the chat's rank.
+
+        Raises
+        ------
+        Overloaded
+            None is free and none will be before the deadline.
+        NoTarget
+            The group has no usable replica.
+        """
+        ranked = self._rank(request)
+        if not ranked:
+            raise _errors.NoTarget(
+                f"no usable replica of {request.group}", retry_after=1.0
+            )
+        search = _Round(ranked)
+        place = self._try_ranked(request, search)
+        if place is None:
+            place = self._wait(request, search)
+        if place is None and search.least is None:
+            place = self._decide_alone(request, ranked)
+        if place is None:
+            raise _errors.Overloaded(
+                f"no place is free on {request.group}",
+                retry_after=max(0.5, search.retry_after),
+            )
+        self.place_by_ask[place.ask] = place
+        self._note_displacement(place, search)
+        return place
+
+    def _rank(self, request: _place.PlaceRequest) -> list[_ids.ReplicaId]:
+        usable = self._targets.usable(request.group)
+        candidates = [name for name in usable if name not in request.excluded]
+        count = max(self._routing.candidates, min(len(candidates), 8))
+        best = _ranking.rank(candidates, request.chat, count=count)
+        return [_ids.ReplicaId(name) for name in best]
+
+    def _try_ranked(
+        self, request: _place.PlaceRequest, search: _Round
+    ) -> _place.Place | None:
+        for replica in search.ranked:
+            if self._clock.monotonic() > request.deadline:
+                raise _errors.DeadlineExceeded("no place before the deadline")
+            place = self._try(request, search, replica)
+            if place is not None:
+                return place
+        return None
+
+    def _try(
+        self,
+        request: _place.PlaceRequest,
+        search: _Round,
+        replica: _ids.ReplicaId,
+        *,
+        redirects: int = _REDIRECTS,
+    ) -> _place.Place | None:
+        if replica in search.asked:
+            return None
+        is_home = replica == search.ranked[0]
+        answer = self._ask(request, replica, home=is_home and redirects > 0)
+        if answer is None:
+            return None
+        ask, owner, reply = answer
+        if reply.verdict is messages.Verdict.elsewhere:
+            seat = _ids.ReplicaId(reply.replica)
+            search.seat = seat
+            place = None
+            if seat not in request.excluded:
+                place = self._try(request, search, seat, redirects=0)
+            if place is not None:
+                return place
+            # The displaced seat is full: the home itself is asked again,
+            # and this time counts the chat as its own.
+            return self._try(request, search, replica, redirects=0)
+        search.asked.add(replica)
+        if reply.verdict is messages.Verdict.granted:
+            return self._new_place(request, replica, ask, owner, home=is_home)
+        if reply.verdict in (
+            messages.Verdict.full,
+            messages.Verdict.over_bound,
+        ):
+            search.note(replica, reply)
+        return None
+
+    def _wait(
+        self, request: _place.PlaceRequest, search: _Round
+    ) -> _place.Place | None:
+        """Queue at the replica that had the least load."""
+        replica = search.least
+        if replica is None:
+            return None
+        wait = request.deadline - self._clock.monotonic()
+        if wait <= 0:
+            raise _errors.DeadlineExceeded("no place before the deadline")
+        answer = self._ask(request, replica, home=False, wait=wait)
+        if answer is None:
+            return None
+        ask, owner, reply = answer
+        if reply.verdict is messages.Verdict.granted:
+            is_home = replica == search.ranked[0]
+            return self._new_place(request, replica, ask, owner, home=is_home)
+        search.note(replica, reply)
+        return None
+
+    def _ask(
+        self,
+        request: _place.PlaceRequest,
+        replica: _ids.ReplicaId,
+        *,
+        home: bool,
+        wait: float = 0.0,
+    ) -> tuple[_ids.AskNumber, _ids.DaemonId, messages.AdmitReply] | None:
+        owner = self._ownership.owner_of(replica)
+        if owner is None:
+            return None
+        now = self._clock.monotonic()
+        if now < self._silent_until.get(owner, 0.0):
+            self.passed_over += 1
+            return None
+        ask = _ids.AskNumber(next(self._numbers))
+        message = messages.AdmitAsk(
+            ask=ask,
+            group=request.group,
+            replica=replica,
+            chat=request.chat,
+            team=request.team,
+            batch=request.batch,
+            weight=request.weight,
+            home=home,
+            wait=wait,
+        )
+        self.pending_by_ask[ask] = owner
+        try:
+            reply = self._exchange(owner, message, wait)
+        finally:
+            del self.pending_by_ask[ask]
+        if reply is None:
+            self._pass_over(owner, ask, waited=wait > 0)
+            return None
+        return ask, owner, reply
+
+    def _exchange(
+        self, owner: _ids.DaemonId, message: messages.AdmitAsk, wait: float
+    ) -> messages.AdmitReply | None:
+        timeout = self._routing.owner_timeout + wait
+        if owner == self._daemon:
+            result = event.AsyncResult()
+            self._owner.ask(self._daemon, message, result.set)
+            reply = result.get(timeout=timeout) if wait else result.get()
+            return reply
+        try:
+            answer = self._links.call(owner, message, timeout=timeout)
+        except _errors.PeerUnreachable:
+            return None
+        if isinstance(answer, messages.AdmitReply):
+            return answer
+        return None
+
+    def _pass_over(
+        self, owner: _ids.DaemonId, ask: _ids.AskNumber, *, waited: bool
+    ) -> None:
+        """Leave an owner that did not answer alone for a moment.
+
+        A frozen owner takes bytes and says nothing. If each request waited
+        for it in turn, every caller whose home it owns would lose the whole
+        timeout; after the first silence the others go straight on.
+        """
+        self.passed_over += 1
+        if not waited:
+            until = self._clock.monotonic() + _SILENT_SECONDS
+            self._silent_until[owner] = until
+        self._send_release(owner, ask)
+
+    def _decide_alone(
+        self, request: _place.PlaceRequest, ranked: list[_ids.ReplicaId]
+    ) -> _place.Place | None:
+        """Admit without any owner, within this daemon's share of the slots.
+
+        With no owner in reach, as in a cut between zones, refusing all
+        would be silence. Shares of the slots add up to no more than all of
+        them, so the engines still aren't swamped.
+        """
+        held = self._held_by_replica()
+        for replica in ranked:
+            target = self._targets.target_by_replica.get(replica)
+            if target is None:
+                continue
+            share = math.ceil(target.slots / max(1, self._fleet_size()))
+            if held.get(replica, 0) >= share:
+                continue
+            self.decided_alone += 1
+            ask = _ids.AskNumber(next(self._numbers))
+            home = replica == ranked[0]
+            return self._new_place(request, replica, ask, None, home=home)
+        return None
+
+    def _held_by_replica(self) -> dict[_ids.ReplicaId, int]:
+        held: dict[_ids.ReplicaId, int] = {}
+        for place in self.place_by_ask.values():
+            replica = place.target.replica
+            held[replica] = held.get(replica, 0) + place.request.weight
+        return held
+
+    def _new_place(
+        self,
+        request: _place.PlaceRequest,
+        replica: _ids.ReplicaId,
+        ask: _ids.AskNumber,
+        owner: _ids.DaemonId | None,
+        *,
+        home: bool,
+    ) -> _place.Place | None:
+        target = self._targets.target_by_replica.get(replica)
+        if target is None:
+            if owner is not None:
+                self._send_release(owner, ask)
+            return None
+        return _place.Place(
+            target=target, ask=ask, owner=owner, request=request, home=home
+        )
+
+    def _note_displacement(self, place: _place.Place, search: _Round) -> None:
+        """Tell the home's owner where its chat went.
+
+        Only a chat that moved is told: one that is at home, or still at
+        the seat that the owner remembers, costs no message.
+        """
+        replica = place.target.replica
+        unmoved = replica == search.seat or (place.home and not search.seat)
+        if unmoved or place.request.excluded:
+            return
+        home = search.ranked[0]
+        owner = self._ownership.owner_of(home)
+        note = messages.Displaced(
+            group=place.request.group,
+            home=home,
+            chat=place.request.chat,
+            replica="" if place.home else replica,
+        )
+        if owner == self._daemon:
+            self._owner.displaced.note(note)
+        elif owner is not None:
+            self._send(owner, note)
+
+    def release(self, place: _place.Place) -> None:
+        """Give a place back; a second time does nothing."""
+        if self.place_by_ask.pop(place.ask, None) is None:
+            return
+        if place.owner is not None:
+            self._send_release(place.owner, place.ask)
+
+    def _send_release(self, owner: _ids.DaemonId, ask: _ids.AskNumber) -> None:
+        if owner == self._daemon:
+            self._owner.release(self._daemon, [ask])
+            return
+        self._send(owner, messages.Release(asks=[ask]))
+
+    def _send(self, owner: _ids.DaemonId, message: msgspec.Struct) -> None:
+        try:
+            self._links.send(owner, message)
+        except _errors.PeerUnreachable:
+            # The next renewal carries the whole truth.
+            return
+
+    def renew(self) -> None:
+        """Tell each owner all that this daemon holds of it.
+
+        Owners that held something at the last renewal hear an empty list
+        once, so a place whose release was lost does not stay counted.
+        """
+        held: dict[_ids.DaemonId, list[messages.HeldPlace]] = {}
+        pending: dict[_ids.DaemonId, list[int]] = {}
+        for place in self.place_by_ask.values():
+            self._reassign(place)
+            if place.owner is not None:
+                held.setdefault(place.owner, []).append(_held_place(place))
+        for ask, owner in self.pending_by_ask.items():
+            pending.setdefault(owner, []).append(ask)
+        current = set(held) | set(pending)
+        for owner in current | self._renewed:
+            message = messages.Renew(
+                held=held.get(owner, []), pending=pending.get(owner, [])
+            )
+            if owner == self._daemon:
+                self._owner.renew(self._daemon, message)
+            else:
+                self._send(owner, message)
+        self._renewed = current
+
+    def _reassign(self, place: _place.Place) -> None:
+        owner = self._ownership.owner_of(place.target.replica)
+        if owner is not None and owner != place.owner:
+            if place.owner is not None:
+                self._renewed.add(place.owner)
+            place.owner = owner
+
+
+def _held_place(place: _place.Place) -> messages.HeldPlace:
+    return messages.HeldPlace(
+        ask=place.ask,
+        replica=place.target.replica,
+        weight=place.request.weight,
+        team=place.request.team,
+        batch=place.request.batch,
+    )
--- /dev/null
+++ b/src/topazlug/_attempts.py
@@ -0,0 +1,172 @@
+"""One request's attempts at targets, and what is known of its outcome."""
+
+from collections.abc import Callable
+from typing import Protocol
+from typing import TypeVar
+from typing import final
+
+import logbook
+
+from topazlug import _clock
+from topazlug import _errors
+from topazlug import _ids
+from topazlug import _place
+from topazlug import _retry_budget
+from topazlug import _target_client
+from topazlug import _targets
+from topazlug._generated import messages
+
+_log = logbook.Logger("attempts")
+_MAX_ATTEMPTS = 4
+
+ResultT = TypeVar("ResultT")
+
+
+class TargetSigns(Protocol):
+    """Whom to tell what a target gave away about itself."""
+
+    def publish_target(
+        self,
+        replica: _ids.ReplicaId,
+        *,
+        incarnation: int,
+        state: messages.FactState,
+    ) -> None:
+        """Tell all daemons."""
+
+
+@final
+class Attempts:
+    """Runs a request at one target after the other until one answers.
+
+    "Not run" is promised to the caller, so it is said only when no byte of
+    any attempt went to a target, or each target that got bytes refused them
+    before running. One attempt whose fate is unknown makes the whole
+    request unknown, also when a later one was refused.
+
+    Parameters
+    ----------
+    admission : Admission
+        Finds places.
+    targets : TargetDirectory
+        Targets.
+    budget : RetryBudget
+        This daemon's retries.
+    signs : TargetSigns
+        Gets to know of targets that are leaving.
+    clock : Clock
+        Time.
+    """
+
+    def __init__(
+        self,
+        *,
+        admission: _place.Admission,
+        targets: _targets.TargetDirectory,
+        budget: _retry_budget.RetryBudget,
+        signs: TargetSigns,
+        clock: _clock.Clock,
+    ) -> None:
+        self._admission = admission
+        self._targets = targets
+        self._budget = budget
+        self._signs = signs
+        self._clock = clock
+
+    def run(
+        self,
+        request: _place.PlaceRequest,
+        attempt: Callable[[_place.Place], ResultT],
+        *,
+        repeatable: bool,
+    ) -> ResultT:
+        """Run attempts until one succeeds.
+
+        Parameters
+        ----------
+        request : PlaceRequest
+            What needs a place.
+        attempt : callable
+            Makes one attempt; it owns the place once it returns, and this
+            method releases it when it raises.
+        repeatable : bool
+            Whether an attempt whose fate is unknown may be repeated.
+
+        Raises
+        ------
+        RequestError
+            The last failure, with what is known of all attempts.
+        """
+        self._budget.earn()
+        outcome = _errors.Outcome.NOT_RUN
+        excluded: frozenset[_ids.ReplicaId] = frozenset()
+        for number in range(1, _MAX_ATTEMPTS + 1):
+            place = self._admit(request, excluded, outcome)
+            try:
+                return attempt(place)
+            except _target_client.ConnectFailed as error:
+                failure = self._connect_failed(place, error)
+            except _errors.TargetRefused as error:
+                failure = error
+                self._note_refusal(place, error)
+            except _errors.RequestError as error:
+                failure = error
+                if error.outcome is _errors.Outcome.UNKNOWN:
+                    outcome = _errors.Outcome.UNKNOWN
+            except BaseException:
+                self._admission.release(place)
+                raise
+            self._admission.release(place)
+            failure.outcome = outcome
+            if not self._may_repeat(failure, number, repeatable):
+                raise failure
+            excluded |= {place.target.replica}
+        raise failure
+
+    def _admit(
+        self,
+        request: _place.PlaceRequest,
+        excluded: frozenset[_ids.ReplicaId],
+        outcome: _errors.Outcome,
+    ) -> _place.Place:
+        wanted = _place.PlaceRequest(
+            group=request.group,
+            chat=request.chat,
+            team=request.team,
+            batch=request.batch,
+            weight=request.weight,
+            deadline=request.deadline,
+            excluded=excluded,
+        )
+        try:
+            return self._admission.admit(wanted)
+        except _errors.RequestError as error:
+            error.outcome = outcome
+            raise
+
+    def _connect_failed(
+        self, place: _place.Place, error: _target_client.ConnectFailed
+    ) -> _errors.RequestError:
+        self._targets.avoid(place.target.replica)
+        return _errors.NoTarget(error.message, retry_after=1.0)
+
+    def _note_refusal(
+        self, place: _place.Place, error: _errors.TargetRefused
+    ) -> None:
+        if "leaving" not in error.message:
+            return
+        self._signs.publish_target(
+            place.target.replica,
+            incarnation=place.target.incarnation,
+            state=messages.FactState.leaving,
+        )
+
+    def _may_repeat(
+        self, failure: _errors.RequestError, number: int, repeatable: bool
+    ) -> bool:
+        if number >= _MAX_ATTEMPTS:
+            return False
+        certain = failure.outcome is _errors.Outcome.NOT_RUN
+        if not certain and not repeatable:
+            return False
+        return self._budget.spend()
--- /dev/null
+++ b/src/topazlug/_caller_answer.py
@@ -0,0 +1,92 @@
+"""What a caller gets: an answer, or an error of one shape."""
+
+from collections.abc import Iterator
+from http import HTTPStatus
+import math
+
+import msgspec
+
+from topazlug import _errors
+from topazlug import _ids
+
+OUTCOME = "Topazlug-Outcome"
+_JSON = ("Content-Type", "application/json")
+
+
+class CallerAnswer(msgspec.Struct):
+    """An answer on its way to a caller.
+
+    Attributes
+    ----------
+    body : iterator of bytes
+        Pieces; an exception in it cuts the connection without the
+        terminating chunk, so a torn answer never looks whole.
+    """
+
+    status: int
+    headers: list[tuple[str, str]]
+    body: Iterator[bytes]
+
+
+class _ErrorBody(msgspec.Struct):
+    message: str
+    type: str
+    code: str
+    request_id: str
+
+
+class _ErrorDocument(msgspec.Struct):
+    error: _ErrorBody
+
+
+def error_document(
+    error: _errors.TopazlugError, request_id: _ids.RequestId
+) -> bytes:
+    """Give the error in the OpenAI shape, as JSON."""
+    kind = "server_error"
+    if error.status < HTTPStatus.INTERNAL_SERVER_ERROR:
+        kind = "invalid_request_error"
+    return msgspec.json.encode(
+        _ErrorDocument(
+            _ErrorBody(
+                message=error.message,
+                type=kind,
+                code=error.code.value,
+                request_id=request_id,
+            )
+        )
+    )
+
+
+def of_error(
+    error: _errors.TopazlugError, request_id: _ids.RequestId
+) -> CallerAnswer:
+    """Make the answer of a request that failed."""
+    body = error_document(error, request_id) + b"\n"
+    outcome = _errors.Outcome.UNKNOWN
+    retry_after = None
+    if isinstance(error, _errors.RequestError):
+        outcome = error.outcome
+        retry_after = error.retry_after
+    headers = [
+        _JSON,
+        ("Content-Length", str(len(body))),
+        (OUTCOME, outcome.value),
+        ("X-Request-Id", request_id),
+    ]
+    if retry_after is not None:
+        headers.append(("Retry-After", str(math.ceil(retry_after))))
+    return CallerAnswer(
+        status=int(error.status), headers=headers, body=iter([body])
+    )
+
+
+def of_json(document: object, request_id: _ids.RequestId) -> CallerAnswer:
+    """Make a JSON answer of this daemon's own."""
+    body = msgspec.json.encode(document)
+    headers = [
+        _JSON,
+        ("Content-Length", str(len(body))),
+        ("X-Request-Id", request_id),
+    ]
+    return CallerAnswer(status=200, headers=headers, body=iter([body]))
--- /dev/null
+++ b/src/topazlug/_caller_request.py
@@ -0,0 +1,216 @@
+"""What a caller sent, read and checked within bounds."""
+
+from collections.abc import Iterator
+from collections.abc import Mapping
+import hashlib
+from typing import Any
+from typing import BinaryIO
+from typing import final
+import uuid
+
+import gevent
+import msgspec
+
+from topazlug import _clock
+from topazlug import _configuration
+from topazlug import _errors
+from topazlug import _ids
+from topazlug._generated import settings as _settings_types
+from topazlug._generated import table
+
+_BEARER = "bearer "
+_READ_BLOCK = 65536
+_MAX_KEY_CHARACTERS = 512
+SOCKET = "topazlug.socket"
+
+
+@final
+class Caller(msgspec.Struct, frozen=True):
+    """Who calls, and how urgent it is."""
+
+    team: table.TeamRow
+    batch: bool
+
+    @property
+    def name(self) -> _ids.TeamName:
+        """Give the team's name."""
+        return _ids.TeamName(self.team.name)
+
+    @property
+    def class_name(self) -> str:
+        """Give the request class's name."""
+        chosen = table.RequestClass.interactive
+        if self.batch:
+            chosen = table.RequestClass.batch
+        return chosen.value
+
+
+@final
+class CallerRequest:
+    """One request of a caller.
+
+    Parameters
+    ----------
+    environ : mapping
+        WSGI environment.
+    limits : LimitSettings
+        Bounds.
+    clock : Clock
+        Time.
+    """
+
+    def __init__(
+        self,
+        *,
+        environ: Mapping[str, Any],
+        limits: _settings_types.LimitSettings,
+        clock: _clock.Clock,
+    ) -> None:
+        self._environ = environ
+        self._limits = limits
+        self._clock = clock
+        self.request_id = _ids.RequestId(uuid.uuid4().hex)
+        self.method: str = environ["REQUEST_METHOD"]
+        self.path: str = environ["PATH_INFO"]
+        self.query: str = environ.get("QUERY_STRING", "")
+        self.started = clock.monotonic()
+        self.deadline = self.started + limits.default_deadline
+        self.socket = environ.get(SOCKET)
+
+    def header(self, name: str) -> str:
+        """Give a header's value, empty when absent."""
+        key = "HTTP_" + name.upper().replace("-", "_")
+        return self._environ.get(key, "")
+
+    def headers(self) -> Iterator[tuple[str, str]]:
+        """Give all headers but those of the body's framing."""
+        for key, value in self._environ.items():
+            if key.startswith("HTTP_"):
+                yield key[5:].replace("_", "-").title(), value
+        kind = self._environ.get("CONTENT_TYPE", "")
+        if kind:
+            yield "Content-Type", kind
+
+    def identify(self, snapshot: _configuration.TableSnapshot) -> Caller:
+        """Find the team by the API key.
+
+        Raises
+        ------
+        BadKey
+            No key, a wrong one, or one that was revoked or has expired.
+        BadHeader
+            An unknown request class.
+        """
+        given = self.header("Authorization")
+        if not given.lower().startswith(_BEARER):
+            raise _errors.BadKey("send Authorization: Bearer <API key>")
+        key = given[len(_BEARER) :].strip()
+        if not key or len(key) > _MAX_KEY_CHARACTERS:
+            raise _errors.BadKey("the API key is empty or too long")
+        digest = hashlib.sha256(key.encode("latin-1")).hexdigest()
+        team = snapshot.team_of_key(digest, now=self._clock.now())
+        if team is None:
+            raise _errors.BadKey("the API key is not known")
+        return Caller(team=team, batch=self._is_batch(team))
+
+    def _is_batch(self, team: table.TeamRow) -> bool:
+        named = self.header("X-Request-Class")
+        if not named:
+            return team.request_class is table.RequestClass.batch
+        try:
+            chosen = table.RequestClass(named)
+        except ValueError:
+            known = ", ".join(kind.value for kind in table.RequestClass)
+            raise _errors.BadHeader(
+                f"X-Request-Class is {named!r}; known are {known}"
+            ) from None
+        return chosen is table.RequestClass.batch
+
+    def read_deadline(self, *, longest: float | None = None) -> None:
+        """Take the deadline that the caller names.
+
+        Parameters
+        ----------
+        longest : float or None
+            Seconds that the row allows at most.
+
+        Raises
+        ------
+        BadHeader
+            Not a number of seconds above 0.
+        """
+        allowed = self._limits.max_deadline
+        seconds = min(self._limits.default_deadline, allowed)
+        named = self.header("X-Request-Timeout")
+        if named:
+            seconds = min(_seconds(named), allowed)
+        if longest is not None:
+            seconds = min(seconds, longest)
+        self.deadline = self.started + seconds
+
+    def remaining(self) -> float:
+        """Give the seconds left until the deadline.
+
+        Raises
+        ------
+        DeadlineExceeded
+            None are left.
+        """
+        left = self.deadline - self._clock.monotonic()
+        if left <= 0:
+            raise _errors.DeadlineExceeded("the request's deadline passed")
+        return left
+
+    def read_body(self) -> bytes:
+        """Read the whole body within the bounds on size and time.
+
+        Raises
+        ------
+        BodyTooLarge, BodyTooSlow, BadBody
+            As named.
+        """
+        limit = self._limits.max_body_bytes
+        declared = self._environ.get("CONTENT_LENGTH") or ""
+        if declared.isdigit() and int(declared) > limit:
+            raise _too_large(limit)
+        stream: BinaryIO = self._environ["wsgi.input"]
+        late = _errors.BodyTooSlow(
+            f"the body took longer than {self._limits.body_timeout} s"
+        )
+        with gevent.Timeout(self._limits.body_timeout, late):
+            try:
+                body = _read_at_most(stream, limit)
+            except (OSError, ValueError) as error:
+                raise _errors.BadBody(
+                    f"the body could not be read: {error}"
+                ) from error
+        if declared.isdigit() and len(body) < int(declared):
+            raise _errors.BadBody("the body ended before its stated length")
+        return body
+
+
+def _too_large(limit: int) -> _errors.BodyTooLarge:
+    return _errors.BodyTooLarge(f"the body is longer than {limit} bytes")
+
+
+def _read_at_most(stream: BinaryIO, limit: int) -> bytes:
+    blocks: list[bytes] = []
+    size = 0
+    while block := stream.read(_READ_BLOCK):
+        size += len(block)
+        if size > limit:
+            raise _too_large(limit)
+        blocks.append(block)
+    return b"".join(blocks)
+
+
+def _seconds(named: str) -> float:
+    try:
+        seconds = float(named)
+    except ValueError:
+        seconds = 0.0
+    if not 0 < seconds < 1e9:
+        raise _errors.BadHeader(
+            f"X-Request-Timeout is {named!r}; give seconds above 0"
+        )
+    return seconds
--- /dev/null
+++ b/src/topazlug/_caller_watch.py
@@ -0,0 +1,63 @@
+"""Notices that a caller has left while its answer is still on its way.
+
+A caller that hangs up is otherwise noticed only at the next write. An engine
+that is still reading a long prompt writes nothing for seconds, and keeps a
+slot for nobody.
+"""
+
+from collections.abc import Callable
+import socket as _plain_socket
+import ssl
+from typing import Any
+from typing import final
+
+import gevent
+
+
+@final
+class CallerWatch:
+    """Calls back once when the caller's connection ends.
+
+    It needs no greenlet of its own: a watcher of the event loop looks at
+    the socket when it becomes readable. Over TLS nothing can be looked at
+    without taking it, so there a hang-up is noticed at the next write.
+
+    Parameters
+    ----------
+    connection : socket or None
+        The caller's connection.
+    left : callable
+        Called in the hub; it must not block.
+    """
+
+    def __init__(self, connection: Any, *, left: Callable[[], None]) -> None:
+        self._connection = connection
+        self._left = left
+        self._watcher = None
+        if connection is None or isinstance(connection, ssl.SSLSocket):
+            return
+        loop = gevent.get_hub().loop
+        self._watcher = loop.io(connection.fileno(), 1)
+        self._watcher.start(self._look)
+
+    def _look(self) -> None:
+        flags = _plain_socket.MSG_PEEK | _plain_socket.MSG_DONTWAIT
+        try:
+            data = self._connection._sock.recv(1, flags)
+        except BlockingIOError:
+            return
+        except (OSError, AttributeError):
+            data = b""
+        # Bytes are the caller's next request, sent early; they stay where
+        # they are, and from now on the socket is always readable.
+        self.stop()
+        if not data:
+            self._left()
+
+    def stop(self) -> None:
+        """Stop watching; must come before the socket is used or closed."""
+        if self._watcher is None:
+            return
+        self._watcher.stop()
+        self._watcher.close()
+        self._watcher = None
--- /dev/null
+++ b/src/topazlug/_chat_calls.py
@@ -0,0 +1,450 @@
+"""Chat completions: from a caller's body to an engine's answer.
+
+The wire format is OpenAI's; the caller's bytes go to the engine unchanged.
+"""
+
+from collections.abc import Callable
+from collections.abc import Iterator
+from typing import Any
+from typing import final
+from urllib import parse
+
+import msgspec
+
+from topazlug import _attempts
+from topazlug import _caller_answer
+from topazlug import _caller_request
+from topazlug import _caller_watch
+from topazlug import _chat_stream
+from topazlug import _clock
+from topazlug import _configuration
+from topazlug import _errors
+from topazlug import _ids
+from topazlug import _logs
+from topazlug import _metrics
+from topazlug import _place
+from topazlug import _quotas
+from topazlug import _ranking
+from topazlug import _target_client
+from topazlug._generated import settings as _settings_types
+from topazlug._generated import table
+
+_log = _logs.logger("chat")
+_PATH = "/v1/chat/completions"
+_MAX_ANSWER_BYTES = 16 << 20
+_MAX_MESSAGES = 10_000
+_MAX_CHAT_ID = 256
+
+
+class ChatMessage(msgspec.Struct):
+    """One message of a conversation; other fields go through unread."""
+
+    role: str
+    content: Any = None
+
+
+class ChatBody(msgspec.Struct):
+    """What is read of a chat request; other fields go through unread."""
+
+    model: str
+    messages: list[ChatMessage]
+    stream: bool = False
+
+
+class _Call(msgspec.Struct):
+    """One chat request on its way."""
+
+    request: _caller_request.CallerRequest
+    caller: _caller_request.Caller
+    body: bytes
+    chat_id: str
+    streamed: bool
+    returning: bool
+
+    @property
+    def request_class(self) -> table.RequestClass:
+        if self.caller.batch:
+            return table.RequestClass.batch
+        return table.RequestClass.interactive
+
+
+@final
+class ChatCalls:
+    """Serves chat completions.
+
+    Parameters
+    ----------
+    attempts : Attempts
+        Finds engines and retries.
+    admission : Admission
+        Takes places back.
+    connections : TargetConnections
+        Connections to engines.
+    quotas : Quotas
+        Ceilings of teams.
+    limits : LimitSettings
+        Bounds.
+    metrics : Metrics
+        What is measured.
+    clock : Clock
+        Time.
+    spawn : callable
+        Starts a greenlet for work that the caller does not wait for.
+    """
+
+    def __init__(
+        self,
+        *,
+        attempts: _attempts.Attempts,
+        admission: _place.Admission,
+        connections: _target_client.TargetConnections,
+        quotas: _quotas.Quotas,
+        limits: _settings_types.LimitSettings,
+        metrics: _metrics.Metrics,
+        clock: _clock.Clock,
+        spawn: Callable[..., object],
+    ) -> None:
+        self._attempts = attempts
+        self._admission = admission
+        self._connections = connections
+        self._quotas = quotas
+        self._limits = limits
+        self._metrics = metrics
+        self._clock = clock
+        self._spawn = spawn
+
+    def serve(
+        self,
+        request: _caller_request.CallerRequest,
+        caller: _caller_request.Caller,
+        snapshot: _configuration.TableSnapshot,
+    ) -> _caller_answer.CallerAnswer:
+        """Answer one chat request.
+
+        Raises
+        ------
+        RequestError
+            Nothing of an answer has gone to the caller.
+        """
+        request.read_deadline()
+        body = request.read_body()
+        chat = _decode(body)
+        pool = _pool_of(chat, caller, snapshot)
+        call = _Call(
+            request=request,
+            caller=caller,
+            body=body,
+            chat_id=_chat_id(request, caller, chat),
+            streamed=chat.stream,
+            returning=any(m.role == "assistant" for m in chat.messages),
+        )
+        wanted = _place.PlaceRequest(
+            group=_ids.GroupName(pool.name),
+            chat=_ranking.chat_hash(caller.name, call.chat_id),
+            team=caller.name,
+            batch=caller.batch,
+            weight=1,
+            deadline=request.deadline,
+        )
+        ticket = self._quotas.take(caller.team, deadline=request.deadline)
+        try:
+            return self._attempts.run(
+                wanted,
+                lambda place: self._attempt(call, place, ticket),
+                repeatable=True,
+            )
+        except BaseException:
+            ticket.give_back()
+            raise
+
+    def _attempt(
+        self, call: _Call, place: _place.Place, ticket: _quotas.Ticket
+    ) -> _caller_answer.CallerAnswer:
+        waited = self._clock.monotonic() - call.request.started
+        self._metrics.observe_queueing(
+            call.caller.name, call.request_class, waited
+        )
+        timeout = min(
+            self._limits.first_byte_timeout, call.request.remaining()
+        )
+        answer = self._connections.exchange(
+            place.target, _engine_request(call), head_timeout=timeout
+        )
+        if answer.status == 200 and call.streamed:
+            return self._stream(call, place, answer, ticket)
+        return self._whole(call, place, answer, ticket)
+
+    def _whole(
+        self,
+        call: _Call,
+        place: _place.Place,
+        answer: _target_client.TargetAnswer,
+        ticket: _quotas.Ticket,
+    ) -> _caller_answer.CallerAnswer:
+        """Read an answer that is not streamed, and give it whole."""
+        silence = min(self._limits.target_silence, call.request.remaining())
+        watch = self._watch(call, answer.abort)
+        try:
+            body = _read_whole(answer.chunks(silence=silence))
+        except _errors.RequestError:
+            if answer.aborted:
+                self._cancel(call, place)
+            raise
+        finally:
+            watch.stop()
+        self._admission.release(place)
+        ticket.give_back()
+        self._note_first(call, answer)
+        self._note_end(call, answer.status)
+        headers = _caller_headers(call, place, answer)
+        headers.append(("Content-Length", str(len(body))))
+        return _caller_answer.CallerAnswer(
+            status=answer.status, headers=headers, body=iter([body])
+        )
+
+    def _stream(
+        self,
+        call: _Call,
+        place: _place.Place,
+        answer: _target_client.TargetAnswer,
+        ticket: _quotas.Ticket,
+    ) -> _caller_answer.CallerAnswer:
+        """Wait for the first event, then hand the rest over as it comes.
+
+        The first event is awaited here, where a failure can still be
+        repeated at another engine: nothing has gone to the caller yet.
+        """
+        stream = _chat_stream.ChatStream(
+            connections=self._connections,
+            target=place.target,
+            request_id=call.request.request_id,
+            answer=answer,
+            silence=self._limits.target_silence,
+            deadline=call.request.deadline,
+            clock=self._clock,
+        )
+        watch = self._watch(call, stream.caller_left)
+        pieces = stream.pieces()
+        try:
+            first = next(pieces, b"")
+        except BaseException:
+            watch.stop()
+            answer.close()
+            raise
+        self._note_first(call, answer)
+        body = self._relay(call, place, ticket, stream, watch, first, pieces)
+        return _caller_answer.CallerAnswer(
+            status=200,
+            headers=_caller_headers(call, place, answer),
+            body=body,
+        )
+
+    def _relay(
+        self,
+        call: _Call,
+        place: _place.Place,
+        ticket: _quotas.Ticket,
+        stream: _chat_stream.ChatStream,
+        watch: _caller_watch.CallerWatch,
+        first: bytes,
+        pieces: Iterator[bytes],
+    ) -> Iterator[bytes]:
+        try:
+            yield first
+            yield from self._rest(call, pieces)
+            self._note_end(call, 200 if stream.is_whole else 499)
+        except _errors.RequestError as error:
+            self._count(call, error.code, error.outcome)
+            _log.warning("stream broke: {code}", code=error.code.value)
+            yield _chat_stream.error_event(error, call.request.request_id)
+        finally:
+            watch.stop()
+            self._admission.release(place)
+            ticket.give_back()
+            if not stream.is_whole:
+                stream.answer.close()
+                self._cancel(call, place)
+
+    def _rest(self, call: _Call, pieces: Iterator[bytes]) -> Iterator[bytes]:
+        before = self._clock.monotonic()
+        for piece in pieces:
+            now = self._clock.monotonic()
+            self._metrics.observe_between_tokens(
+                call.caller.name, call.request_class, now - before
+            )
+            before = now
+            yield piece
+
+    def _watch(
+        self, call: _Call, left: Callable[[], None]
+    ) -> _caller_watch.CallerWatch:
+        return _caller_watch.CallerWatch(call.request.socket, left=left)
+
+    def _cancel(self, call: _Call, place: _place.Place) -> None:
+        """Have the engine stop work that nobody waits for any more.
+
+        An engine keeps a broken stream alive for a while, so that it can be
+        continued; without this its slot would stay taken that long.
+        """
+        self._spawn(self._send_cancel, call.request.request_id, place)
+
+    def _send_cancel(
+        self, request_id: _ids.RequestId, place: _place.Place
+    ) -> None:
+        request = _target_client.TargetRequest(
+            method="POST",
+            path=f"/v1/streams/{parse.quote(request_id)}/cancel",
+            headers=[_host(place)],
+            body=b"",
+            request_id=request_id,
+            fresh=True,
+        )
+        try:
+            answer = self._connections.exchange(
+                place.target, request, head_timeout=1.0
+            )
+        except _errors.TopazlugError as error:
+            _log.debug("cancel was not heard: {why}", why=error.message)
+            return
+        answer.close()
+
+    def _note_first(
+        self, call: _Call, answer: _target_client.TargetAnswer
+    ) -> None:
+        now = self._clock.monotonic()
+        self._metrics.observe_first_token(
+            call.caller.name, call.request_class, now - call.request.started
+        )
+        cached = _number(answer.header("X-Cached-Tokens"))
+        prompt = _number(answer.header("X-Prompt-Tokens"))
+        if call.returning and prompt is not None:
+            hit = bool(cached)
+            self._metrics.count_reuse(hit, cached or 0, prompt)
+
+    def _note_end(self, call: _Call, status: int) -> None:
+        now = self._clock.monotonic()
+        self._metrics.observe_total(
+            call.caller.name, call.request_class, now - call.request.started
+        )
+        code = None if status == 200 else _errors.Code.TARGET_FAILED
+        self._count(call, code, _errors.Outcome.RAN)
+
+    def _count(
+        self,
+        call: _Call,
+        code: _errors.Code | None,
+        outcome: _errors.Outcome,
+    ) -> None:
+        self._metrics.count_request(
+            call.caller.name, call.request_class, code, outcome
+        )
+
+
+def _decode(body: bytes) -> ChatBody:
+    try:
+        chat = msgspec.json.decode(body, type=ChatBody)
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+        raise _errors.BadBody(f"not a chat request: {error}") from error
+    if not chat.messages or len(chat.messages) > _MAX_MESSAGES:
+        raise _errors.BadBody(
+            f"messages has {len(chat.messages)} entries; give 1 to"
+            f" {_MAX_MESSAGES}"
+        )
+    return chat
+
+
+def _pool_of(
+    chat: ChatBody,
+    caller: _caller_request.Caller,
+    snapshot: _configuration.TableSnapshot,
+) -> table.PoolRow:
+    pool = snapshot.pool_by_model.get(chat.model)
+    allowed = caller.team.pools
+    if pool is None or (allowed and pool.name not in allowed):
+        raise _errors.UnknownModel(
+            f"model {chat.model!r} is not served; see GET /v1/models"
+        )
+    return pool
+
+
+def _chat_id(
+    request: _caller_request.CallerRequest,
+    caller: _caller_request.Caller,
+    chat: ChatBody,
+) -> str:
+    """Name the chat, by its header or by what stays the same in it."""
+    given = request.header("X-Chat-Id")
+    if len(given) > _MAX_CHAT_ID:
+        raise _errors.BadHeader(
+            f"X-Chat-Id is longer than {_MAX_CHAT_ID} characters"
+        )
+    if given:
+        return given
+    system = _first_text(chat, "system")
+    user = _first_text(chat, "user")
+    return f"{_ranking.chat_hash(caller.name, chat.model, system, user):x}"
+
+
+def _first_text(chat: ChatBody, role: str) -> str:
+    for message in chat.messages:
+        if message.role == role:
+            return str(message.content)
+    return ""
+
+
+def _host(place: _place.Place) -> tuple[str, str]:
+    return "Host", f"{place.target.host}:{place.target.port}"
+
+
+def _engine_request(call: _Call) -> _target_client.TargetRequest:
+    chat_hash = _ranking.chat_hash(call.caller.name, call.chat_id)
+    return _target_client.TargetRequest(
+        method="POST",
+        path=_PATH,
+        headers=[
+            ("Content-Type", "application/json"),
+            # The engine gets a hash: a chat id is the caller's own word and
+            # two teams may use the same one.
+            ("X-Chat-Id", f"{chat_hash:016x}"),
+            ("X-Priority", "1" if call.caller.batch else "0"),
+            ("Host", "engine"),
+        ],
+        body=call.body,
+        request_id=call.request.request_id,
+    )
+
+
+def _caller_headers(
+    call: _Call, place: _place.Place, answer: _target_client.TargetAnswer
+) -> list[tuple[str, str]]:
+    kind = answer.header("Content-Type") or "application/json"
+    headers = [
+        ("Content-Type", kind),
+        (_caller_answer.OUTCOME, _errors.Outcome.RAN.value),
+        ("X-Request-Id", call.request.request_id),
+        ("Topazlug-Replica", place.target.replica),
+    ]
+    cached = answer.header("X-Cached-Tokens")
+    if cached:
+        headers.append(("Topazlug-Cached-Tokens", cached))
+    if call.streamed:
+        headers.append(("Cache-Control", "no-cache"))
+    return headers
+
+
+def _read_whole(chunks: Iterator[bytes]) -> bytes:
+    blocks: list[bytes] = []
+    size = 0
+    for block in chunks:
+        size += len(block)
+        if size > _MAX_ANSWER_BYTES:
+            raise _errors.TargetFailed(
+                "the engine's answer is too long",
+                outcome=_errors.Outcome.UNKNOWN,
+            )
+        blocks.append(block)
+    return b"".join(blocks)
+
+
+def _number(text: str) -> int | None:
+    return int(text) if text.isdigit() else None
--- /dev/null
+++ b/src/topazlug/_claim_settling.py
@@ -0,0 +1,245 @@
+"""Writes that end a claim, repeated in the background."""
+
+from typing import final
+
+from gevent import pool
+import logbook
+import msgspec
+
+from topazlug import _claim_commit
+from topazlug import _claim_rows
+from topazlug import _clock
+from topazlug import _errors
+from topazlug import _object_client
+
+SETTLE_SECONDS = 60.0
+OBJECT_SECONDS = 30.0
+MAX_PENDING = 1024
+MAX_PENDING_BYTES = 8 * 1024 * 1024
+MAX_ROW_BYTES = 4096
+_FIRST_BACKOFF = 0.1
+_MAX_BACKOFF = 5.0
+
+_LOG = logbook.Logger("topazlug.claims")
+
+
+@final
+class HeldRow(msgspec.Struct, frozen=True, kw_only=True):
+    """A row that this daemon's attempt claimed, or may yet come to claim.
+
+    Attributes
+    ----------
+    key : str
+        Key of the row.
+    version : int
+        Its version; for an insert whose fate is open, the version that the
+        insert asks for.
+    row : ClaimRow
+        The claim.
+    """
+
+    key: str
+    version: int
+    row: _claim_rows.ClaimRow
+
+
+@final
+class ClaimSettler:
+    """Ends claims without holding up the caller's answer.
+
+    Parameters
+    ----------
+    committer : GroupCommitter
+        Writes the rows.
+    objects : ObjectStore
+        Keeps large answers.
+    clock : Clock
+        Bounds the retries.
+    max_kept_bytes : int
+        Largest answer that is kept.
+    """
+
+    def __init__(
+        self,
+        *,
+        committer: _claim_commit.GroupCommitter,
+        objects: _object_client.ObjectStore,
+        clock: _clock.Clock,
+        max_kept_bytes: int,
+    ) -> None:
+        self._committer = committer
+        self._objects = objects
+        self._clock = clock
+        self._max_kept_bytes = max_kept_bytes
+        self._jobs = pool.Group()
+        self._pending_bytes = 0
+
+    def wait(self, timeout: float) -> int:
+        """Wait until all is written; return how many claims are left."""
+        self._jobs.join(timeout=timeout)
+        return len(self._jobs)
+
+    def finish(
+        self,
+        held: HeldRow,
+        *,
+        status: int,
+        headers: list[tuple[str, str]],
+        body: bytes,
+    ) -> None:
+        """Write the answer of a request that ran; returns at once."""
+        size = _size(headers, body)
+        if size > self._max_kept_bytes or not self._has_room(size):
+            headers, body, size = [], b"", self._max_kept_bytes + 1
+        if not self._admits(held):
+            return
+        answer = _claim_rows.AnswerRow(
+            status=status,
+            headers=headers,
+            place=self._place(size),
+            body=body,
+        )
+        self._pending_bytes += len(body)
+        self._jobs.spawn(self._finish, held, answer)
+
+    def release(self, held: HeldRow) -> None:
+        """Free the key of an attempt that sent nothing; returns at once.
+
+        For an insert whose fate is open this writes the released row where
+        the insert would go. The insert then finds its condition broken,
+        whenever it arrives.
+        """
+        if self._admits(held):
+            self._jobs.spawn(self._release, held)
+
+    def release_late(
+        self, held: HeldRow, ticket: _claim_commit.Ticket
+    ) -> None:
+        """Free the key once an insert that nobody waits for has landed."""
+        if self._admits(held):
+            self._jobs.spawn(self._release_late, held, ticket)
+
+    def _has_room(self, size: int) -> bool:
+        return self._pending_bytes + size <= MAX_PENDING_BYTES
+
+    # During a long outage of the store the claims that wait for their end
+    # would fill the memory. A claim left as it is says unknown, which is
+    # true, so dropping its end costs only that.
+    def _admits(self, held: HeldRow) -> bool:
+        if len(self._jobs) < MAX_PENDING:
+            return True
+        _LOG.warning("claim {} stays unknown: too many wait", held.key)
+        return False
+
+    def _place(self, size: int) -> _claim_rows.AnswerPlace:
+        if size > self._max_kept_bytes:
+            return _claim_rows.AnswerPlace.NOWHERE
+        if size > MAX_ROW_BYTES:
+            return _claim_rows.AnswerPlace.OBJECT
+        return _claim_rows.AnswerPlace.ROW
+
+    def _finish(self, held: HeldRow, answer: _claim_rows.AnswerRow) -> None:
+        try:
+            kept = self._with_object(held.row.attempt, answer)
+            finished = msgspec.structs.replace(
+                held.row, state=_claim_rows.ClaimState.FINISHED, answer=kept
+            )
+            self._write(held, finished)
+        finally:
+            self._pending_bytes -= len(answer.body)
+
+    def _with_object(
+        self,
+        attempt: _claim_rows.AttemptId,
+        answer: _claim_rows.AnswerRow,
+    ) -> _claim_rows.AnswerRow:
+        """Keep a large body; only then may a row point to it."""
+        if answer.place is not _claim_rows.AnswerPlace.OBJECT:
+            return answer
+        if self._put_object(object_key(attempt), answer.body):
+            return msgspec.structs.replace(answer, body=b"")
+        return msgspec.structs.replace(
+            answer, place=_claim_rows.AnswerPlace.NOWHERE, body=b""
+        )
+
+    def _put_object(self, key: str, body: bytes) -> bool:
+        until = self._clock.monotonic() + OBJECT_SECONDS
+        backoff = _FIRST_BACKOFF
+        while True:
+            try:
+                self._objects.put(key, body)
+                return True
+            except (_errors.StoreUnavailable, _errors.StoreAmbiguous):
+                if self._clock.monotonic() + backoff > until:
+                    return False
+            self._clock.sleep(backoff)
+            backoff = min(backoff * 2, _MAX_BACKOFF)
+
+    def _release_late(
+        self, held: HeldRow, ticket: _claim_commit.Ticket
+    ) -> None:
+        try:
+            result = ticket.result()
+        except _errors.StoreUnavailable:
+            return
+        except _errors.StoreAmbiguous:
+            self._release(held)
+            return
+        if isinstance(result, _claim_commit.Written):
+            landed = msgspec.structs.replace(held, version=result.version)
+            self._release(landed)
+
+    def _release(self, held: HeldRow) -> None:
+        released = msgspec.structs.replace(
+            held.row, state=_claim_rows.ClaimState.RELEASED
+        )
+        self._write(held, released)
+
+    def _write(self, held: HeldRow, row: _claim_rows.ClaimRow) -> None:
+        until = self._clock.monotonic() + SETTLE_SECONDS
+        backoff = _FIRST_BACKOFF
+        version = held.version
+        while True:
+            result = self._try_write(held.key, version, row)
+            if isinstance(result, _claim_commit.Written):
+                return
+            if isinstance(result, _claim_commit.Refused):
+                if not _still_claimed(row, result):
+                    return
+                version = result.current.version
+            if self._clock.monotonic() + backoff > until:
+                _LOG.warning("claim {} stays unknown: no answer", held.key)
+                return
+            self._clock.sleep(backoff)
+            backoff = min(backoff * 2, _MAX_BACKOFF)
+
+    def _try_write(
+        self, key: str, version: int, row: _claim_rows.ClaimRow
+    ) -> _claim_commit.WriteResult | None:
+        write = _claim_commit.RowWrite(key=key, version=version, row=row)
+        ticket = self._committer.submit(write, ends_claim=True)
+        try:
+            return ticket.result()
+        except (_errors.StoreUnavailable, _errors.StoreAmbiguous):
+            return None
+
+
+def object_key(attempt: _claim_rows.AttemptId) -> str:
+    """Name the object that keeps an attempt's answer."""
+    return f"claims/{attempt}"
+
+
+def _size(headers: list[tuple[str, str]], body: bytes) -> int:
+    return len(body) + sum(len(name) + len(text) for name, text in headers)
+
+
+# A released row is written where an insert of open fate would go. When the
+# insert had landed after all, the row shows the same attempt as claimed, at
+# a later version: that is the one to end.
+def _still_claimed(
+    row: _claim_rows.ClaimRow, refused: _claim_commit.Refused
+) -> bool:
+    current = _claim_rows.row_of(refused.current.value)
+    if current is None or current.attempt != row.attempt:
+        return False
+    return current.state is _claim_rows.ClaimState.CLAIMED
--- /dev/null
+++ b/src/topazlug/_claim_sweep.py
@@ -0,0 +1,130 @@
+"""Deletes claims whose lifetime has passed.
+
+One daemon of the fleet does so. That two think it is theirs, while the
+daemons disagree about who is there, costs reads and does no harm: each
+delete asks for the version that was judged.
+"""
+
+from collections.abc import Callable
+from collections.abc import Collection
+import datetime
+import hashlib
+from typing import final
+
+import logbook
+
+from topazlug import _claim_rows
+from topazlug import _clock
+from topazlug import _errors
+from topazlug import _ids
+from topazlug import _table_client
+
+PAGE_ROWS = 500
+PAGE_INTERVAL = 1.0
+BATCH_ROWS = 64
+# Clocks of two daemons differ, and a write sent before `expires` may land
+# late. Deleted too early, a row would let the key be claimed again while
+# its first holder still believes it may send.
+MARGIN = datetime.timedelta(hours=1)
+
+_LOG = logbook.Logger("topazlug.claims")
+
+
+@final
+class ClaimSweeper:
+    """Walks the table of claims, one page at a time.
+
+    Parameters
+    ----------
+    store : TableStore
+        The table service.
+    clock : Clock
+        Judges what has expired, and paces the walk.
+    daemon_id : DaemonId
+        This daemon.
+    usable : callable
+        Gives the ids of the daemons that are there, this one included.
+    page_interval : float
+        Seconds between two pages.
+    """
+
+    def __init__(
+        self,
+        *,
+        store: _table_client.TableStore,
+        clock: _clock.Clock,
+        daemon_id: _ids.DaemonId,
+        usable: Callable[[], Collection[_ids.DaemonId]],
+        page_interval: float = PAGE_INTERVAL,
+    ) -> None:
+        self._store = store
+        self._clock = clock
+        self._daemon_id = daemon_id
+        self._usable = usable
+        self._page_interval = page_interval
+        self._after = ""
+        self.deleted = 0
+
+    def run(self) -> None:
+        """Sweep until the greenlet is killed."""
+        while True:
+            self._clock.sleep(self._page_interval)
+            if sweeper_of(self._usable()) == self._daemon_id:
+                self.sweep_page()
+
+    def sweep_page(self) -> None:
+        """Delete what has expired on the next page of the table."""
+        try:
+            page = self._store.scan(
+                _claim_rows.TABLE, after=self._after, limit=PAGE_ROWS
+            )
+        except _errors.StoreUnavailable:
+            return
+        expired = [row for row in page.rows if self._has_expired(row)]
+        for start in range(0, len(expired), BATCH_ROWS):
+            self._delete(expired[start : start + BATCH_ROWS])
+        self._after = page.rows[-1].key if page.more else ""
+
+    def _has_expired(self, row: _table_client.Row) -> bool:
+        claim = _claim_rows.row_of(row.value)
+        if claim is None:
+            return False
+        return claim.expires + MARGIN < self._clock.now()
+
+    def _delete(self, rows: list[_table_client.Row]) -> None:
+        try:
+            self._store.transact(
+                conditions=[_unchanged(row) for row in rows],
+                puts=[],
+                deletes=[_delete_of(row) for row in rows],
+            )
+        except (
+            _table_client.TransactionConflict,
+            _errors.StoreUnavailable,
+            _errors.StoreAmbiguous,
+        ) as error:
+            # The next walk meets again whatever is still there.
+            _LOG.info("expired claims stay for now: {}", error)
+            return
+        self.deleted += len(rows)
+
+
+def sweeper_of(
+    daemon_ids: Collection[_ids.DaemonId],
+) -> _ids.DaemonId | None:
+    """Choose who sweeps: the highest hash; None if nobody is there."""
+    return max(daemon_ids, key=_rank, default=None)
+
+
+def _rank(daemon_id: _ids.DaemonId) -> bytes:
+    return hashlib.sha256(b"claim-sweeper/" + daemon_id.encode()).digest()
+
+
+def _unchanged(row: _table_client.Row) -> _table_client.Condition:
+    return _table_client.Condition(
+        table=row.table, key=row.key, version=row.version
+    )
+
+
+def _delete_of(row: _table_client.Row) -> _table_client.Delete:
+    return _table_client.Delete(table=row.table, key=row.key)
--- /dev/null
+++ b/src/topazlug/_claims.py
@@ -0,0 +1,397 @@
+"""At most one execution of a request that may not be repeated.
+
+Before the first byte of such a request goes to a target, the attempt
+claims the request's ``Idempotency-Key`` in the table service. Nobody ever
+takes over a claim: the worst that a crash, a pause or a lost answer leaves
+behind is a key whose outcome is unknown.
+"""
+
+import datetime
+from typing import final
+import uuid
+
+import msgspec
+
+from topazlug import _claim_commit
+from topazlug import _claim_rows
+from topazlug import _claim_settling
+from topazlug import _clock
+from topazlug import _errors
+from topazlug import _ids
+from topazlug import _object_client
+from topazlug import _table_client
+
+LIFETIME = datetime.timedelta(hours=24)
+IN_USE_RETRY_AFTER = 5.0
+RETRY_AFTER = 1.0
+_MAX_ATTEMPTS = 4
+_EARLIER = "; an earlier attempt under this key, if any, is not meant"
+
+
+@final
+class KeptAnswer(msgspec.Struct, frozen=True, kw_only=True):
+    """The answer that an earlier attempt under the same key got.
+
+    Attributes
+    ----------
+    status : int
+        HTTP status code.
+    headers : list of (str, str)
+        In the order of the answer.
+    body : bytes
+        The whole body.
+    """
+
+    status: int
+    headers: list[tuple[str, str]]
+    body: bytes
+
+
+@final
+class Claim:
+    """The right of one attempt to send one request.
+
+    As a context manager it ends itself: whoever leaves the block without
+    an end releases the key if `may_send` never let anything out, and
+    leaves the outcome unknown else.
+
+    Parameters
+    ----------
+    held : HeldRow
+        The row that says so.
+    deadline : float
+        Monotonic seconds from which on the attempt may not send.
+    settler : ClaimSettler
+        Writes the end of the claim.
+    clock : Clock
+        This daemon's own.
+    """
+
+    def __init__(
+        self,
+        *,
+        held: _claim_settling.HeldRow,
+        deadline: float,
+        settler: _claim_settling.ClaimSettler,
+        clock: _clock.Clock,
+    ) -> None:
+        self.attempt = held.row.attempt
+        self._held = held
+        self._deadline = deadline
+        self._settler = settler
+        self._clock = clock
+        self._ended = False
+        self._may_have_sent = False
+
+    def __enter__(self) -> "Claim":
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        if not self._ended and not self._may_have_sent:
+            self.release()
+        self.abandon()
+
+    def may_send(self) -> None:
+        """Check the claim; call immediately before the first byte.
+
+        Raises
+        ------
+        DeadlineExceeded
+            Too late: release the claim.
+        ClaimEnded
+            The claim was released, finished or abandoned.
+        """
+        if self._ended:
+            raise _ended(self.attempt)
+        # A daemon frozen and thawed would send long after its caller was
+        # told that nothing happened, seen as an execution that nobody waits
+        # for. The wall clock counts too: it runs on while a virtual machine
+        # is suspended, and the row may be swept after `expires`.
+        late = self._clock.monotonic() >= self._deadline
+        if late or self._clock.now() >= self._held.row.expires:
+            raise _too_late("deadline passed between claim and first byte")
+        self._may_have_sent = True
+
+    def release(self) -> None:
+        """Free the key; only for an attempt that sent nothing.
+
+        Raises
+        ------
+        ClaimEnded
+            The claim was ended before.
+        """
+        self._end()
+        self._settler.release(self._held)
+
+    def finish(
+        self, status: int, headers: list[tuple[str, str]], body: bytes
+    ) -> None:
+        """Keep the whole answer for repeats; returns at once.
+
+        Raises
+        ------
+        ClaimEnded
+            The claim was ended before.
+        """
+        self._end()
+        self._settler.finish(
+            self._held, status=status, headers=headers, body=body
+        )
+
+    def abandon(self) -> None:
+        """Leave the outcome unknown; does nothing to an ended claim."""
+        self._ended = True
+
+    def _end(self) -> None:
+        if self._ended:
+            raise _ended(self.attempt)
+        self._ended = True
+
+
+@final
+class ClaimKeeper:
+    """Claims requests for one daemon.
+
+    Parameters
+    ----------
+    store : TableStore
+        The table service.
+    objects : ObjectStore
+        Keeps large answers.
+    daemon_id : DaemonId
+        Goes into the rows, for operators.
+    clock : Clock
+        This daemon's own.
+    max_kept_bytes : int
+        Largest answer, headers and body, that is kept for repeats.
+    lifetime : timedelta
+        How long a key is remembered.
+    max_waiting : int
+        Most claims that wait for the table service.
+    min_interval : float
+        Least seconds between two transactions of this daemon.
+    """
+
+    def __init__(
+        self,
+        *,
+        store: _table_client.TableStore,
+        objects: _object_client.ObjectStore,
+        daemon_id: _ids.DaemonId,
+        clock: _clock.Clock,
+        max_kept_bytes: int,
+        lifetime: datetime.timedelta = LIFETIME,
+        max_waiting: int = _claim_commit.MAX_WAITING,
+        min_interval: float = _claim_commit.MIN_INTERVAL,
+    ) -> None:
+        self._objects = objects
+        self._daemon_id = daemon_id
+        self._clock = clock
+        self._lifetime = lifetime
+        self._committer = _claim_commit.GroupCommitter(
+            store=store,
+            clock=clock,
+            max_waiting=max_waiting,
+            min_interval=min_interval,
+        )
+        self._settler = _claim_settling.ClaimSettler(
+            committer=self._committer,
+            objects=objects,
+            clock=clock,
+            max_kept_bytes=max_kept_bytes,
+        )
+
+    def claim(
+        self,
+        *,
+        team: _ids.TeamName,
+        service: str,
+        key: str,
+        fingerprint: str,
+        deadline: float,
+    ) -> Claim | KeptAnswer:
+        """Claim a request, or give the answer that it got before.
+
+        Parameters
+        ----------
+        team : TeamName
+            Whose key it is.
+        service : str
+            Service or model that the request is for.
+        key : str
+            The caller's ``Idempotency-Key``.
+        fingerprint : str
+            From `_claim_rows.fingerprint`.
+        deadline : float
+            Monotonic seconds from which on nothing may be sent.
+
+        Raises
+        ------
+        StoreUnavailable, DeadlineExceeded
+            This attempt did not run and will not.
+        KeyReused
+            The key came before with another request.
+        KeyInUse
+            An attempt holds the key: running, or of unknown outcome.
+        AnswerNotKept
+            The request ran, and its answer can't be given.
+        """
+        row_key = _claim_rows.row_key(team=team, service=service, key=key)
+        version = _table_client.ABSENT
+        for _ in range(_MAX_ATTEMPTS):
+            held = self._new_row(row_key, version, fingerprint)
+            result = self._write(held, deadline)
+            if isinstance(result, _claim_commit.Written):
+                return self._claimed(held, result.version, deadline)
+            kept = self._kept_answer(result.current, fingerprint)
+            if kept is not None:
+                return kept
+            version = result.current.version
+        raise _not_claimed("the key changed hands again and again")
+
+    def wait_settled(self, timeout: float) -> int:
+        """Wait until ended claims are written; return how many are left.
+
+        For a planned stop. `timeout` is in seconds.
+        """
+        return self._settler.wait(timeout)
+
+    def _new_row(
+        self, row_key: str, version: int, fingerprint: str
+    ) -> _claim_settling.HeldRow:
+        now = self._clock.now()
+        row = _claim_rows.ClaimRow(
+            attempt=_claim_rows.AttemptId(uuid.uuid4().hex),
+            daemon=self._daemon_id,
+            fingerprint=fingerprint,
+            state=_claim_rows.ClaimState.CLAIMED,
+            claimed_at=now,
+            expires=now + self._lifetime,
+        )
+        return _claim_settling.HeldRow(key=row_key, version=version, row=row)
+
+    def _write(
+        self, held: _claim_settling.HeldRow, deadline: float
+    ) -> _claim_commit.WriteResult:
+        write = _claim_commit.RowWrite(
+            key=held.key, version=held.version, row=held.row
+        )
+        ticket = self._committer.submit(write)
+        try:
+            left = max(deadline - self._clock.monotonic(), 0.0)
+            result = ticket.result(timeout=left)
+        except _errors.StoreUnavailable as error:
+            raise _not_claimed(error.message, error.retry_after) from error
+        except _errors.StoreAmbiguous as error:
+            self._settler.release(held)
+            raise _not_claimed(error.message) from error
+        except BaseException:
+            # Killed while waiting: the insert may land with nobody left to
+            # send or release, and the key would say unknown for a day.
+            self._give_up(held, ticket)
+            raise
+        if result is None:
+            self._give_up(held, ticket)
+            raise _too_late("deadline passed while the claim waited")
+        return result
+
+    def _give_up(
+        self, held: _claim_settling.HeldRow, ticket: _claim_commit.Ticket
+    ) -> None:
+        if not ticket.cancel():
+            self._settler.release_late(held, ticket)
+
+    def _claimed(
+        self, held: _claim_settling.HeldRow, version: int, deadline: float
+    ) -> Claim:
+        claimed = msgspec.structs.replace(held, version=version)
+        if self._clock.monotonic() >= deadline:
+            self._settler.release(claimed)
+            raise _too_late("deadline passed while the claim was written")
+        return Claim(
+            held=claimed,
+            deadline=deadline,
+            settler=self._settler,
+            clock=self._clock,
+        )
+
+    def _kept_answer(
+        self, current: _table_client.Row, fingerprint: str
+    ) -> KeptAnswer | None:
+        """Judge the row that stands; None if the key is free."""
+        if current.version == _table_client.ABSENT:
+            return None
+        row = _claim_rows.row_of(current.value)
+        if row is None:
+            raise _in_use("its claim was written by another version")
+        if row.fingerprint != fingerprint:
+            raise _errors.KeyReused(
+                "this Idempotency-Key came before with another request; "
+                "use a new key for a new request"
+            )
+        if row.state is _claim_rows.ClaimState.RELEASED:
+            return None
+        if row.answer is None:
+            raise _in_use("an attempt runs, or its outcome is unknown")
+        return self._answer(row.attempt, row.answer)
+
+    def _answer(
+        self,
+        attempt: _claim_rows.AttemptId,
+        answer: _claim_rows.AnswerRow,
+    ) -> KeptAnswer:
+        body: bytes | None = answer.body
+        if answer.place is _claim_rows.AnswerPlace.NOWHERE:
+            body = None
+        if answer.place is _claim_rows.AnswerPlace.OBJECT:
+            body = self._object(attempt)
+        if body is None:
+            raise _not_kept("its answer was not kept")
+        return KeptAnswer(
+            status=answer.status, headers=answer.headers, body=body
+        )
+
+    # The error of the object store says not-run, which is true of the read
+    # and false of the request: the caller would send it anew.
+    def _object(self, attempt: _claim_rows.AttemptId) -> bytes | None:
+        try:
+            return self._objects.get(_claim_settling.object_key(attempt))
+        except _errors.StoreUnavailable as error:
+            raise _not_kept(
+                "its answer can't be read now", error.retry_after
+            ) from error
+
+
+def _ended(attempt: _claim_rows.AttemptId) -> _errors.ClaimEnded:
+    return _errors.ClaimEnded(f"claim of attempt {attempt} has ended")
+
+
+def _too_late(why: str) -> _errors.DeadlineExceeded:
+    return _errors.DeadlineExceeded(why + _EARLIER, retry_after=RETRY_AFTER)
+
+
+def _not_claimed(
+    why: str, retry_after: float | None = None
+) -> _errors.StoreUnavailable:
+    return _errors.StoreUnavailable(
+        f"request not claimed, so not sent: {why}{_EARLIER}",
+        retry_after=retry_after or RETRY_AFTER,
+    )
+
+
+def _in_use(why: str) -> _errors.KeyInUse:
+    return _errors.KeyInUse(
+        f"this Idempotency-Key is in use: {why}",
+        outcome=_errors.Outcome.UNKNOWN,
+        retry_after=IN_USE_RETRY_AFTER,
+    )
+
+
+def _not_kept(
+    why: str, retry_after: float | None = None
+) -> _errors.AnswerNotKept:
+    return _errors.AnswerNotKept(
+        f"the request ran, but {why}",
+        outcome=_errors.Outcome.RAN,
+        retry_after=retry_after,
+    )
--- a/src/topazlug/_clock.py
+++ b/src/topazlug/_clock.py
@@ -2,8 +2,8 @@
 
 import datetime
 import time
-from typing import final
 from typing import Protocol
+from typing import final
 
 import gevent
 
--- /dev/null
+++ b/src/topazlug/_displaced.py
@@ -0,0 +1,87 @@
+"""Chats that were sent elsewhere than their home.
+
+The home's owner remembers only these, least recently used first out, so a
+returning chat is sent to where its context is and not to its hash. Chats at
+home need no memory at all.
+"""
+
+import collections
+from typing import final
+
+import msgspec
+
+from topazlug import _ids
+from topazlug._generated import messages
+
+
+class _Seat(msgspec.Struct, gc=False):
+    group: _ids.GroupName
+    home: _ids.ReplicaId
+    replica: _ids.ReplicaId
+
+
+@final
+class DisplacedChats:
+    """Where displaced chats went.
+
+    Parameters
+    ----------
+    capacity : int
+        Chats remembered, over all replicas owned.
+    """
+
+    def __init__(self, *, capacity: int) -> None:
+        self._capacity = capacity
+        self._seat_by_chat: collections.OrderedDict[_ids.ChatHash, _Seat]
+        self._seat_by_chat = collections.OrderedDict()
+
+    def __len__(self) -> int:
+        return len(self._seat_by_chat)
+
+    def find(self, chat: _ids.ChatHash) -> _ids.ReplicaId | None:
+        """Give the replica that a chat was sent to."""
+        seat = self._seat_by_chat.get(chat)
+        if seat is None:
+            return None
+        self._seat_by_chat.move_to_end(chat)
+        return seat.replica
+
+    def note(self, entry: messages.Displaced) -> None:
+        """Remember, or forget when the entry names no replica."""
+        chat = _ids.ChatHash(entry.chat)
+        if not entry.replica:
+            self._seat_by_chat.pop(chat, None)
+            return
+        self._seat_by_chat[chat] = _Seat(
+            group=_ids.GroupName(entry.group),
+            home=_ids.ReplicaId(entry.home),
+            replica=_ids.ReplicaId(entry.replica),
+        )
+        self._seat_by_chat.move_to_end(chat)
+        while len(self._seat_by_chat) > self._capacity:
+            self._seat_by_chat.popitem(last=False)
+
+    def take_out(
+        self, homes: set[_ids.ReplicaId]
+    ) -> dict[_ids.ReplicaId, list[messages.Displaced]]:
+        """Remove the chats of homes that now have another owner.
+
+        Returns
+        -------
+        dict
+            Entries by home, to be handed over.
+        """
+        entries: dict[_ids.ReplicaId, list[messages.Displaced]] = {}
+        for chat, seat in list(self._seat_by_chat.items()):
+            if seat.home not in homes:
+                continue
+            del self._seat_by_chat[chat]
+            entries.setdefault(seat.home, []).append(
+                messages.Displaced(
+                    group=seat.group,
+                    home=seat.home,
+                    chat=chat,
+                    replica=seat.replica,
+                )
+            )
+        return entries
--- a/src/topazlug/_errors.py
+++ b/src/topazlug/_errors.py
@@ -34,6 +34,8 @@
     KEY_REQUIRED = "idempotency_key_required"
     KEY_REUSED = "idempotency_key_reused"
     KEY_IN_USE = "idempotency_key_in_use"
+    ANSWER_NOT_KEPT = "answer_not_kept"
+    CLAIM_ENDED = "claim_ended"
     OVERLOADED = "overloaded"
     TEAM_CEILING = "team_ceiling_reached"
     NO_TARGET = "no_target"
@@ -315,3 +317,18 @@
     """A frame that is no message of ours."""
 
     code = Code.PEER_MESSAGE_INVALID
+
+
+@final
+class AnswerNotKept(RequestError):
+    """The claimed request ran, and its answer can't be given again."""
+
+    code = Code.ANSWER_NOT_KEPT
+    status = HTTPStatus.CONFLICT
+
+
+@final
+class ClaimEnded(TopazlugError):
+    """A claim was used after its release, finish or abandonment."""
+
+    code = Code.CLAIM_ENDED
--- /dev/null
+++ b/src/topazlug/_exposition.py
@@ -0,0 +1,51 @@
+"""The Prometheus text of many series, written a part at a time."""
+
+from collections.abc import Iterable
+from typing import final
+
+import gevent
+import prometheus_client
+from prometheus_client import core
+
+from topazlug import _batches
+
+COMMENT = b"#"
+
+
+@final
+class _OneFamily:
+    def __init__(self, family: core.Metric) -> None:
+        self._family = family
+
+    def collect(self) -> list[core.Metric]:
+        return [self._family]
+
+
+def text_of(families: Iterable[core.Metric]) -> bytes:
+    """Write families, letting other greenlets run in between.
+
+    Parameters
+    ----------
+    families : iterable of prometheus_client.core.Metric
+        Neighbours of one name are parts of one family.
+
+    Returns
+    -------
+    bytes
+        The text, with one head for each family.
+    """
+    parts = []
+    last_name = ""
+    for family in families:
+        text = prometheus_client.generate_latest(_OneFamily(family))
+        if family.name == last_name:
+            text = _without_head(text)
+        last_name = family.name
+        parts.append(text)
+        gevent.sleep(_batches.PAUSE_SECONDS)
+    return b"".join(parts)
+
+
+def _without_head(text: bytes) -> bytes:
+    lines = text.splitlines(keepends=True)
+    return b"".join(line for line in lines if not line.startswith(COMMENT))
--- /dev/null
+++ b/src/topazlug/_fleet_status.py
@@ -0,0 +1,284 @@
+"""What the fleet does just now, asked of each daemon when somebody looks.
+
+Nothing of it travels unasked: at 880 daemons a standing report of all to all
+would cost more than the budget for control.
+"""
+
+from typing import Any
+from typing import final
+
+from gevent import pool as _pool
+
+from topazlug import _administration_status as _status
+from topazlug import _configuration
+from topazlug import _errors
+from topazlug import _ids
+from topazlug import _members
+from topazlug import _membership
+from topazlug import _owner
+from topazlug import _ownership
+from topazlug import _peers
+from topazlug import _quotas
+from topazlug import _ranking
+from topazlug import _rules
+from topazlug import _targets
+from topazlug._generated import messages
+
+_ASKED_AT_ONCE = 32
+_TIMEOUT = 0.5
+_RANK_SHOWN = 8
+
+
+@final
+class FleetStatusSource:
+    """Answers the administration API's questions.
+
+    Parameters
+    ----------
+    daemon : DaemonId
+        This daemon.
+    configuration : ConfigurationHolder
+        The table in force.
+    membership : Membership
+        The daemons.
+    links : PeerLinks
+        Streams to them.
+    owner : Owner
+        This daemon's ledgers.
+    ownership : Ownership
+        Who owns what.
+    targets : TargetDirectory
+        The replicas.
+    rules : TableRules
+        Bounds.
+    quotas : Quotas
+        Use of the teams.
+    """
+
+    def __init__(
+        self,
+        *,
+        daemon: _ids.DaemonId,
+        configuration: _configuration.ConfigurationHolder,
+        membership: _membership.Membership,
+        links: _peers.PeerLinks,
+        owner: _owner.Owner,
+        ownership: _ownership.Ownership,
+        targets: _targets.TargetDirectory,
+        rules: _rules.TableRules,
+        quotas: _quotas.Quotas,
+    ) -> None:
+        self._daemon = daemon
+        self._configuration = configuration
+        self._fleet = membership
+        self._links = links
+        self._owner = owner
+        self._ownership = ownership
+        self._targets = targets
+        self._rules = rules
+        self._quotas = quotas
+        links.handle(messages.StatusAsk, self._on_ask)
+
+    def _on_ask(
+        self, sender: _ids.DaemonId, message: Any, reply: _peers.Reply
+    ) -> None:
+        reply(self.own_answer())
+
+    def own_answer(self) -> messages.StatusAnswer:
+        """Give what this daemon does."""
+        replicas = [
+            messages.OwnedReplica(
+                replica=ledger.replica,
+                group=ledger.group,
+                load=ledger.load,
+                limit=self._owner.limit_of(ledger.group),
+                slots=ledger.slots,
+                waiting=len(ledger.waiting_by_key),
+            )
+            for ledger in self._owner.ledger_by_replica.values()
+        ]
+        return messages.StatusAnswer(
+            revision=self._configuration.revision,
+            replicas=replicas,
+            teams=self._quotas.use(),
+        )
+
+    def _ask(self, daemon: _ids.DaemonId) -> messages.StatusAnswer | None:
+        if daemon == self._daemon:
+            return self.own_answer()
+        try:
+            answer = self._links.call(
+                daemon, messages.StatusAsk(), timeout=_TIMEOUT
+            )
+        except _errors.PeerUnreachable:
+            return None
+        if isinstance(answer, messages.StatusAnswer):
+            return answer
+        return None
+
+    def _ask_all(
+        self,
+    ) -> dict[_ids.DaemonId, messages.StatusAnswer | None]:
+        states = (messages.FactState.live, messages.FactState.suspected)
+        members = list(self._fleet.members_by_id.values())
+        asked = [m.daemon_id for m in members if m.state in states]
+        workers = _pool.Pool(_ASKED_AT_ONCE)
+        return dict(zip(asked, workers.map(self._ask, asked)))
+
+    def status(self) -> _status.FleetStatus:
+        """Give the fleet as its daemons tell."""
+        answers = self._ask_all()
+        return _status.FleetStatus(
+            daemon=self._daemon,
+            revision=self._configuration.revision,
+            daemons=[
+                self._daemon_status(member, answers.get(member.daemon_id))
+                for member in self._fleet.members_by_id.values()
+            ],
+            replicas=self._replicas(answers),
+            teams=self._teams(answers),
+        )
+
+    def _daemon_status(
+        self,
+        member: _members.Member,
+        answer: messages.StatusAnswer | None,
+    ) -> _status.DaemonStatus:
+        revision = _configuration.NOTHING_HELD
+        if answer is not None:
+            revision = _ids.Revision(answer.revision)
+        return _status.DaemonStatus(
+            id=member.daemon_id,
+            zone=member.zone,
+            state=member.state.value,
+            incarnation=member.incarnation,
+            revision=int(revision),
+        )
+
+    def _replicas(
+        self, answers: dict[_ids.DaemonId, messages.StatusAnswer | None]
+    ) -> list[_status.ReplicaStatus]:
+        owned = {
+            entry.replica: entry
+            for answer in answers.values()
+            for entry in (answer.replicas if answer else [])
+        }
+        return [
+            self._replica(target, owned.get(replica))
+            for replica, target in sorted(
+                self._targets.target_by_replica.items()
+            )
+        ]
+
+    def _replica(
+        self,
+        target: _targets.Target,
+        entry: messages.OwnedReplica | None,
+    ) -> _status.ReplicaStatus:
+        return _status.ReplicaStatus(
+            id=target.replica,
+            group=target.group,
+            zone=target.zone,
+            state=self._shown_state(target),
+            owner=self._ownership.owner_of(target.replica) or "",
+            load=entry.load if entry else -1,
+            bound=entry.limit if entry else -1,
+            slots=entry.slots if entry else -1,
+        )
+
+    def _shown_state(self, target: _targets.Target) -> str:
+        state = self._targets.state_of(target.replica)
+        if self._targets.is_usable(target.replica):
+            return state.value
+        if state is messages.FactState.live:
+            return "drained" if not target.leaving else "leaving"
+        return state.value
+
+    def _teams(
+        self, answers: dict[_ids.DaemonId, messages.StatusAnswer | None]
+    ) -> list[_status.TeamStatus]:
+        uses: dict[str, list[messages.TeamUse]] = {}
+        for answer in answers.values():
+            for use in answer.teams if answer else []:
+                uses.setdefault(use.team, []).append(use)
+        snapshot = self._configuration.current
+        rows = snapshot.teams_by_name.values() if snapshot else []
+        return [
+            _status.TeamStatus(
+                name=row.name,
+                running=sum(use.running for use in uses.get(row.name, [])),
+                ceiling_running=row.ceiling_running,
+                rate=sum(use.rate for use in uses.get(row.name, [])),
+                ceiling_rate=row.ceiling_rate,
+                refused=sum(use.refused for use in uses.get(row.name, [])),
+            )
+            for row in rows
+        ]
+
+    def explain(self, *, chat: str, pool: str) -> _status.Explanation:
+        """Give why a chat goes where it goes.
+
+        Parameters
+        ----------
+        chat : str
+            ``team/chat id``, as the caller named the chat.
+        pool : str
+            The pool; may be empty where there is only one.
+        """
+        group = _ids.GroupName(pool or self._only_pool())
+        team, _, name = chat.partition("/")
+        seed = _ranking.chat_hash(team, name)
+        known = self._targets.known(group)
+        if not known:
+            raise _errors.NoTarget(f"no replica of a pool {group!r} is known")
+        answers = self._ask_all()
+        status_by_id = {entry.id: entry for entry in self._replicas(answers)}
+        ranked = _ranking.rank(known, seed, count=_RANK_SHOWN)
+        candidates = [
+            self._candidate(number, status_by_id[replica])
+            for number, replica in enumerate(ranked, start=1)
+        ]
+        chosen = next((c for c in candidates if c.verdict == "free"), None)
+        home = candidates[0]
+        return _status.Explanation(
+            group=group,
+            chat=f"{seed:016x}",
+            chosen=chosen.replica if chosen else "",
+            reason=(
+                "its home has room"
+                if chosen is home
+                else f"its home {home.replica} is {home.verdict}"
+            ),
+            candidates=candidates,
+        )
+
+    def _candidate(
+        self, number: int, entry: _status.ReplicaStatus
+    ) -> _status.Candidate:
+        verdict = "free"
+        if entry.state not in ("live", "suspected"):
+            verdict = entry.state
+        elif entry.load < 0:
+            verdict = "without an owner's word"
+        elif entry.load + 1 > entry.slots:
+            verdict = "full"
+        elif entry.load + 1 > entry.bound:
+            verdict = "over the bound"
+        return _status.Candidate(
+            rank=number,
+            replica=entry.id,
+            owner=entry.owner,
+            state=entry.state,
+            load=entry.load,
+            bound=entry.bound,
+            verdict=verdict,
+        )
+
+    def _only_pool(self) -> str:
+        snapshot = self._configuration.current
+        names = sorted(snapshot.pools_by_name) if snapshot else []
+        if len(names) != 1:
+            raise _errors.BadHeader(
+                f"name the pool; there are {', '.join(names) or 'none'}"
+            )
+        return names[0]
--- a/src/topazlug/_generated/messages.py
+++ b/src/topazlug/_generated/messages.py
@@ -10,6 +10,7 @@
 from msgspec import Meta
 from msgspec import Struct, field
 from msgspec import UNSET
+from msgspec import field
 
 
 class PeerMessages(Struct, kw_only=True, omit_defaults=True):
@@ -287,6 +288,47 @@
     ) = -1
 
 
+class StatusAsk(Struct, kw_only=True, omit_defaults=True):
+    """
+    Asks a daemon what it does just now.
+    """
+
+    request: (
+        Annotated[
+            str,
+            Meta(
+                description="Request whose decision is wanted; empty for none."
+            ),
+        ]
+    ) = ""
+
+
+class OwnedReplica(Struct, kw_only=True, omit_defaults=True):
+    replica: str
+    group: str
+    load: int
+    limit: int
+    slots: int
+    waiting: int = 0
+
+
+class TeamUse(Struct, kw_only=True, omit_defaults=True):
+    team: str
+    running: int = 0
+    rate: float = 0
+    refused: int = 0
+
+
+class StatusAnswer(Struct, kw_only=True, omit_defaults=True):
+    """
+    What one daemon does just now.
+    """
+
+    revision: int
+    replicas: list[OwnedReplica] = field(default_factory=list)
+    teams: list[TeamUse] = field(default_factory=list)
+
+
 class Ack(Struct, kw_only=True, omit_defaults=True):
     """
     Empty answer.
--- a/src/topazlug/_generated/settings.py
+++ b/src/topazlug/_generated/settings.py
@@ -434,6 +434,22 @@
     ) = 15.0
 
 
+class AdministrationSettings(Struct, kw_only=True, forbid_unknown_fields=True):
+    """
+    The operators' API.
+    """
+
+    bootstrap_token_hash: (
+        Annotated[
+            str,
+            Meta(
+                description="SHA-256 of a token that is an administrator's while the table names no operator; empty for none.",
+                max_length=64,
+            ),
+        ]
+    ) = ""
+
+
 class DaemonSettings(Struct, kw_only=True, forbid_unknown_fields=True):
     """
     Settings file of topazlugd. Durations are in seconds.
@@ -449,3 +465,4 @@
     configuration: ConfigurationSettings = field(default_factory=ConfigurationSettings)
     logs: LogSettings = field(default_factory=LogSettings)
     metrics: MetricsSettings = field(default_factory=MetricsSettings)
+    administration: AdministrationSettings = field(default_factory=AdministrationSettings)
--- /dev/null
+++ b/src/topazlug/_histograms.py
@@ -0,0 +1,177 @@
+"""Histograms by team and class that cost little to observe.
+
+They are counted in lists of integers and turned into OpenTelemetry's data
+points, or into Prometheus' families, only when a reader collects.
+"""
+
+import bisect
+from collections.abc import Iterator
+from collections.abc import Sequence
+import itertools
+import math
+import time
+from typing import final
+
+from opentelemetry.sdk.metrics import export
+from prometheus_client import core
+
+from topazlug import _batches
+from topazlug import _ids
+from topazlug._generated import table
+
+OTHER_TEAM = "other"
+
+_Label = tuple[str, table.RequestClass]
+
+
+@final
+class TeamNames:
+    """Which teams have series of their own.
+
+    Parameters
+    ----------
+    cap : int
+        How many do. Teams come first, first served: were a name to lose its
+        series again, its counts would fall, and a scraper takes a falling
+        count for a restart.
+    """
+
+    def __init__(self, *, cap: int) -> None:
+        self._cap = cap
+        self._own: set[str] = set()
+
+    def shown(self, team: str) -> str:
+        """Give the label of a team: its name, or ``other``."""
+        if team in self._own:
+            return team
+        if len(self._own) >= self._cap:
+            return OTHER_TEAM
+        self._own.add(team)
+        return team
+
+
+@final
+class _Series:
+    __slots__ = ("counts", "largest", "smallest", "total")
+
+    def __init__(self, buckets: int) -> None:
+        self.counts = [0] * buckets
+        self.total = 0.0
+        self.smallest = math.inf
+        self.largest = -math.inf
+
+
+@final
+class Histogram:
+    """One histogram of durations, by team and class.
+
+    Parameters
+    ----------
+    name, description : str
+        As in OpenTelemetry.
+    bounds : sequence of float
+        Upper ends of the buckets in seconds, growing; one bucket more takes
+        what is longer.
+    teams : TeamNames
+        Which teams have series of their own.
+    """
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        description: str,
+        bounds: Sequence[float],
+        teams: TeamNames,
+    ) -> None:
+        self._name = name
+        self._description = description
+        self._bounds = tuple(bounds)
+        self._teams = teams
+        self._started = time.time_ns()
+        self._series_by_label: dict[_Label, _Series] = {}
+
+    def observe(
+        self,
+        team: _ids.TeamName,
+        request_class: table.RequestClass,
+        seconds: float,
+    ) -> None:
+        """Count one duration."""
+        series = self._series_by_label.get((team, request_class))
+        if series is None:
+            series = self._series(team, request_class)
+        series.counts[bisect.bisect_left(self._bounds, seconds)] += 1
+        series.total += seconds
+        if seconds > series.largest:
+            series.largest = seconds
+        if seconds < series.smallest:
+            series.smallest = seconds
+
+    def _series(
+        self, team: _ids.TeamName, request_class: table.RequestClass
+    ) -> _Series:
+        label = (self._teams.shown(team), request_class)
+        series = self._series_by_label.get(label)
+        if series is None:
+            series = _Series(len(self._bounds) + 1)
+            self._series_by_label[label] = series
+        return series
+
+    def families(self) -> Iterator[core.HistogramMetricFamily]:
+        """Give the counts as parts of one Prometheus family.
+
+        Yields
+        ------
+        prometheus_client.core.HistogramMetricFamily
+            A few series each, read when the part is asked for.
+        """
+        for batch in _batches.of(self._series_by_label):
+            yield self._family(batch)
+
+    def _family(self, labels: Sequence[_Label]) -> core.HistogramMetricFamily:
+        family = core.HistogramMetricFamily(
+            name=self._name.replace(".", "_") + "_seconds",
+            documentation=self._description,
+            labels=("team", "class"),
+        )
+        names = [str(bound) for bound in self._bounds] + ["+Inf"]
+        for team, request_class in labels:
+            series = self._series_by_label[team, request_class]
+            family.add_metric(
+                labels=(team, request_class.value),
+                buckets=list(zip(names, itertools.accumulate(series.counts))),
+                sum_value=series.total,
+            )
+        return family
+
+    def metrics(self) -> Iterator[export.Metric]:
+        """Give the counts as parts of one OpenTelemetry metric."""
+        for batch in _batches.of(self._series_by_label):
+            points = [self._point(label) for label in batch]
+            yield export.Metric(
+                name=self._name,
+                description=self._description,
+                unit="s",
+                data=export.Histogram(
+                    data_points=points,
+                    aggregation_temporality=(
+                        export.AggregationTemporality.CUMULATIVE
+                    ),
+                ),
+            )
+
+    def _point(self, label: _Label) -> export.HistogramDataPoint:
+        team, request_class = label
+        series = self._series_by_label[label]
+        return export.HistogramDataPoint(
+            attributes={"team": team, "class": request_class.value},
+            start_time_unix_nano=self._started,
+            time_unix_nano=time.time_ns(),
+            count=sum(series.counts),
+            sum=series.total,
+            bucket_counts=tuple(series.counts),
+            explicit_bounds=self._bounds,
+            min=series.smallest,
+            max=series.largest,
+        )
--- /dev/null
+++ b/src/topazlug/_logs.py
@@ -0,0 +1,273 @@
+"""Structured logs on standard error, one line per record.
+
+Fields are given by name, as in ``log.info("peer left", peer=name)``, and
+appear both in the line's fields and in the message where it says ``{peer}``.
+Fields of the request in progress are attached to every line of its greenlet.
+"""
+
+import contextvars
+import datetime
+import enum
+import json
+import logging
+import re
+import sys
+from typing import Any
+from typing import TextIO
+from typing import final
+
+import logbook
+from logbook import compat
+
+from topazlug import _ids
+from topazlug._generated import settings
+
+MAX_FIELD_CHARACTERS = 1000
+MAX_MESSAGE_CHARACTERS = 4000
+WITHHELD = "[withheld]"
+# What callers say and what lets somebody in. A field so named is dropped
+# whatever it holds: logs are copied to places with other readers.
+WITHHELD_FIELDS = frozenset(
+    {
+        "answer",
+        "api_key",
+        "authorization",
+        "body",
+        "completion",
+        "content",
+        "cookie",
+        "credentials",
+        "delta",
+        "header",
+        "headers",
+        "input",
+        "key",
+        "messages",
+        "password",
+        "prompt",
+        "secret",
+        "text",
+        "token",
+    }
+)
+
+_BEARER = re.compile(r"(?i)\bbearer\s+\S+")
+_FIELDS: contextvars.ContextVar[dict[str, Any]] = contextvars.ContextVar(
+    "topazlug_log_fields", default={}
+)
+_GROUP = logbook.LoggerGroup(level=logbook.INFO)
+_LOGGERS_BY_NAME: dict[str, logbook.Logger] = {}
+
+
+def logger(name: str) -> logbook.Logger:
+    """Give the logger of a module.
+
+    Parameters
+    ----------
+    name : str
+        Name shown on each line, such as ``routing``.
+
+    Returns
+    -------
+    logbook.Logger
+        The same one for the same name.
+    """
+    found = _LOGGERS_BY_NAME.get(name)
+    if found is None:
+        found = logbook.Logger(name)
+        _GROUP.add_logger(found)
+        _LOGGERS_BY_NAME[name] = found
+    return found
+
+
+@final
+class request_fields:
+    """Attach fields to each line logged inside the ``with`` block.
+
+    A greenlet started inside it has none of them; where it works for the
+    same request, open a block there with ``**current_fields()``.
+
+    Parameters
+    ----------
+    **fields
+        Such as ``request_id``, ``team``, ``chat``, ``replica``. Blocks nest;
+        an inner value goes before an outer one.
+    """
+
+    __slots__ = ("_fields", "_token")
+
+    def __init__(self, **fields: Any) -> None:
+        self._fields = fields
+
+    def __enter__(self) -> None:
+        merged = {**_FIELDS.get(), **self._fields}
+        self._token = _FIELDS.set(merged)
+
+    def __exit__(self, *exception: object) -> None:
+        try:
+            _FIELDS.reset(self._token)
+        except ValueError:
+            # A response generator that nobody exhausted is closed by the
+            # garbage collector in any greenlet. Its own context is gone;
+            # the other greenlet's fields must stay as they are.
+            pass
+
+
+def current_fields() -> dict[str, Any]:
+    """Give the fields attached in this greenlet, to hand to another."""
+    return dict(_FIELDS.get())
+
+
+def set_up(
+    log_settings: settings.LogSettings,
+    daemon_id: _ids.DaemonId,
+    *,
+    stream: TextIO | None = None,
+) -> logbook.Handler:
+    """Send all records to standard error.
+
+    Parameters
+    ----------
+    log_settings : settings.LogSettings
+        Format and least level.
+    daemon_id : DaemonId
+        Named on each line.
+    stream : TextIO or None
+        Where lines go instead of standard error.
+
+    Returns
+    -------
+    logbook.Handler
+        The handler in force; ``pop_application`` takes it out again.
+    """
+    level = logbook.lookup_level(log_settings.level.value.upper())
+    # The loggers' own level, not the handler's: a logger below it returns
+    # before a record is made.
+    _GROUP.level = level
+    handler = logbook.StreamHandler(stream or sys.stderr, level=level)
+    as_json = log_settings.format is settings.LogFormat.json
+    render = _render_json if as_json else _render_text
+    handler.formatter = _Formatter(daemon_id=daemon_id, render=render)
+    handler.push_application()
+    _redirect_standard_logging()
+    return handler
+
+
+@final
+class _Redirect(compat.RedirectLoggingHandler):
+    """Takes in what libraries log, without the internals of the record."""
+
+    def find_extra(self, old_record: logging.LogRecord) -> dict[str, Any]:
+        return {}
+
+
+def _redirect_standard_logging() -> None:
+    root = logging.getLogger()
+    root.handlers = [
+        handler
+        for handler in root.handlers
+        if not isinstance(handler, _Redirect)
+    ]
+    root.addHandler(_Redirect())
+    root.setLevel(logging.WARNING)
+
+
+@final
+class _Formatter:
+    def __init__(self, *, daemon_id: _ids.DaemonId, render: Any) -> None:
+        self._daemon_id = daemon_id
+        self._render = render
+
+    def __call__(
+        self, record: logbook.LogRecord, handler: logbook.Handler
+    ) -> str:
+        fields = dict(_FIELDS.get())
+        fields.update(record.extra)
+        fields.update(record.kwargs)
+        # Before the message is built from them, as it may quote a field.
+        record.kwargs = _presentable(record.kwargs)
+        line: dict[str, Any] = {
+            "time": _rfc3339(record.time),
+            "level": record.level_name.lower(),
+            "logger": record.channel,
+            "daemon": self._daemon_id,
+            "message": _message_of(record),
+        }
+        for name, value in _presentable(fields).items():
+            if value != WITHHELD:
+                line.setdefault(name, value)
+        if record.exc_info:
+            line["exception"] = _clean(
+                record.formatted_exception or "", MAX_MESSAGE_CHARACTERS
+            )
+        rendered: str = self._render(line)
+        return rendered
+
+
+def _message_of(record: logbook.LogRecord) -> str:
+    try:
+        message = record.message
+    except Exception as error:
+        # A message whose braces don't fit its fields must not take down the
+        # request that logs it; the raw template still says where it was.
+        message = f"{record.msg} [not formatted: {type(error).__name__}]"
+    return _clean(str(message), MAX_MESSAGE_CHARACTERS)
+
+
+def _rfc3339(when: datetime.datetime) -> str:
+    if when.tzinfo is None:
+        when = when.replace(tzinfo=datetime.timezone.utc)
+    return when.isoformat(timespec="milliseconds").replace("+00:00", "Z")
+
+
+def _clean(text: str, longest: int) -> str:
+    text = _BEARER.sub(f"Bearer {WITHHELD}", text)
+    return text if len(text) <= longest else text[:longest] + "…"
+
+
+def _presentable(fields: dict[str, Any]) -> dict[str, Any]:
+    return {
+        name: WITHHELD if _is_withheld(name) else _plain(value)
+        for name, value in fields.items()
+    }
+
+
+def _is_withheld(name: str) -> bool:
+    return str(name).lower().replace("-", "_") in WITHHELD_FIELDS
+
+
+def _plain(value: Any) -> Any:
+    """Give what a line may show of a value."""
+    if isinstance(value, enum.Enum):
+        return _plain(value.value)
+    if value is None or isinstance(value, (bool, int, float)):
+        return value
+    if isinstance(value, (str, BaseException)):
+        return _clean(str(value), MAX_FIELD_CHARACTERS)
+    if isinstance(value, datetime.datetime):
+        return _rfc3339(value)
+    if isinstance(value, datetime.timedelta):
+        return value.total_seconds()
+    if isinstance(value, dict):
+        return {str(k): v for k, v in _presentable(value).items()}
+    if isinstance(value, (list, tuple, set, frozenset)):
+        return [_plain(inner) for inner in value]
+    # The text form of an unknown object may hold a prompt or a key.
+    return f"<{type(value).__name__}>"
+
+
+def _render_json(line: dict[str, Any]) -> str:
+    return json.dumps(line, ensure_ascii=False)
+
+
+def _render_text(line: dict[str, Any]) -> str:
+    head = ("time", "level", "logger", "message")
+    shown = [str(line[name]) for name in head[:-1]]
+    # A line break that came from a caller would pass for a record.
+    shown.append(line["message"].replace("\r", "\\r").replace("\n", "\\n"))
+    shown += [
+        f"{name}={json.dumps(value, ensure_ascii=False)}"
+        for name, value in line.items()
+        if name not in head
+    ]
+    return " ".join(shown)
--- /dev/null
+++ b/src/topazlug/_metrics.py
@@ -0,0 +1,355 @@
+"""Metrics of one daemon, scraped and optionally pushed.
+
+Counts and histograms are kept in plain numbers and handed to OpenTelemetry
+when a reader collects. The SDK's own ``record`` costs many times what a
+token may, and a daemon observes one gap for each token that it relays.
+"""
+
+from collections.abc import Callable
+from collections.abc import Iterable
+from collections.abc import Mapping
+from collections.abc import Sequence
+import enum
+import itertools
+from typing import Any
+from typing import final
+
+from opentelemetry import metrics as api
+from opentelemetry.exporter import prometheus
+from opentelemetry.sdk import metrics as sdk
+from opentelemetry.sdk import resources
+from opentelemetry.sdk.metrics import export
+import prometheus_client
+
+from topazlug import _batches
+from topazlug import _counters
+from topazlug import _errors
+from topazlug import _exposition
+from topazlug import _histograms
+from topazlug import _ids
+from topazlug import _push
+from topazlug._generated import settings
+from topazlug._generated import table
+
+CONTENT_TYPE = prometheus_client.CONTENT_TYPE_LATEST
+OK = "ok"
+NO_TEAM = _ids.TeamName("none")
+STOP_TIMEOUT_MILLISECONDS = 2000.0
+REQUEST_BUCKETS = (
+    *(0.01, 0.025, 0.05, 0.1, 0.15, 0.2, 0.25, 0.35, 0.5, 0.75),
+    *(1.0, 2.0, 5.0, 10.0, 30.0, 60.0),
+)
+TOKEN_BUCKETS = (
+    *(0.005, 0.01, 0.02, 0.03, 0.04, 0.057, 0.075, 0.1),
+    *(0.2, 0.5, 1.0, 2.0, 5.0),
+)
+
+
+class Gauge(enum.Enum):
+    """What is read by a callback, and rises and falls."""
+
+    IN_FLIGHT = "topazlug.requests.in_flight"
+    CONNECTIONS = "topazlug.callers.connections"
+    QUEUED = "topazlug.requests.queued"
+    MEMBERS = "topazlug.members"
+    REVISION = "topazlug.configuration.revision"
+    OWNED_REPLICAS = "topazlug.replicas.owned"
+    SKEW = "topazlug.pool.skew"
+    MEAN_LOAD = "topazlug.pool.mean_load"
+
+
+class Total(enum.Enum):
+    """What is read by a callback, and only grows."""
+
+    CONTROL_SENT = "topazlug.control.sent"
+    CONTROL_RECEIVED = "topazlug.control.received"
+    PAUSES = "topazlug.pauses"
+
+
+_UNITS = {Total.CONTROL_SENT: "By", Total.CONTROL_RECEIVED: "By"}
+_DESCRIPTIONS: dict[Gauge | Total, str] = {
+    Gauge.IN_FLIGHT: "Requests at targets.",
+    Gauge.CONNECTIONS: "Callers' connections.",
+    Gauge.QUEUED: "Requests that wait for a place.",
+    Gauge.MEMBERS: "Daemons that this one counts as usable.",
+    Gauge.REVISION: "Revision of the table in force.",
+    Gauge.OWNED_REPLICAS: "Replicas whose places this daemon admits.",
+    Gauge.SKEW: "Largest load of a pool's replicas over their mean.",
+    Gauge.MEAN_LOAD: "Mean load of a pool's replicas.",
+    Total.CONTROL_SENT: "Bytes sent to peers.",
+    Total.CONTROL_RECEIVED: "Bytes received from peers.",
+    Total.PAUSES: "Jumps of the clock: the daemon was frozen and thawed.",
+}
+
+Read = Callable[[], float]
+ReadByGroup = Callable[[], Mapping[_ids.GroupName, float]]
+
+
+@final
+class Metrics:
+    """All that one daemon measures.
+
+    Parameters
+    ----------
+    metrics_settings : settings.MetricsSettings
+        Cap on teams; where to push, if anywhere.
+    daemon_id : DaemonId
+        Whose metrics they are.
+    zone : str
+        Its availability zone.
+    """
+
+    def __init__(
+        self,
+        metrics_settings: settings.MetricsSettings,
+        daemon_id: _ids.DaemonId,
+        zone: str,
+    ) -> None:
+        self._teams = _histograms.TeamNames(cap=metrics_settings.team_cap)
+        self._first_token = self._histogram(
+            "first_token.duration",
+            "Time from a request's arrival to its answer's first token.",
+        )
+        self._between_tokens = self._histogram(
+            "between_tokens.duration",
+            "Time between two tokens of an answer.",
+            bounds=TOKEN_BUCKETS,
+        )
+        self._total = self._histogram(
+            "request.duration",
+            "Time from a request's arrival to the end of its answer.",
+        )
+        self._queueing = self._histogram(
+            "queueing.duration",
+            "Time that a request waited for a place.",
+        )
+        self._requests = _counter(
+            "requests",
+            "Requests answered, by code and outcome.",
+            labels=("team", "class", "code", "outcome"),
+        )
+        self._retries = _counter(
+            "retries",
+            "Attempts after the first.",
+            labels=("team", "class"),
+        )
+        self._refusals = _counter(
+            "refusals",
+            "Requests turned away before anything was sent.",
+            labels=("team", "class", "code"),
+        )
+        self._returns = _counter(
+            "returning_chats",
+            "Returning chats by whether their context was found.",
+            labels=("result",),
+        )
+        self._prompt_tokens = _counter(
+            "prompt_tokens",
+            "Tokens of prompts, by whether they were cached.",
+            labels=("source",),
+        )
+        self._instruments: tuple[_batches.Instrument, ...] = (
+            self._requests,
+            self._retries,
+            self._refusals,
+            self._returns,
+            self._prompt_tokens,
+            self._first_token,
+            self._between_tokens,
+            self._total,
+            self._queueing,
+        )
+        self._registry = prometheus_client.CollectorRegistry()
+        self._provider = sdk.MeterProvider(
+            self._readers(metrics_settings),
+            resource=_resource(daemon_id, zone),
+            exemplar_filter=sdk.AlwaysOffExemplarFilter(),
+            shutdown_on_exit=False,
+        )
+        self._meter = self._provider.get_meter(_push.SCOPE.name)
+        # The SDK gives nothing to readers while it has no number at all.
+        self._meter.create_observable_gauge(
+            "topazlug.up", callbacks=[lambda _: [api.Observation(1)]]
+        )
+
+    def observe_first_token(
+        self,
+        team: _ids.TeamName,
+        request_class: table.RequestClass,
+        seconds: float,
+    ) -> None:
+        """Count the time to the first token."""
+        self._first_token.observe(team, request_class, seconds)
+
+    def observe_between_tokens(
+        self,
+        team: _ids.TeamName,
+        request_class: table.RequestClass,
+        seconds: float,
+    ) -> None:
+        """Count the time between two tokens."""
+        self._between_tokens.observe(team, request_class, seconds)
+
+    def observe_total(
+        self,
+        team: _ids.TeamName,
+        request_class: table.RequestClass,
+        seconds: float,
+    ) -> None:
+        """Count the time of a whole request."""
+        self._total.observe(team, request_class, seconds)
+
+    def observe_queueing(
+        self,
+        team: _ids.TeamName,
+        request_class: table.RequestClass,
+        seconds: float,
+    ) -> None:
+        """Count the time that a request waited for a place."""
+        self._queueing.observe(team, request_class, seconds)
+
+    def count_request(
+        self,
+        team: _ids.TeamName,
+        request_class: table.RequestClass,
+        code: _errors.Code | None,
+        outcome: _errors.Outcome,
+    ) -> None:
+        """Count an answered request; without a code it went well."""
+        labels = (
+            self._teams.shown(team),
+            request_class.value,
+            OK if code is None else code.value,
+            outcome.value,
+        )
+        self._requests.add(labels)
+
+    def count_retry(
+        self, team: _ids.TeamName, request_class: table.RequestClass
+    ) -> None:
+        """Count an attempt after the first."""
+        shown = self._teams.shown(team)
+        self._retries.add((shown, request_class.value))
+
+    def count_refusal(
+        self,
+        team: _ids.TeamName,
+        request_class: table.RequestClass,
+        code: _errors.Code,
+    ) -> None:
+        """Count a request turned away before anything was sent."""
+        shown = self._teams.shown(team)
+        self._refusals.add((shown, request_class.value, code.value))
+
+    def count_reuse(
+        self, hit: bool, tokens_cached: int, tokens_prompt: int
+    ) -> None:
+        """Count a returning chat and the tokens of its prompt.
+
+        Parameters
+        ----------
+        hit : bool
+            Whether the replica still held earlier context of the chat.
+        tokens_cached : int
+            Tokens of the prompt that it held.
+        tokens_prompt : int
+            All tokens of the prompt.
+        """
+        self._returns.add(("hit" if hit else "miss",))
+        self._prompt_tokens.add(("cached",), tokens_cached)
+        computed = max(0, tokens_prompt - tokens_cached)
+        self._prompt_tokens.add(("computed",), computed)
+
+    def watch(self, what: Gauge | Total, read: Read) -> None:
+        """Read a number by a callback at each collection.
+
+        Parameters
+        ----------
+        what : Gauge or Total
+            The metric; each is watched once.
+        read : callable
+            Gives the number; it must neither block nor raise.
+        """
+        self._observe(what, lambda _: [api.Observation(read())])
+
+    def watch_by_group(self, what: Gauge, read: ReadByGroup) -> None:
+        """Read a number for each pool or service by a callback."""
+
+        def observations(_: api.CallbackOptions) -> Iterable[api.Observation]:
+            for group, number in read().items():
+                yield api.Observation(number, {"group": group})
+
+        self._observe(what, observations)
+
+    def exposition(self) -> bytes:
+        """Give all series in the Prometheus text format.
+
+        Other greenlets run while it is written.
+        """
+        watched = list(self._registry.collect())
+        kept = (item.families() for item in self._instruments)
+        return _exposition.text_of(itertools.chain(watched, *kept))
+
+    def stop(self) -> None:
+        """Push once more, within a short bound, and end the push thread."""
+        self._provider.shutdown(timeout_millis=STOP_TIMEOUT_MILLISECONDS)
+
+    def _histogram(
+        self,
+        name: str,
+        description: str,
+        *,
+        bounds: Sequence[float] = REQUEST_BUCKETS,
+    ) -> _histograms.Histogram:
+        return _histograms.Histogram(
+            name=f"topazlug.{name}",
+            description=description,
+            bounds=bounds,
+            teams=self._teams,
+        )
+
+    def _observe(self, what: Gauge | Total, callback: Any) -> None:
+        create: Any = self._meter.create_observable_gauge
+        if isinstance(what, Total):
+            create = self._meter.create_observable_counter
+        create(
+            what.value,
+            callbacks=[callback],
+            unit=_UNITS.get(what, "") if isinstance(what, Total) else "",
+            description=_DESCRIPTIONS[what],
+        )
+
+    def _readers(
+        self, metrics_settings: settings.MetricsSettings
+    ) -> list[export.MetricReader]:
+        readers: list[export.MetricReader] = [
+            prometheus.PrometheusMetricReader(
+                scope_info_enabled=False, registry=self._registry
+            )
+        ]
+        if metrics_settings.otlp_endpoint:
+            pusher = _push.reader(
+                endpoint=metrics_settings.otlp_endpoint,
+                interval=metrics_settings.otlp_interval,
+                instruments=self._instruments,
+            )
+            readers.append(pusher)
+        return readers
+
+
+def _counter(
+    name: str, description: str, *, labels: Sequence[str]
+) -> _counters.Counter:
+    return _counters.Counter(
+        name=f"topazlug.{name}", description=description, labels=labels
+    )
+
+
+def _resource(daemon_id: _ids.DaemonId, zone: str) -> resources.Resource:
+    return resources.Resource(
+        {
+            "service.name": "topazlugd",
+            "service.instance.id": daemon_id,
+            "cloud.availability_zone": zone,
+        }
+    )
--- /dev/null
+++ b/src/topazlug/_owner.py
@@ -0,0 +1,411 @@
+"""The owner's role: count and admit what its replicas carry.
+
+One greenlet for each peer's stream calls in here; nothing in here yields, so
+each ask is judged against an exact count.
+"""
+
+from collections.abc import Callable
+from collections.abc import Iterable
+from collections.abc import Mapping
+import math
+from typing import Protocol
+from typing import final
+
+import logbook
+
+from topazlug import _clock
+from topazlug import _displaced
+from topazlug import _group_load
+from topazlug import _ids
+from topazlug import _ledger
+from topazlug import _ownership
+from topazlug import _targets
+from topazlug._generated import messages
+from topazlug._generated import settings as _settings_types
+
+_log = logbook.Logger("owner")
+
+CAREFUL_SECONDS = 2.5
+
+Reply = Callable[[messages.AdmitReply], None]
+
+
+class GroupRules(Protocol):
+    """What the table says of a group and a team."""
+
+    def bound_of(self, group: _ids.GroupName) -> float:
+        """Give the multiple of the mean that no replica may pass."""
+
+    def slots_of(self, group: _ids.GroupName) -> int:
+        """Give the load units that one replica runs at once."""
+
+    def batch_reserve_of(self, group: _ids.GroupName) -> float:
+        """Give the part of the slots that batch work may not take."""
+
+    def weight_of(self, team: _ids.TeamName) -> float:
+        """Give a team's weight."""
+
+
+@final
+class Owner:
+    """Ledgers of the replicas that this daemon owns.
+
+    Parameters
+    ----------
+    daemon : DaemonId
+        This daemon.
+    ownership : Ownership
+        Who owns what.
+    targets : TargetDirectory
+        Which replicas may get new work.
+    rules : GroupRules
+        Weights and bounds.
+    routing : RoutingSettings
+        Settings.
+    clock : Clock
+        Time.
+    """
+
+    def __init__(
+        self,
+        *,
+        daemon: _ids.DaemonId,
+        ownership: _ownership.Ownership,
+        targets: _targets.TargetDirectory,
+        rules: GroupRules,
+        routing: _settings_types.RoutingSettings,
+        clock: _clock.Clock,
+    ) -> None:
+        self._daemon = daemon
+        self._ownership = ownership
+        self._targets = targets
+        self._rules = rules
+        self._routing = routing
+        self._clock = clock
+        self.ledger_by_replica: dict[_ids.ReplicaId, _ledger.ReplicaLedger] = (
+            {}
+        )
+        self.view_by_group: dict[_ids.GroupName, _group_load.GroupView] = {}
+        self.displaced = _displaced.DisplacedChats(
+            capacity=routing.displaced_capacity
+        )
+        self.count_by_verdict = dict.fromkeys(messages.Verdict, 0)
+
+    def ask(
+        self, sender: _ids.DaemonId, ask: messages.AdmitAsk, reply: Reply
+    ) -> None:
+        """Judge one ask; a queued one is answered when its turn comes.
+
+        Parameters
+        ----------
+        sender : DaemonId
+            The entry daemon.
+        ask : AdmitAsk
+            What it asks.
+        reply : callable
+            Called once with the verdict, now or later.
+        """
+        replica = _ids.ReplicaId(ask.replica)
+        if self._ownership.owner_of(replica) != self._daemon:
+            self._answer(reply, messages.Verdict.not_owner)
+            return
+        ledger = self._ledger_of(replica)
+        if ledger is None or not self._targets.is_usable(replica):
+            self._answer(reply, messages.Verdict.expired)
+            return
+        if ask.home and self._send_elsewhere(ask, reply):
+            return
+        self._judge(sender, ask, ledger, reply)
+
+    def _send_elsewhere(self, ask: messages.AdmitAsk, reply: Reply) -> bool:
+        seat = self.displaced.find(_ids.ChatHash(ask.chat))
+        if seat is None or seat == ask.replica:
+            return False
+        if not self._targets.is_usable(seat):
+            return False
+        self._answer(reply, messages.Verdict.elsewhere, replica=seat)
+        return True
+
+    def _judge(
+        self,
+        sender: _ids.DaemonId,
+        ask: messages.AdmitAsk,
+        ledger: _ledger.ReplicaLedger,
+        reply: Reply,
+    ) -> None:
+        key = _ledger.PlaceKey(sender, _ids.AskNumber(ask.ask))
+        held = _ledger.Held(
+            weight=ask.weight, team=_ids.TeamName(ask.team), batch=ask.batch
+        )
+        now = self._clock.monotonic()
+        total, replicas = self._group_total(ledger.group, now)
+        judgement = ledger.judge(
+            weight=ask.weight,
+            batch=ask.batch,
+            limit=self._limit(ledger.group, total, replicas),
+            now=now,
+            mean=total / max(1, replicas),
+        )
+        ahead = ledger.has_ahead(batch=ask.batch)
+        if judgement is _ledger.Judgement.FREE and not ahead:
+            ledger.hold(key, held)
+            self._answer(reply, messages.Verdict.granted, load=ledger.load)
+            return
+        if ask.wait <= 0:
+            verdict = messages.Verdict.full
+            if judgement is _ledger.Judgement.OVER_BOUND:
+                verdict = messages.Verdict.over_bound
+            self._answer(reply, verdict, load=ledger.load)
+            return
+        self._enqueue(ledger, key, held, ask.wait, reply)
+
+    def _enqueue(
+        self,
+        ledger: _ledger.ReplicaLedger,
+        key: _ledger.PlaceKey,
+        held: _ledger.Held,
+        wait: float,
+        reply: Reply,
+    ) -> None:
+        expected = ledger.expected_wait(batch=held.batch)
+        if expected > wait:
+            self._refuse_full(ledger, expected, reply)
+            return
+        waiting = _ledger.Waiting(
+            key=key,
+            held=held,
+            deadline=self._clock.monotonic() + wait,
+            grant=lambda: self._answer(
+                reply, messages.Verdict.granted, load=ledger.load
+            ),
+            refuse=lambda: self._refuse_full(ledger, expected, reply),
+        )
+        weight = self._rules.weight_of(held.team)
+        ledger.enqueue(waiting, team_weight=weight)
+        self._pump(ledger)
+
+    def _refuse_full(
+        self, ledger: _ledger.ReplicaLedger, expected: float, reply: Reply
+    ) -> None:
+        self._answer(
+            reply,
+            messages.Verdict.full,
+            load=ledger.load,
+            retry_after=max(expected, 0.1),
+        )
+
+    def _answer(
+        self,
+        reply: Reply,
+        verdict: messages.Verdict,
+        *,
+        load: int = 0,
+        replica: str = "",
+        retry_after: float = 0.0,
+    ) -> None:
+        self.count_by_verdict[verdict] += 1
+        reply(
+            messages.AdmitReply(
+                verdict=verdict,
+                load=load,
+                replica=replica,
+                retry_after=retry_after,
+            )
+        )
+
+    def release(self, sender: _ids.DaemonId, asks: Iterable[int]) -> None:
+        """Free places of an entry daemon, on whichever ledger they are."""
+        now = self._clock.monotonic()
+        for ask in asks:
+            key = _ledger.PlaceKey(sender, _ids.AskNumber(ask))
+            ledger = self._find(key)
+            if ledger is None:
+                continue
+            ledger.release(key, now=now)
+            self._pump(ledger)
+
+    def _find(self, key: _ledger.PlaceKey) -> _ledger.ReplicaLedger | None:
+        for ledger in self.ledger_by_replica.values():
+            if key in ledger.held_by_key or key in ledger.waiting_by_key:
+                return ledger
+        return None
+
+    def renew(self, sender: _ids.DaemonId, renew: messages.Renew) -> None:
+        """Make the counts of one entry daemon what it says they are.
+
+        A release that was lost with its stream would leave a place counted
+        for ever; the replica would look fuller than it is and, in the end,
+        refuse all. The full list heals that.
+        """
+        now = self._clock.monotonic()
+        pending = {_ids.AskNumber(ask) for ask in renew.pending}
+        held: dict[
+            _ids.ReplicaId, dict[_ids.AskNumber, messages.HeldPlace]
+        ] = {}
+        for place in renew.held:
+            replica = _ids.ReplicaId(place.replica)
+            by_ask = held.setdefault(replica, {})
+            by_ask[_ids.AskNumber(place.ask)] = place
+        for replica in held:
+            if self._ownership.owner_of(replica) == self._daemon:
+                self._ledger_of(replica)
+        for replica, ledger in self.ledger_by_replica.items():
+            ledger.keep_only(sender, held.get(replica, {}), pending, now=now)
+            self._pump(ledger)
+
+    def drop_daemon(self, daemon: _ids.DaemonId) -> None:
+        """Free all that a dead daemon held."""
+        now = self._clock.monotonic()
+        for ledger in self.ledger_by_replica.values():
+            ledger.drop_daemon(daemon, now=now)
+            self._pump(ledger)
+
+    def transfer(
+        self, transfers: list[_ownership.Transfer]
+    ) -> Mapping[_ids.DaemonId, list[messages.Displaced]]:
+        """Take up gained replicas and lay down lost ones.
+
+        Returns
+        -------
+        mapping
+            Displaced chats to hand over, by their new owner.
+        """
+        lost: dict[_ids.ReplicaId, _ids.DaemonId | None] = {}
+        for change in transfers:
+            if change.after == self._daemon:
+                self._ledger_of(change.replica)
+            elif change.before == self._daemon:
+                lost[change.replica] = change.after
+        for replica in lost:
+            ledger = self.ledger_by_replica.pop(replica, None)
+            if ledger is not None:
+                ledger.refuse_all()
+        handover: dict[_ids.DaemonId, list[messages.Displaced]] = {}
+        for home, entries in self.displaced.take_out(set(lost)).items():
+            after = lost[home]
+            if after is not None:
+                handover.setdefault(after, []).extend(entries)
+        return handover
+
+    def turn_careful(self) -> None:
+        """Distrust all counts for a while, after a pause of this daemon."""
+        until = self._clock.monotonic() + CAREFUL_SECONDS
+        for ledger in self.ledger_by_replica.values():
+            ledger.careful_until = until
+            ledger.forget_reports()
+
+    def take_engine_report(
+        self, replica: _ids.ReplicaId, running: int
+    ) -> None:
+        """Note what an engine says of its load."""
+        ledger = self.ledger_by_replica.get(replica)
+        if ledger is not None:
+            ledger.take_report(running)
+
+    def due_reports(self) -> list[messages.LoadReport]:
+        """Give the load reports that collectors should get now."""
+        now = self._clock.monotonic()
+        loads: dict[_ids.GroupName, list[messages.ReplicaLoad]] = {}
+        for ledger in self.ledger_by_replica.values():
+            view = self._view_of(ledger.group)
+            if now < view.next_report:
+                continue
+            loads.setdefault(ledger.group, []).append(
+                messages.ReplicaLoad(replica=ledger.replica, load=ledger.load)
+            )
+        return [
+            messages.LoadReport(group=group, loads=entries)
+            for group, entries in loads.items()
+        ]
+
+    def take_summary(
+        self, summary: messages.LoadSummary, report: messages.LoadReport
+    ) -> None:
+        """Note a collector's answer, and grant what now fits."""
+        group = _ids.GroupName(summary.group)
+        self._view_of(group).take(
+            summary,
+            own=sum(entry.load for entry in report.loads),
+            now=self._clock.monotonic(),
+        )
+        for ledger in self.ledger_by_replica.values():
+            if ledger.group == group:
+                self._pump(ledger)
+
+    def limit_of(self, group: _ids.GroupName) -> int:
+        """Give the load that the bound allows on a replica now."""
+        total, replicas = self._group_total(group, self._clock.monotonic())
+        return self._limit(group, total, replicas)
+
+    def _pump(self, ledger: _ledger.ReplicaLedger) -> None:
+        if not ledger.waiting_by_key:
+            return
+        if not self._targets.is_usable(ledger.replica):
+            ledger.refuse_all()
+            return
+        now = self._clock.monotonic()
+        total, replicas = self._group_total(ledger.group, now)
+        ledger.pump(
+            limit=self._limit(ledger.group, total, replicas),
+            now=now,
+            mean=total / max(1, replicas),
+        )
+
+    def _limit(
+        self, group: _ids.GroupName, total: float, replicas: int
+    ) -> int:
+        return _group_load.bound_limit(
+            bound=self._rules.bound_of(group), total=total, replicas=replicas
+        )
+
+    def _group_total(
+        self, group: _ids.GroupName, now: float
+    ) -> tuple[float, int]:
+        own = [
+            ledger.load
+            for ledger in self.ledger_by_replica.values()
+            if ledger.group == group
+        ]
+        replicas = len(self._targets.usable(group))
+        total = self._view_of(group).estimate(
+            own=sum(own),
+            own_replicas=len(own),
+            replicas=replicas,
+            now=now,
+        )
+        return total, replicas
+
+    def _view_of(self, group: _ids.GroupName) -> _group_load.GroupView:
+        view = self.view_by_group.get(group)
+        if view is None:
+            view = _group_load.GroupView()
+            self.view_by_group[group] = view
+        return view
+
+    def _ledger_of(
+        self, replica: _ids.ReplicaId
+    ) -> _ledger.ReplicaLedger | None:
+        ledger = self.ledger_by_replica.get(replica)
+        if ledger is not None:
+            return ledger
+        target = self._targets.target_by_replica.get(replica)
+        if target is None:
+            return None
+        ledger = self._open(target)
+        self.ledger_by_replica[replica] = ledger
+        return ledger
+
+    def _open(self, target: _targets.Target) -> _ledger.ReplicaLedger:
+        slots = target.slots or self._rules.slots_of(target.group)
+        reserve = self._rules.batch_reserve_of(target.group)
+        batch_slots = max(1, math.floor(slots * (1 - reserve)))
+        ledger = _ledger.ReplicaLedger(
+            replica=target.replica,
+            group=target.group,
+            slots=slots,
+            batch_slots=batch_slots,
+            queue_capacity=self._routing.queue_per_replica,
+        )
+        ledger.careful_until = self._clock.monotonic() + CAREFUL_SECONDS
+        _log.info("own {replica}", replica=target.replica)
+        return ledger
--- /dev/null
+++ b/src/topazlug/_owner_duties.py
@@ -0,0 +1,171 @@
+"""What the owner's role does with peers: its handlers and its greenlets."""
+
+from collections.abc import Callable
+from collections.abc import Mapping
+from typing import Any
+from typing import final
+
+import gevent
+
+from topazlug import _admission
+from topazlug import _clock
+from topazlug import _errors
+from topazlug import _group_load
+from topazlug import _ids
+from topazlug import _logs
+from topazlug import _owner
+from topazlug import _ownership
+from topazlug import _peers
+from topazlug._generated import messages
+from topazlug._generated import settings as _settings_types
+
+_log = _logs.logger("owner")
+_REPORT_TIMEOUT = 0.3
+_RETRY_SECONDS = 0.2
+_HANDOVER_ENTRIES = 500
+
+
+@final
+class OwnerDuties:
+    """Ties an `Owner` to the peers' streams.
+
+    Parameters
+    ----------
+    daemon : DaemonId
+        This daemon.
+    owner : Owner
+        Ledgers.
+    admission : OwnersAdmission
+        This daemon's entry role, which renews.
+    links : PeerLinks
+        Streams.
+    usable : callable
+        Gives the usable daemons by id.
+    routing : RoutingSettings
+        Intervals.
+    clock : Clock
+        Time.
+    """
+
+    def __init__(
+        self,
+        *,
+        daemon: _ids.DaemonId,
+        owner: _owner.Owner,
+        admission: _admission.OwnersAdmission,
+        links: _peers.PeerLinks,
+        usable: Callable[[], Mapping[_ids.DaemonId, Any]],
+        routing: _settings_types.RoutingSettings,
+        clock: _clock.Clock,
+    ) -> None:
+        self._daemon = daemon
+        self._owner = owner
+        self._admission = admission
+        self._links = links
+        self._usable = usable
+        self._routing = routing
+        self._clock = clock
+        self._collector = _group_load.Collector(
+            clock=clock, interval=routing.load_interval
+        )
+        self._reporting: set[str] = set()
+
+    def register(self) -> None:
+        """Take peers' messages from now on."""
+        links = self._links
+        links.handle(messages.AdmitAsk, self._on_ask)
+        links.handle(messages.Release, self._on_release)
+        links.handle(messages.Renew, self._on_renew)
+        links.handle(messages.Displaced, self._on_displaced)
+        links.handle(messages.DisplacedBatch, self._on_displaced_batch)
+        links.handle(messages.LoadReport, self._on_report)
+
+    def _on_ask(
+        self, sender: _ids.DaemonId, ask: Any, reply: _peers.Reply
+    ) -> None:
+        self._owner.ask(sender, ask, reply)
+
+    def _on_release(
+        self, sender: _ids.DaemonId, message: Any, reply: _peers.Reply
+    ) -> None:
+        self._owner.release(sender, message.asks)
+
+    def _on_renew(
+        self, sender: _ids.DaemonId, message: Any, reply: _peers.Reply
+    ) -> None:
+        self._owner.renew(sender, message)
+
+    def _on_displaced(
+        self, sender: _ids.DaemonId, message: Any, reply: _peers.Reply
+    ) -> None:
+        self._owner.displaced.note(message)
+
+    def _on_displaced_batch(
+        self, sender: _ids.DaemonId, message: Any, reply: _peers.Reply
+    ) -> None:
+        for entry in message.entries:
+            self._owner.displaced.note(entry)
+
+    def _on_report(
+        self, sender: _ids.DaemonId, message: Any, reply: _peers.Reply
+    ) -> None:
+        reply(self._collector.take(sender, message))
+
+    def on_transfer(self, transfers: list[_ownership.Transfer]) -> None:
+        """Follow a change of owners: hand over, and renew at once."""
+        handover = self._owner.transfer(transfers)
+        for after, entries in handover.items():
+            self._hand_over(after, entries)
+        self._admission.renew()
+
+    def _hand_over(
+        self, after: _ids.DaemonId, entries: list[messages.Displaced]
+    ) -> None:
+        for start in range(0, len(entries), _HANDOVER_ENTRIES):
+            part = entries[start : start + _HANDOVER_ENTRIES]
+            try:
+                self._links.send(after, messages.DisplacedBatch(entries=part))
+            except _errors.PeerUnreachable:
+                _log.warning("displaced chats are lost with {to}", to=after)
+                return
+
+    def renew_forever(self) -> None:
+        """Tell owners what this daemon holds, again and again."""
+        while True:
+            self._clock.sleep(self._routing.renew_interval)
+            self._admission.renew()
+
+    def report_forever(self) -> None:
+        """Tell collectors the load of the owned replicas when it is due."""
+        while True:
+            for report in self._owner.due_reports():
+                if report.group not in self._reporting:
+                    gevent.spawn(self._report, report)
+            self._clock.sleep(self._routing.load_interval)
+
+    def _report(self, report: messages.LoadReport) -> None:
+        group = _ids.GroupName(report.group)
+        self._reporting.add(report.group)
+        try:
+            summary = self._exchange(group, report)
+        finally:
+            self._reporting.discard(report.group)
+        if summary is not None:
+            self._owner.take_summary(summary, report)
+
+    def _exchange(
+        self, group: _ids.GroupName, report: messages.LoadReport
+    ) -> messages.LoadSummary | None:
+        collector = _group_load.collector_of(group, self._usable())
+        if collector is None:
+            return None
+        if collector == self._daemon:
+            return self._collector.take(self._daemon, report)
+        try:
+            answer = self._links.call(
+                collector, report, timeout=_REPORT_TIMEOUT
+            )
+        except _errors.PeerUnreachable:
+            self._clock.sleep(_RETRY_SECONDS)
+            return None
+        return answer if isinstance(answer, messages.LoadSummary) else None
--- /dev/null
+++ b/src/topazlug/_ownership.py
@@ -0,0 +1,145 @@
+"""Which daemon owns which replica.
+
+Daemons rank on a hash for each replica; the first usable one owns it. The
+table is kept by difference: a full ranking of 6,100 replicas over 880
+daemons is 5.4 million hashes, while a daemon that joins costs one hash for
+each replica and one that leaves re-ranks only what it owned.
+"""
+
+from collections.abc import Callable
+from collections.abc import Iterable
+from typing import NamedTuple
+from typing import final
+
+from topazlug import _ids
+from topazlug import _ranking
+
+
+class Transfer(NamedTuple):
+    """One replica that changed its owner."""
+
+    replica: _ids.ReplicaId
+    before: _ids.DaemonId | None
+    after: _ids.DaemonId | None
+
+
+class _Holder(NamedTuple):
+    daemon: _ids.DaemonId | None
+    score: int
+
+
+_NOBODY = _Holder(None, -1)
+
+
+def _seed(replica: _ids.ReplicaId) -> int:
+    return _ranking.chat_hash("owner", replica)
+
+
+@final
+class Ownership:
+    """Owner of each replica, as this daemon sees it."""
+
+    def __init__(self) -> None:
+        self._daemons: set[_ids.DaemonId] = set()
+        self._holder_by_replica: dict[_ids.ReplicaId, _Holder] = {}
+        self._seed_by_replica: dict[_ids.ReplicaId, int] = {}
+        self._callbacks: list[Callable[[list[Transfer]], None]] = []
+
+    def on_transfer(self, callback: Callable[[list[Transfer]], None]) -> None:
+        """Ask to be called with each set of changes."""
+        self._callbacks.append(callback)
+
+    def owner_of(self, replica: _ids.ReplicaId) -> _ids.DaemonId | None:
+        """Give the replica's owner, None if no daemon is usable."""
+        return self._holder_by_replica.get(replica, _NOBODY).daemon
+
+    def owned_by(self, daemon: _ids.DaemonId) -> list[_ids.ReplicaId]:
+        """Give the replicas that a daemon owns."""
+        return [
+            replica
+            for replica, holder in self._holder_by_replica.items()
+            if holder.daemon == daemon
+        ]
+
+    def update(
+        self,
+        *,
+        daemons: Iterable[_ids.DaemonId],
+        replicas: Iterable[_ids.ReplicaId],
+    ) -> list[Transfer]:
+        """Take over a new set of usable daemons and known replicas.
+
+        Parameters
+        ----------
+        daemons : iterable of DaemonId
+            Daemons that may own.
+        replicas : iterable of ReplicaId
+            Replicas to be owned.
+
+        Returns
+        -------
+        list of Transfer
+            What changed; the callbacks got the same list.
+        """
+        wanted = set(daemons)
+        known = set(replicas)
+        transfers = self._drop(set(self._holder_by_replica) - known)
+        transfers += self._remove_daemons(self._daemons - wanted)
+        transfers += self._add_daemons(wanted - self._daemons)
+        transfers += self._add_replicas(known - set(self._holder_by_replica))
+        if transfers:
+            for callback in self._callbacks:
+                callback(transfers)
+        return transfers
+
+    def _drop(self, gone: set[_ids.ReplicaId]) -> list[Transfer]:
+        transfers = []
+        for replica in gone:
+            holder = self._holder_by_replica.pop(replica)
+            del self._seed_by_replica[replica]
+            transfers.append(Transfer(replica, holder.daemon, None))
+        return transfers
+
+    def _remove_daemons(self, gone: set[_ids.DaemonId]) -> list[Transfer]:
+        self._daemons -= gone
+        if not gone:
+            return []
+        transfers = []
+        for replica, holder in self._holder_by_replica.items():
+            if holder.daemon not in gone:
+                continue
+            after = self._best(replica)
+            self._holder_by_replica[replica] = after
+            transfers.append(Transfer(replica, holder.daemon, after.daemon))
+        return transfers
+
+    def _add_daemons(self, new: set[_ids.DaemonId]) -> list[Transfer]:
+        self._daemons |= new
+        transfers = []
+        for daemon in new:
+            for replica, holder in self._holder_by_replica.items():
+                seed = self._seed_by_replica[replica]
+                score = _ranking.score(daemon, seed)
+                if score <= holder.score:
+                    continue
+                self._holder_by_replica[replica] = _Holder(daemon, score)
+                transfers.append(Transfer(replica, holder.daemon, daemon))
+        return transfers
+
+    def _add_replicas(self, new: set[_ids.ReplicaId]) -> list[Transfer]:
+        transfers = []
+        for replica in new:
+            self._seed_by_replica[replica] = _seed(replica)
+            holder = self._best(replica)
+            self._holder_by_replica[replica] = holder
+            transfers.append(Transfer(replica, None, holder.daemon))
+        return transfers
+
+    def _best(self, replica: _ids.ReplicaId) -> _Holder:
+        seed = self._seed_by_replica[replica]
+        best = _NOBODY
+        for daemon in self._daemons:
+            score = _ranking.score(daemon, seed)
+            if score > best.score:
+                best = _Holder(daemon, score)
+        return best
--- /dev/null
+++ b/src/topazlug/_peer_codec.py
@@ -0,0 +1,130 @@
+"""Frames between daemons.
+
+A frame is the msgpack array ``[kind, call, body]``. The kind is the name of
+a generated message. The call is positive on a question, its negative on
+the answer, and 0 on a one-way message. The frames that one write sends
+travel together in a batch: a msgpack array of frames, which
+`topazlug._peer_auth` seals. An unknown kind, an unknown field of a body and
+additional elements of a frame are passed over, so that daemons of two
+versions can talk. An unknown value of an enumeration is not: the message is
+invalid.
+
+Bodies are decoded straight into their types. Nothing is built from bytes
+that no type asks for, so a frame can't make the reader allocate a multiple
+of its size, other than by a map that a type leaves open.
+"""
+
+from collections.abc import Iterable
+import inspect
+from typing import final
+
+import msgpack
+import msgspec
+
+from topazlug import _errors
+from topazlug._generated import messages
+
+ONE_WAY = 0
+REFUSAL_KIND = "refused"
+
+
+@final
+class Frame(msgspec.Struct):
+    """One decoded frame.
+
+    Attributes
+    ----------
+    kind : str
+        Name of the message.
+    call : int
+        Number of the question, its negative for an answer, 0 for none.
+    message : msgspec.Struct or None
+        The message; None for a kind that this version doesn't know.
+    """
+
+    kind: str
+    call: int
+    message: msgspec.Struct | None
+
+
+class _RawFrame(msgspec.Struct, array_like=True):
+    kind: str
+    call: int
+    body: msgspec.Raw
+
+
+def _message_types() -> dict[str, type[msgspec.Struct]]:
+    return {
+        name: value
+        for name, value in vars(messages).items()
+        if inspect.isclass(value) and issubclass(value, msgspec.Struct)
+    }
+
+
+_ENCODER = msgspec.msgpack.Encoder()
+_BATCH_DECODER = msgspec.msgpack.Decoder(list[_RawFrame])
+_DECODER_BY_KIND = {
+    name: msgspec.msgpack.Decoder(value)
+    for name, value in _message_types().items()
+}
+
+
+def encode(message: msgspec.Struct, *, call: int, max_bytes: int) -> bytes:
+    """Encode one frame.
+
+    Parameters
+    ----------
+    message : msgspec.Struct
+        A generated message.
+    call : int
+        Number of the question, its negative for an answer, 0 for none.
+    max_bytes : int
+        Largest frame that peers take.
+
+    Raises
+    ------
+    PeerMessageInvalid
+        If the frame is larger.
+    """
+    kind = type(message).__name__
+    frame = _ENCODER.encode((kind, call, message))
+    if len(frame) > max_bytes:
+        raise _errors.PeerMessageInvalid(
+            f"{kind} of {len(frame)} bytes passes peers.max_frame_bytes "
+            f"({max_bytes}); split it or raise the setting on all daemons"
+        )
+    return frame
+
+
+def encode_refusal(call: int) -> bytes:
+    """Encode the answer to a question that no handler answers."""
+    return _ENCODER.encode((REFUSAL_KIND, -call, {}))
+
+
+def join(frames: Iterable[bytes]) -> bytes:
+    """Join encoded frames to a batch."""
+    kept = list(frames)
+    header = msgpack.Packer().pack_array_header(len(kept))
+    return header + b"".join(kept)
+
+
+def decode(batch: bytes) -> list[Frame]:
+    """Decode a batch.
+
+    Raises
+    ------
+    PeerMessageInvalid
+        If the bytes are no batch, or a body does not fit its kind.
+    """
+    try:
+        return [_decoded(raw) for raw in _BATCH_DECODER.decode(batch)]
+    except (msgspec.MsgspecError, UnicodeError, RecursionError) as error:
+        raise _errors.PeerMessageInvalid(
+            f"batch of {len(batch)} bytes can't be read: {error}"
+        ) from error
+
+
+def _decoded(raw: _RawFrame) -> Frame:
+    decoder = _DECODER_BY_KIND.get(raw.kind)
+    message = decoder.decode(raw.body) if decoder else None
+    return Frame(kind=raw.kind, call=raw.call, message=message)
--- /dev/null
+++ b/src/topazlug/_peer_connections.py
@@ -0,0 +1,171 @@
+"""New connections between daemons, up to the end of the handshake."""
+
+import os
+from typing import final
+
+import gevent
+from gevent import socket
+from gevent import ssl
+
+from topazlug import _ids
+from topazlug import _peer_auth
+from topazlug import _peer_tls
+from topazlug._generated import settings as _settings
+
+BATCH_BYTES = 65536
+UNACKNOWLEDGED_MILLISECONDS = 5000
+
+
+@final
+class Traffic:
+    """Bytes over all connections of one daemon, without TCP's headers."""
+
+    def __init__(self) -> None:
+        self.sent = 0
+        self.received = 0
+
+
+@final
+class CountedSocket:
+    """A socket whose bytes are counted."""
+
+    def __init__(self, sock: socket.socket, traffic: Traffic) -> None:
+        self._sock = sock
+        self._traffic = traffic
+        self._is_tls = isinstance(sock, ssl.SSLSocket)
+
+    def recv(self, size: int, /) -> bytes:
+        """Read at most this many bytes; empty at the end."""
+        data: bytes = self._sock.recv(size)
+        self._traffic.received += len(data)
+        return data
+
+    def sendall(self, data: bytes, /) -> None:
+        """Write all the bytes."""
+        self._sock.sendall(data)
+        self._traffic.sent += len(data)
+
+    def try_send(self, data: bytes, /) -> bytes:
+        """Write what goes without blocking; give the rest."""
+        if self._is_tls:
+            return data
+        try:
+            sent = os.write(self._sock.fileno(), data)
+        except BlockingIOError:
+            return data
+        self._traffic.sent += sent
+        return data[sent:]
+
+    def close(self) -> None:
+        """Close the connection; a greenlet that reads it is woken."""
+        self._sock.close()
+
+
+@final
+class Connector:
+    """Makes proven connections, both ways.
+
+    Parameters
+    ----------
+    me : Identity
+        This daemon.
+    settings : PeerSettings
+        Secret, certificates, bounds and timeout.
+    """
+
+    def __init__(
+        self,
+        *,
+        me: _peer_auth.Identity,
+        settings: _settings.PeerSettings,
+    ) -> None:
+        self.traffic = Traffic()
+        self._me = me
+        self._settings = settings
+        tls = settings.tls
+        self._client_tls = _peer_tls.client_context(tls) if tls else None
+        self._server_tls = _peer_tls.server_context(tls) if tls else None
+
+    def dial(
+        self, host: str, port: int, *, expected: _ids.DaemonId
+    ) -> tuple[CountedSocket, _peer_auth.Session]:
+        """Connect to a peer.
+
+        Raises
+        ------
+        PeerRefused
+            If it is not the peer expected, or not of the fleet.
+        OSError
+            If no connection and handshake came about in time.
+        """
+        with self._timeout():
+            # Not create_connection(): it resolves even an IP number in a
+            # pool of threads, at half the cost of a new connection.
+            family = socket.AF_INET6 if ":" in host else socket.AF_INET
+            sock = socket.socket(family, socket.SOCK_STREAM)
+            try:
+                sock.connect((host, port))
+                _set_options(sock)
+                if self._client_tls is not None:
+                    sock = self._client_tls.wrap_socket(sock)
+                role = _peer_auth.Role.DIALLING
+                return self._proven(sock, role, expected)
+            except BaseException:
+                sock.close()
+                raise
+
+    def accept(
+        self, sock: socket.socket
+    ) -> tuple[CountedSocket, _peer_auth.Session]:
+        """Let a peer prove itself; closes the socket of one that doesn't.
+
+        Raises
+        ------
+        PeerRefused
+            If it is not of the fleet.
+        OSError
+            If there was no handshake in time.
+        """
+        with self._timeout():
+            try:
+                _set_options(sock)
+                if self._server_tls is not None:
+                    sock = self._server_tls.wrap_socket(sock, server_side=True)
+                return self._proven(sock, _peer_auth.Role.ACCEPTING, None)
+            except BaseException:
+                sock.close()
+                raise
+
+    def _timeout(self) -> gevent.Timeout:
+        return gevent.Timeout(
+            self._settings.connect_timeout, TimeoutError("no handshake")
+        )
+
+    def _proven(
+        self,
+        sock: socket.socket,
+        role: _peer_auth.Role,
+        expected: _ids.DaemonId | None,
+    ) -> tuple[CountedSocket, _peer_auth.Session]:
+        counted = CountedSocket(sock, self.traffic)
+        session = _peer_auth.shake_hands(
+            counted,
+            role=role,
+            me=self._me,
+            secret=self._settings.secret,
+            max_batch_bytes=self._settings.max_frame_bytes + BATCH_BYTES,
+            expected=expected,
+        )
+        return counted, session
+
+
+def _set_options(sock: socket.socket) -> None:
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    # Where packets are dropped, TCP goes on for a quarter of an hour and
+    # tries ever more rarely: after the network is whole again, the link
+    # would stay dead for minutes. A fresh connection works at once.
+    sock.setsockopt(
+        socket.IPPROTO_TCP,
+        socket.TCP_USER_TIMEOUT,
+        UNACKNOWLEDGED_MILLISECONDS,
+    )
--- /dev/null
+++ b/src/topazlug/_peer_link.py
@@ -0,0 +1,263 @@
+"""One connection between two daemons, after its handshake or before.
+
+Memory of an idle link, besides the kernel's buffers: the greenlet that
+reads; no timer, no writer, no unpacker. The buffer for a read (16 KiB) lives
+only while bytes are there.
+"""
+
+import collections
+from collections.abc import Callable
+from typing import final
+
+import gevent
+from gevent import event
+import logbook
+import msgspec
+
+from topazlug import _clock
+from topazlug import _errors
+from topazlug import _peer_auth
+from topazlug import _peer_codec
+from topazlug import _peer_connections
+
+QUEUE_BYTES = 1048576
+SILENCE_SECONDS = 2.0
+
+_log = logbook.Logger("topazlug.peers")
+
+
+@final
+class Link:
+    """Frames out and in over one connection.
+
+    Parameters
+    ----------
+    name : str
+        The other side, for errors and logs.
+    clock : Clock
+        Tells when the link was last used.
+    max_frame_bytes : int
+        Largest frame sent.
+    """
+
+    def __init__(
+        self, *, name: str, clock: _clock.Clock, max_frame_bytes: int
+    ) -> None:
+        self.name = name
+        self.closed = False
+        self.last_used = clock.monotonic()
+        self._clock = clock
+        self._max_frame_bytes = max_frame_bytes
+        self._sock: _peer_connections.CountedSocket | None = None
+        self._sealer: _peer_auth.Sealer | None = None
+        self._queue: collections.deque[bytes] = collections.deque()
+        self._queued_bytes = 0
+        self._writing = False
+        self._last_call = 0
+        self._unanswered_since: float | None = None
+        self._result_by_call: dict[int, event.AsyncResult] = {}
+
+    def open(
+        self,
+        sock: _peer_connections.CountedSocket,
+        session: _peer_auth.Session,
+    ) -> None:
+        """Start to send what is queued, over a proven connection."""
+        self._sock = sock
+        self._sealer = session.sealer
+        self._wake_writer()
+
+    def post(self, message: msgspec.Struct, *, call: int) -> None:
+        """Queue one frame without blocking.
+
+        Raises
+        ------
+        PeerUnreachable
+            If the link is closed, or its queue is full.
+        PeerMessageInvalid
+            If the frame is too large.
+        """
+        frame = _peer_codec.encode(
+            message, call=call, max_bytes=self._max_frame_bytes
+        )
+        self.post_frame(frame)
+
+    def post_frame(self, frame: bytes) -> None:
+        """Queue one encoded frame without blocking.
+
+        Raises
+        ------
+        PeerUnreachable
+            If the link is closed, or its queue is full.
+        """
+        if self.closed:
+            raise _errors.PeerUnreachable(f"link to {self.name} is closed")
+        if self._queue and self._queued_bytes + len(frame) > QUEUE_BYTES:
+            # A frozen peer reads nothing. Its queue would grow without
+            # end, and dropping single frames would break their order, on
+            # which receivers rely. So the link ends, and all who wait on
+            # it hear of it.
+            self.close()
+            raise _errors.PeerUnreachable(
+                f"{self.name} takes nothing: over {QUEUE_BYTES} bytes wait"
+            )
+        self._queue.append(frame)
+        self._queued_bytes += len(frame)
+        self._wake_writer()
+
+    def call(
+        self, message: msgspec.Struct, *, timeout: float
+    ) -> msgspec.Struct:
+        """Ask and wait for the answer.
+
+        Raises
+        ------
+        PeerUnreachable
+            If no answer came in time, the link was cut, or the peer has
+            none to give.
+        """
+        # Numbers never come twice on a link: a late answer finds nobody
+        # waiting, instead of answering another question.
+        self._last_call += 1
+        call = self._last_call
+        result = event.AsyncResult()
+        self._result_by_call[call] = result
+        if self._unanswered_since is None:
+            self._unanswered_since = self._clock.monotonic()
+        try:
+            self.post(message, call=call)
+            result.wait(timeout)
+        finally:
+            self._result_by_call.pop(call, None)
+        if result.ready():
+            return result.get()
+        self._close_if_silent()
+        kind = type(message).__name__
+        raise _errors.PeerUnreachable(
+            f"{self.name} left {kind} unanswered for {timeout} s"
+        )
+
+    def answer(self, frame: _peer_codec.Frame) -> None:
+        """Hand an answer to who waits for it."""
+        result = self._result_by_call.pop(-frame.call, None)
+        if result is None:
+            return
+        if frame.message is None:
+            result.set_exception(
+                _errors.PeerUnreachable(
+                    f"{self.name} has no answer: {frame.kind}"
+                )
+            )
+            return
+        result.set(frame.message)
+
+    def read(
+        self,
+        opener: _peer_auth.Opener,
+        handle: Callable[[_peer_codec.Frame], None],
+    ) -> None:
+        """Read frames until the connection ends.
+
+        Raises
+        ------
+        PeerMessageInvalid
+            If the bytes are no frames of ours.
+        OSError
+            If the connection fails.
+        """
+        sock = self._open_socket()
+        while not self.closed:
+            data = sock.recv(_peer_auth.READ_BYTES)
+            if not data:
+                return
+            self.last_used = self._clock.monotonic()
+            self._unanswered_since = None
+            for batch in opener.batches(data):
+                for frame in _peer_codec.decode(batch):
+                    handle(frame)
+
+    @property
+    def waits(self) -> bool:
+        """Whether a call waits for its answer."""
+        return bool(self._result_by_call)
+
+    def close(self) -> None:
+        """End the connection and fail all that waits on it."""
+        if self.closed:
+            return
+        self.closed = True
+        self._queue.clear()
+        if self._sock is not None:
+            self._sock.close()
+        for result in self._result_by_call.values():
+            result.set_exception(
+                _errors.PeerUnreachable(f"link to {self.name} was cut")
+            )
+        self._result_by_call.clear()
+
+    def _close_if_silent(self) -> None:
+        # A path that drops packets, or a peer frozen for long, keeps the
+        # connection open and silent. Each call would wait out its timeout.
+        # Closed, the next ones fail at once until a new one is proven.
+        since = self._unanswered_since
+        if since is None:
+            return
+        if self._clock.monotonic() - since > SILENCE_SECONDS:
+            self.close()
+
+    def _wake_writer(self) -> None:
+        if self._sock is None or self._writing or not self._queue:
+            return
+        self._writing = True
+        gevent.get_hub().loop.run_callback(self._write_now)
+
+    def _write_now(self) -> None:
+        # Runs in the hub, after all greenlets that had something to send
+        # at this moment, and must not block. A greenlet of its own for each
+        # write would cost a third of the time of a call.
+        rest = b""
+        try:
+            while self._queue and not self.closed and not rest:
+                rest = self._open_socket().try_send(self._taken_batch())
+                self.last_used = self._clock.monotonic()
+        except OSError as error:
+            self._broke(error)
+        if rest:
+            gevent.spawn(self._write, rest)
+        else:
+            self._writing = False
+
+    def _write(self, rest: bytes) -> None:
+        try:
+            self._open_socket().sendall(rest)
+            while self._queue and not self.closed:
+                self._open_socket().sendall(self._taken_batch())
+                self.last_used = self._clock.monotonic()
+        except OSError as error:
+            self._broke(error)
+        finally:
+            self._writing = False
+
+    def _broke(self, error: OSError) -> None:
+        _log.info("link to {} broke: {}", self.name, error)
+        self.close()
+
+    def _open_socket(self) -> _peer_connections.CountedSocket:
+        assert self._sock is not None
+        return self._sock
+
+    def _taken_batch(self) -> bytes:
+        assert self._sealer is not None
+        return self._sealer.sealed(_peer_codec.join(self._taken_frames()))
+
+    def _taken_frames(self) -> list[bytes]:
+        frames = [self._queue.popleft()]
+        size = len(frames[0])
+        while (
+            self._queue
+            and size + len(self._queue[0]) <= _peer_connections.BATCH_BYTES
+        ):
+            frames.append(self._queue.popleft())
+            size += len(frames[-1])
+        self._queued_bytes -= size
+        return frames
