--- /dev/null
+++ b/src/topazlug/_peers.py
@@ -0,0 +1,366 @@
+"""Streams of messages between daemons.
+
+A daemon dials a peer when it first has something for it, keeps the stream
+while it is used, and hears the answers on the stream of the questions.
+Frames to one peer arrive in the order in which they were sent, as long as
+the stream lasts; what was queued when it broke is lost, and calls fail.
+
+Reading is done by one greenlet for each connection; writing by one that
+lives while there is something to write and sends all that is queued in one
+batch.
+"""
+
+from collections.abc import Callable
+from typing import NamedTuple
+from typing import final
+
+import gevent
+from gevent import server
+from gevent import socket
+import logbook
+import msgspec
+
+from topazlug import _clock
+from topazlug import _errors
+from topazlug import _ids
+from topazlug import _peer_auth
+from topazlug import _peer_backoff
+from topazlug import _peer_codec
+from topazlug import _peer_connections
+from topazlug import _peer_link
+from topazlug._generated import settings as _settings
+
+IDLE_SECONDS = 60.0
+IDLE_MARGIN_SECONDS = 30.0
+REAP_PART = 4
+MAX_HANDSHAKES = 128
+BACKLOG = 1024
+
+_log = logbook.Logger("topazlug.peers")
+
+Reply = Callable[[msgspec.Struct], None]
+Handler = Callable[[_ids.DaemonId, msgspec.Struct, Reply], None]
+
+
+def ignore_reply(message: msgspec.Struct) -> None:
+    """Stand in as the reply to a message that wants none."""
+
+
+class Address(NamedTuple):
+    """A TCP address by IP number."""
+
+    host: str
+    port: int
+
+
+@final
+class PeerLinks:
+    """All connections to and from other daemons.
+
+    Parameters
+    ----------
+    daemon_id : DaemonId
+        This daemon.
+    incarnation : int
+        Grows with each start of the daemon.
+    settings : PeerSettings
+        Secret, certificates and bounds.
+    clock : Clock
+        Source of monotonic time.
+    address_of : callable
+        Where a daemon listens; None if it is not known.
+    idle_seconds : float
+        Time without a byte after which a dialled stream is closed.
+
+    Attributes
+    ----------
+    bytes_sent, bytes_received : int
+        Over all connections so far, handshakes included, without the
+        headers of TCP and IP.
+    """
+
+    def __init__(
+        self,
+        *,
+        daemon_id: _ids.DaemonId,
+        incarnation: int,
+        settings: _settings.PeerSettings,
+        clock: _clock.Clock,
+        address_of: Callable[[_ids.DaemonId], Address | None],
+        idle_seconds: float = IDLE_SECONDS,
+    ) -> None:
+        self._settings = settings
+        self._clock = clock
+        self._address_of = address_of
+        self._idle_seconds = idle_seconds
+        self._backoff = _peer_backoff.Backoff(clock=clock)
+        self._connector = _peer_connections.Connector(
+            me=_peer_auth.Identity(daemon_id, incarnation), settings=settings
+        )
+        self._handler_by_kind: dict[str, Handler] = {}
+        self._dialled_by_id: dict[_ids.DaemonId, _peer_link.Link] = {}
+        self._accepted: set[_peer_link.Link] = set()
+        self._greenlets: set[gevent.Greenlet] = set()
+        self._before_each: Callable[[], object] = _do_nothing
+        self._handshakes = 0
+        self._server: server.StreamServer | None = None
+        self._stopped = False
+        self._reaper = gevent.spawn(self._reap_forever)
+
+    @property
+    def bytes_sent(self) -> int:
+        """Bytes written so far."""
+        return self._connector.traffic.sent
+
+    @property
+    def bytes_received(self) -> int:
+        """Bytes read so far."""
+        return self._connector.traffic.received
+
+    @property
+    def max_frame_bytes(self) -> int:
+        """Largest message that goes through."""
+        return self._settings.max_frame_bytes
+
+    @property
+    def link_count(self) -> int:
+        """Connections that are open or being opened."""
+        return len(self._dialled_by_id) + len(self._accepted)
+
+    def serve(self, *, host: str, port: int) -> int:
+        """Listen for peers.
+
+        Returns
+        -------
+        int
+            The bound port.
+
+        Raises
+        ------
+        OSError
+            If the address can't be bound.
+        """
+        self._server = server.StreamServer(
+            (host, port), self._accept, backlog=BACKLOG
+        )
+        self._server.start()
+        return int(self._server.server_port)
+
+    def handle(self, kind: type[msgspec.Struct], handler: Handler) -> None:
+        """Have all messages of a kind handled by a callable.
+
+        It runs in the connection's greenlet, must not block for long, and
+        may reply at once, later from another greenlet, or never. With a
+        one-way message it gets `ignore_reply`.
+        """
+        self._handler_by_kind[kind.__name__] = handler
+
+    def before_each(self, callback: Callable[[], object]) -> None:
+        """Have a callable called before each message is handled.
+
+        After this process was frozen, old messages wait in its sockets. The
+        callable finds that out before one of them is acted on.
+        """
+        self._before_each = callback
+
+    def send(self, to: _ids.DaemonId, message: msgspec.Struct) -> None:
+        """Queue a one-way message without blocking.
+
+        Raises
+        ------
+        PeerUnreachable
+            If the peer can't be reached just now. None raised is no proof
+            that the message arrived.
+        """
+        self._link_to(to).post(message, call=_peer_codec.ONE_WAY)
+
+    def call(
+        self, to: _ids.DaemonId, message: msgspec.Struct, *, timeout: float
+    ) -> msgspec.Struct:
+        """Ask a peer and wait for its answer.
+
+        Parameters
+        ----------
+        timeout : float
+            Longest wait in seconds, with the connecting.
+
+        Raises
+        ------
+        PeerUnreachable
+            On timeout, cut, refusal, or while the peer is in back-off.
+        """
+        return self._link_to(to).call(message, timeout=timeout)
+
+    def disconnect(self, peer: _ids.DaemonId) -> None:
+        """Close the stream that was dialled to a peer, if there is one."""
+        link = self._dialled_by_id.get(peer)
+        if link is not None:
+            link.close()
+
+    def stop(self) -> None:
+        """Close all connections and listen no more."""
+        self._stopped = True
+        if self._server is not None:
+            self._server.stop()
+        for link in [*self._dialled_by_id.values(), *self._accepted]:
+            link.close()
+        gevent.killall([self._reaper, *self._greenlets], block=True)
+
+    def _link_to(self, to: _ids.DaemonId) -> _peer_link.Link:
+        link = self._dialled_by_id.get(to)
+        if link is not None and not link.closed:
+            return link
+        if self._stopped:
+            raise _errors.PeerUnreachable("this daemon is stopping")
+        self._backoff.check(to)
+        address = self._address_of(to)
+        if address is None:
+            raise _errors.PeerUnreachable(f"no address of {to!r} is known")
+        link = self._new_link(to)
+        self._dialled_by_id[to] = link
+        self._spawn(self._dial, to, address, link)
+        return link
+
+    def _reap_forever(self) -> None:
+        # The dialling side closes first. The other waits a little longer
+        # and closes streams whose dialler is gone without a word.
+        while True:
+            self._clock.sleep(self._idle_seconds / REAP_PART)
+            now = self._clock.monotonic()
+            dialled_limit = now - self._idle_seconds
+            accepted_limit = dialled_limit - IDLE_MARGIN_SECONDS
+            for link in list(self._dialled_by_id.values()):
+                if link.last_used < dialled_limit and not link.waits:
+                    link.close()
+            for link in list(self._accepted):
+                if link.last_used < accepted_limit:
+                    link.close()
+
+    def _new_link(self, name: str) -> _peer_link.Link:
+        return _peer_link.Link(
+            name=name,
+            clock=self._clock,
+            max_frame_bytes=self._settings.max_frame_bytes,
+        )
+
+    def _spawn(self, function: Callable[..., None], *args: object) -> None:
+        greenlet = gevent.spawn(function, *args)
+        self._greenlets.add(greenlet)
+        greenlet.rawlink(self._greenlets.discard)
+
+    def _dial(
+        self, to: _ids.DaemonId, address: Address, link: _peer_link.Link
+    ) -> None:
+        proven = False
+        try:
+            sock, session = self._connector.dial(*address, expected=to)
+            proven = True
+            self._backoff.succeeded(to)
+            if link.closed:
+                sock.close()
+                return
+            link.open(sock, session)
+            link.read(session.opener, lambda frame: _take(link, frame))
+        except _errors.TopazlugError as error:
+            _log.warning("stream to {}: {}", to, error)
+            proven = False
+        except OSError as error:
+            _log.info("stream to {} ended: {}", to, error)
+        finally:
+            if not proven:
+                self._backoff.failed(to)
+            link.close()
+            if self._dialled_by_id.get(to) is link:
+                del self._dialled_by_id[to]
+
+    def _accept(self, sock: socket.socket, address: object) -> None:
+        # A stranger may open connections and say nothing. Each holds a
+        # greenlet until the handshake's timeout; more than this many are
+        # closed at once, so that memory stays bounded.
+        if self._handshakes >= MAX_HANDSHAKES or self._stopped:
+            sock.close()
+            return
+        self._greenlets.add(gevent.getcurrent())
+        try:
+            self._serve_connection(sock)
+        except _errors.TopazlugError as error:
+            _log.warning("connection from {}: {}", address, error)
+        except OSError as error:
+            _log.info("connection from {} ended: {}", address, error)
+        finally:
+            self._greenlets.discard(gevent.getcurrent())
+            sock.close()
+
+    def _serve_connection(self, sock: socket.socket) -> None:
+        self._handshakes += 1
+        try:
+            counted, session = self._connector.accept(sock)
+        finally:
+            self._handshakes -= 1
+        self._serve_link(counted, session)
+
+    def _serve_link(
+        self,
+        sock: _peer_connections.CountedSocket,
+        session: _peer_auth.Session,
+    ) -> None:
+        link = self._new_link(session.peer.daemon_id)
+        self._accepted.add(link)
+        try:
+            link.open(sock, session)
+            peer = session.peer.daemon_id
+            link.read(
+                session.opener, lambda frame: self._dispatch(peer, link, frame)
+            )
+        finally:
+            self._accepted.discard(link)
+            link.close()
+
+    def _dispatch(
+        self,
+        peer: _ids.DaemonId,
+        link: _peer_link.Link,
+        frame: _peer_codec.Frame,
+    ) -> None:
+        handler = self._handler_by_kind.get(frame.kind)
+        if handler is None or frame.message is None:
+            _log.debug("{} sent unknown kind {!r}", peer, frame.kind)
+            _refuse(link, frame)
+            return
+        try:
+            self._before_each()
+            handler(peer, frame.message, _reply(link, frame))
+        except Exception:
+            # One message that trips a handler must not cut the stream:
+            # all other questions on it would fail with it.
+            _log.exception("handler of {} from {}", frame.kind, peer)
+            _refuse(link, frame)
+
+
+def _do_nothing() -> None:
+    pass
+
+
+def _take(link: _peer_link.Link, frame: _peer_codec.Frame) -> None:
+    if frame.call < 0:
+        link.answer(frame)
+
+
+def _refuse(link: _peer_link.Link, frame: _peer_codec.Frame) -> None:
+    if frame.call > 0 and not link.closed:
+        link.post_frame(_peer_codec.encode_refusal(frame.call))
+
+
+def _reply(link: _peer_link.Link, frame: _peer_codec.Frame) -> Reply:
+    if frame.call <= 0:
+        return ignore_reply
+
+    def reply(message: msgspec.Struct) -> None:
+        if link.closed:
+            return
+        try:
+            link.post(message, call=-frame.call)
+        except _errors.PeerUnreachable as error:
+            _log.info("answer lost: {}", error)
+
+    return reply
--- /dev/null
+++ b/src/topazlug/_place.py
@@ -0,0 +1,90 @@
+"""What the entry daemon asks for, and what it gets."""
+
+from typing import Protocol
+from typing import final
+
+import msgspec
+
+from topazlug import _ids
+from topazlug import _targets
+
+
+class PlaceRequest(msgspec.Struct, frozen=True):
+    """One request that needs a place on a replica.
+
+    Attributes
+    ----------
+    group : GroupName
+        Pool or service.
+    chat : ChatHash
+        Hash of the chat, or of the call where there is no chat.
+    team : TeamName
+        Who calls.
+    batch : bool
+        Whether it is batch work.
+    weight : int
+        Load units.
+    deadline : float
+        Monotonic seconds at which the caller gives up.
+    excluded : frozenset of ReplicaId
+        Replicas that failed this request already.
+    """
+
+    group: _ids.GroupName
+    chat: _ids.ChatHash
+    team: _ids.TeamName
+    batch: bool
+    weight: int
+    deadline: float
+    excluded: frozenset[_ids.ReplicaId] = frozenset()
+
+
+@final
+class Place:
+    """A place in use on a replica; it must be released once.
+
+    Attributes
+    ----------
+    target : Target
+        Where the request may go.
+    ask : AskNumber
+        Number under which the owner counts it.
+    owner : DaemonId or None
+        Who counts it; None while nobody does.
+    home : bool
+        Whether the replica is where the chat hashes to.
+    """
+
+    def __init__(
+        self,
+        *,
+        target: _targets.Target,
+        ask: _ids.AskNumber,
+        owner: _ids.DaemonId | None,
+        request: PlaceRequest,
+        home: bool,
+    ) -> None:
+        self.target = target
+        self.ask = ask
+        self.owner = owner
+        self.request = request
+        self.home = home
+        self.released = False
+
+
+class Admission(Protocol):
+    """What finds a place, whatever the policy."""
+
+    def admit(self, request: PlaceRequest) -> Place:
+        """Find a place.
+
+        Raises
+        ------
+        Overloaded
+            None is free and none will be before the deadline.
+        NoTarget
+            The group has no usable replica.
+        """
+
+    def release(self, place: Place) -> None:
+        """Give a place back."""
--- /dev/null
+++ b/src/topazlug/_policies.py
@@ -0,0 +1,187 @@
+"""Which policy places requests: owners that admit, or a baseline.
+
+The baselines exist to be measured against; they hold no bound.
+"""
+
+import functools
+import itertools
+import math
+import random
+from typing import Any
+from typing import Protocol
+from typing import final
+
+import msgspec
+
+from topazlug import _errors
+from topazlug import _ids
+from topazlug import _place
+from topazlug import _ranking
+from topazlug import _rules
+from topazlug import _targets
+from topazlug._generated import settings as _settings_types
+
+TWO_CHOICES = _settings_types.RoutingPolicy.two_choices
+
+
+class Parts(Protocol):
+    """What the policies need of a daemon."""
+
+    owners_admission: Any
+    targets: _targets.TargetDirectory
+    rules: _rules.TableRules
+
+
+class _Owners(msgspec.Struct, frozen=True):
+    pass
+
+
+class _Random(msgspec.Struct, frozen=True):
+    pass
+
+
+class _TwoChoices(msgspec.Struct, frozen=True):
+    pass
+
+
+class _Hash(msgspec.Struct, frozen=True):
+    pass
+
+
+class _Sliver(msgspec.Struct, frozen=True):
+    pass
+
+
+_POLICY_BY_NAME = {
+    _settings_types.RoutingPolicy.owners: _Owners(),
+    _settings_types.RoutingPolicy.random: _Random(),
+    _settings_types.RoutingPolicy.two_choices: _TwoChoices(),
+    _settings_types.RoutingPolicy.hash: _Hash(),
+    _settings_types.RoutingPolicy.sliver: _Sliver(),
+}
+
+
+def admission_of(
+    name: _settings_types.RoutingPolicy, parts: Parts
+) -> _place.Admission:
+    """Give what finds places under a policy."""
+    policy = _POLICY_BY_NAME[name]
+    if isinstance(policy, _Owners):
+        admission: _place.Admission = parts.owners_admission
+        return admission
+    return BaselineAdmission(policy=policy, parts=parts)
+
+
+class _View(msgspec.Struct):
+    """What one daemon knows by itself."""
+
+    request: _place.PlaceRequest
+    usable: list[_ids.ReplicaId]
+    own_load: dict[_ids.ReplicaId, int]
+    reported: dict[_ids.ReplicaId, int]
+    bound: float
+
+
+@functools.singledispatch
+def choose(policy: object, view: _View) -> _ids.ReplicaId:
+    """Choose a replica from what this daemon knows by itself.
+
+    Parameters
+    ----------
+    policy : object
+        Decides which implementation runs.
+    view : _View
+        At least one usable replica.
+    """
+    raise NotImplementedError(f"no policy {policy!r}")
+
+
+@choose.register
+def _choose_random(policy: _Random, view: _View) -> _ids.ReplicaId:
+    return random.choice(view.usable)
+
+
+@choose.register
+def _choose_two(policy: _TwoChoices, view: _View) -> _ids.ReplicaId:
+    pair = random.sample(view.usable, min(2, len(view.usable)))
+    return min(pair, key=lambda replica: view.reported.get(replica, 0))
+
+
+@choose.register
+def _choose_hash(policy: _Hash, view: _View) -> _ids.ReplicaId:
+    name = _ranking.first(view.usable, view.request.chat)
+    return _ids.ReplicaId(name or view.usable[0])
+
+
+@choose.register
+def _choose_sliver(policy: _Sliver, view: _View) -> _ids.ReplicaId:
+    count = len(view.usable)
+    total = sum(view.own_load.get(replica, 0) for replica in view.usable)
+    limit = math.ceil(view.bound * (total + 1) / count)
+    ranked = _ranking.rank(view.usable, view.request.chat, count=count)
+    for name in ranked:
+        replica = _ids.ReplicaId(name)
+        if view.own_load.get(replica, 0) < limit:
+            return replica
+    return _ids.ReplicaId(ranked[0])
+
+
+@final
+class BaselineAdmission:
+    """Places requests without a word to anybody.
+
+    Parameters
+    ----------
+    policy : object
+        One of the baselines.
+    parts : Parts
+        The daemon's parts.
+    """
+
+    def __init__(self, *, policy: object, parts: Parts) -> None:
+        self._policy = policy
+        self._parts = parts
+        self._numbers = itertools.count(1)
+        self._own_load: dict[_ids.ReplicaId, int] = {}
+        self._reported: dict[_ids.ReplicaId, int] = {}
+
+    def take_engine_report(
+        self, replica: _ids.ReplicaId, running: int
+    ) -> None:
+        """Note what an engine says of its load."""
+        self._reported[replica] = running
+
+    def admit(self, request: _place.PlaceRequest) -> _place.Place:
+        """Find a place; raises NoTarget."""
+        usable = [
+            replica
+            for replica in self._parts.targets.usable(request.group)
+            if replica not in request.excluded
+        ]
+        if not usable:
+            raise _errors.NoTarget(
+                f"no usable replica of {request.group}", retry_after=1.0
+            )
+        view = _View(
+            request=request,
+            usable=usable,
+            own_load=self._own_load,
+            reported=self._reported,
+            bound=self._parts.rules.bound_of(request.group),
+        )
+        replica = choose(self._policy, view)
+        self._own_load[replica] = self._own_load.get(replica, 0) + 1
+        return _place.Place(
+            target=self._parts.targets.target_by_replica[replica],
+            ask=_ids.AskNumber(next(self._numbers)),
+            owner=None,
+            request=request,
+            home=False,
+        )
+
+    def release(self, place: _place.Place) -> None:
+        """Give a place back; a second time does nothing."""
+        if place.released:
+            return
+        place.released = True
+        self._own_load[place.target.replica] -= 1
--- /dev/null
+++ b/src/topazlug/_push.py
@@ -0,0 +1,112 @@
+"""Pushes metrics by OTLP, a part at a time."""
+
+from collections.abc import Iterator
+from collections.abc import Sequence
+from typing import Any
+from typing import final
+
+import gevent
+from opentelemetry.sdk.metrics import export as sdk_export
+from opentelemetry.sdk.util import instrumentation
+
+from topazlug import _batches
+
+TIMEOUT_SECONDS = 5.0
+SCOPE = instrumentation.InstrumentationScope("topazlug")
+
+
+def reader(
+    *,
+    endpoint: str,
+    interval: float,
+    instruments: Sequence[_batches.Instrument],
+) -> sdk_export.MetricReader:
+    """Start to push.
+
+    Parameters
+    ----------
+    endpoint : str
+        URL that takes OTLP over HTTP.
+    interval : float
+        Seconds between pushes.
+    instruments : sequence of Instrument
+        What is pushed besides the SDK's own instruments.
+
+    Returns
+    -------
+    opentelemetry.sdk.metrics.export.MetricReader
+        For the meter provider; its shutdown ends the pushes.
+    """
+    # Imported only where it is used: with its encoder it takes 2 MB out of
+    # the 64 MB that a daemon may hold.
+    from opentelemetry.exporter.otlp.proto.http import metric_exporter
+
+    inner = metric_exporter.OTLPMetricExporter(
+        endpoint=endpoint, timeout=TIMEOUT_SECONDS
+    )
+    return sdk_export.PeriodicExportingMetricReader(
+        PartExporter(inner, instruments=instruments),
+        export_interval_millis=interval * 1000,
+    )
+
+
+@final
+class PartExporter(sdk_export.MetricExporter):
+    """Sends what the SDK collected, then the other instruments in parts.
+
+    Parameters
+    ----------
+    inner : MetricExporter
+        Sends one part.
+    instruments : sequence of Instrument
+        The other instruments.
+    """
+
+    def __init__(
+        self,
+        inner: sdk_export.MetricExporter,
+        *,
+        instruments: Sequence[_batches.Instrument],
+    ) -> None:
+        super().__init__()
+        self._inner = inner
+        self._instruments = instruments
+
+    def export(
+        self,
+        metrics_data: sdk_export.MetricsData,
+        timeout_millis: float = 10_000,
+        **kwargs: Any,
+    ) -> sdk_export.MetricExportResult:
+        """Send all parts, up to the first that fails."""
+        for part in self._parts(metrics_data):
+            result = self._inner.export(part, timeout_millis=timeout_millis)
+            # Each part may wait for its own timeout: with the endpoint down
+            # a push of many parts would last for minutes.
+            if result is not sdk_export.MetricExportResult.SUCCESS:
+                return result
+            gevent.sleep(_batches.PAUSE_SECONDS)
+        return sdk_export.MetricExportResult.SUCCESS
+
+    def force_flush(self, timeout_millis: float = 10_000) -> bool:
+        """Nothing is kept back."""
+        return True
+
+    def shutdown(self, timeout_millis: float = 30_000, **kwargs: Any) -> None:
+        """End the connection."""
+        self._inner.shutdown(timeout_millis=timeout_millis)
+
+    def _parts(
+        self, collected: sdk_export.MetricsData
+    ) -> Iterator[sdk_export.MetricsData]:
+        yield collected
+        resource = collected.resource_metrics[0].resource
+        for instrument in self._instruments:
+            for metric in instrument.metrics():
+                scope = sdk_export.ScopeMetrics(
+                    scope=SCOPE, metrics=[metric], schema_url=""
+                )
+                whole = sdk_export.ResourceMetrics(
+                    resource=resource, scope_metrics=[scope], schema_url=""
+                )
+                yield sdk_export.MetricsData(resource_metrics=[whole])
--- /dev/null
+++ b/src/topazlug/_service_calls.py
@@ -0,0 +1,408 @@
+"""Calls to plain services, some of which may run only once."""
+
+from collections.abc import Iterator
+import hashlib
+from typing import Protocol
+from typing import final
+from urllib import parse
+
+import msgspec
+
+from topazlug import _attempts
+from topazlug import _caller_answer
+from topazlug import _caller_request
+from topazlug import _claims
+from topazlug import _clock
+from topazlug import _configuration
+from topazlug import _errors
+from topazlug import _ids
+from topazlug import _logs
+from topazlug import _metrics
+from topazlug import _place
+from topazlug import _quotas
+from topazlug import _ranking
+from topazlug import _target_client
+from topazlug._generated import settings as _settings_types
+from topazlug._generated import table
+
+_log = _logs.logger("service")
+PREFIX = "/v1/services/"
+IDEMPOTENCY_KEY = "Idempotency-Key"
+_MAX_KEY = 256
+_BUFFERED = 1 << 20
+# Fields that describe one connection (RFC 9110, 7.6.1), the caller's own
+# credentials, and the names that only this daemon may set.
+_NOT_PASSED_ON = frozenset(
+    {
+        "connection",
+        "keep-alive",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "proxy-authorization",
+        "proxy-authenticate",
+        "authorization",
+        "content-length",
+        "host",
+        "expect",
+        "x-request-id",
+        "x-fencing-number",
+        "x-priority",
+    }
+)
+
+
+class Claims(Protocol):
+    """What keeps claims."""
+
+    def claim(
+        self,
+        *,
+        team: _ids.TeamName,
+        service: _ids.GroupName,
+        key: str,
+        fingerprint: str,
+        deadline: float,
+    ) -> _claims.Claim | _claims.KeptAnswer:
+        """Claim the right to run a request once."""
+
+
+class _Call(msgspec.Struct):
+    """One service call on its way."""
+
+    request: _caller_request.CallerRequest
+    caller: _caller_request.Caller
+    row: table.ServiceRow
+    path: str
+    body: bytes
+    repeatable: bool
+    claim: _claims.Claim | None = None
+
+
+@final
+class ServiceCalls:
+    """Serves calls to plain services.
+
+    Parameters
+    ----------
+    attempts : Attempts
+        Finds replicas and retries.
+    admission : Admission
+        Takes places back.
+    connections : TargetConnections
+        Connections to replicas.
+    claims : Claims
+        Claims in the platform's table.
+    quotas : Quotas
+        Ceilings of teams.
+    limits : LimitSettings
+        Bounds.
+    metrics : Metrics
+        What is measured.
+    clock : Clock
+        Time.
+    """
+
+    def __init__(
+        self,
+        *,
+        attempts: _attempts.Attempts,
+        admission: _place.Admission,
+        connections: _target_client.TargetConnections,
+        claims: Claims,
+        quotas: _quotas.Quotas,
+        limits: _settings_types.LimitSettings,
+        metrics: _metrics.Metrics,
+        clock: _clock.Clock,
+    ) -> None:
+        self._attempts = attempts
+        self._admission = admission
+        self._connections = connections
+        self._claims = claims
+        self._quotas = quotas
+        self._limits = limits
+        self._metrics = metrics
+        self._clock = clock
+
+    def serve(
+        self,
+        request: _caller_request.CallerRequest,
+        caller: _caller_request.Caller,
+        snapshot: _configuration.TableSnapshot,
+    ) -> _caller_answer.CallerAnswer:
+        """Answer one call.
+
+        Raises
+        ------
+        RequestError
+            Nothing of an answer has gone to the caller.
+        """
+        row, path = _route(request, caller, snapshot)
+        request.read_deadline(longest=row.deadline)
+        call = _Call(
+            request=request,
+            caller=caller,
+            row=row,
+            path=path,
+            body=request.read_body(),
+            repeatable=request.method in row.idempotent_methods,
+        )
+        kept = self._claim(call)
+        if kept is not None:
+            return _of_kept(kept, call)
+        return self._run(call)
+
+    def _claim(self, call: _Call) -> _claims.KeptAnswer | None:
+        """Claim a call that may not be repeated, before anything is sent."""
+        key = call.request.header(IDEMPOTENCY_KEY)
+        if call.repeatable:
+            return None
+        if not key:
+            if call.row.key_required:
+                raise _errors.KeyRequired(
+                    f"{call.request.method} on {call.row.name} needs an"
+                    f" {IDEMPOTENCY_KEY} header"
+                )
+            return None
+        if len(key) > _MAX_KEY:
+            raise _errors.BadHeader(
+                f"{IDEMPOTENCY_KEY} is longer than {_MAX_KEY} characters"
+            )
+        found = self._claims.claim(
+            team=call.caller.name,
+            service=_ids.GroupName(call.row.name),
+            key=key,
+            fingerprint=_fingerprint(call),
+            deadline=call.request.deadline,
+        )
+        if isinstance(found, _claims.KeptAnswer):
+            return found
+        call.claim = found
+        return None
+
+    def _run(self, call: _Call) -> _caller_answer.CallerAnswer:
+        wanted = _place.PlaceRequest(
+            group=_ids.GroupName(call.row.name),
+            chat=_ranking.chat_hash(call.request.request_id),
+            team=call.caller.name,
+            batch=call.caller.batch,
+            weight=1,
+            deadline=call.request.deadline,
+        )
+        try:
+            ticket = self._quotas.take(
+                call.caller.team, deadline=call.request.deadline
+            )
+        except _errors.RequestError as error:
+            _end_claim(call, error)
+            raise
+        try:
+            return self._attempts.run(
+                wanted,
+                lambda place: self._attempt(call, place, ticket),
+                repeatable=call.repeatable,
+            )
+        except _errors.RequestError as error:
+            ticket.give_back()
+            _end_claim(call, error)
+            raise
+        except BaseException:
+            ticket.give_back()
+            raise
+
+    def _attempt(
+        self, call: _Call, place: _place.Place, ticket: _quotas.Ticket
+    ) -> _caller_answer.CallerAnswer:
+        timeout = min(
+            self._limits.first_byte_timeout, call.request.remaining()
+        )
+        if call.claim is not None:
+            call.claim.may_send()
+        answer = self._connections.exchange(
+            place.target, _target_request(call), head_timeout=timeout
+        )
+        silence = min(self._limits.target_silence, call.request.remaining())
+        chunks = answer.chunks(silence=silence)
+        if call.claim is not None:
+            return self._keep(call, place, answer, chunks, ticket)
+        return self._relay(call, place, answer, chunks, ticket)
+
+    def _keep(
+        self,
+        call: _Call,
+        place: _place.Place,
+        answer: _target_client.TargetAnswer,
+        chunks: Iterator[bytes],
+        ticket: _quotas.Ticket,
+    ) -> _caller_answer.CallerAnswer:
+        """Read a claimed call's answer whole, so that a repeat gets it."""
+        body = b"".join(chunks)
+        headers = _passed_back(answer)
+        if call.claim is not None:
+            call.claim.finish(answer.status, headers, body)
+        self._end(call, place, answer.status, ticket)
+        return _caller_answer.CallerAnswer(
+            status=answer.status,
+            headers=headers
+            + _own_headers(call, place.target.replica)
+            + [("Content-Length", str(len(body)))],
+            body=iter([body]),
+        )
+
+    def _relay(
+        self,
+        call: _Call,
+        place: _place.Place,
+        answer: _target_client.TargetAnswer,
+        chunks: Iterator[bytes],
+        ticket: _quotas.Ticket,
+    ) -> _caller_answer.CallerAnswer:
+        """Give a short answer whole, and a long one as it comes.
+
+        A short answer that breaks can still be repeated, since nothing of
+        it has gone to the caller.
+        """
+        head: list[bytes] = []
+        size = 0
+        whole = True
+        for block in chunks:
+            head.append(block)
+            size += len(block)
+            if size > _BUFFERED:
+                whole = False
+                break
+        headers = _passed_back(answer) + _own_headers(
+            call, place.target.replica
+        )
+        if whole:
+            self._end(call, place, answer.status, ticket)
+            if call.request.method != "HEAD":
+                headers.append(("Content-Length", str(size)))
+            body: Iterator[bytes] = iter(head)
+        else:
+            body = self._rest(call, place, answer, head, chunks, ticket)
+        return _caller_answer.CallerAnswer(
+            status=answer.status, headers=headers, body=body
+        )
+
+    def _rest(
+        self,
+        call: _Call,
+        place: _place.Place,
+        answer: _target_client.TargetAnswer,
+        head: list[bytes],
+        chunks: Iterator[bytes],
+        ticket: _quotas.Ticket,
+    ) -> Iterator[bytes]:
+        try:
+            yield from head
+            yield from chunks
+        finally:
+            answer.close()
+            self._end(call, place, answer.status, ticket)
+
+    def _end(
+        self,
+        call: _Call,
+        place: _place.Place,
+        status: int,
+        ticket: _quotas.Ticket,
+    ) -> None:
+        self._admission.release(place)
+        ticket.give_back()
+        request_class = table.RequestClass(call.caller.class_name)
+        now = self._clock.monotonic()
+        self._metrics.observe_total(
+            call.caller.name, request_class, now - call.request.started
+        )
+        self._metrics.count_request(
+            call.caller.name, request_class, None, _errors.Outcome.RAN
+        )
+
+
+def _route(
+    request: _caller_request.CallerRequest,
+    caller: _caller_request.Caller,
+    snapshot: _configuration.TableSnapshot,
+) -> tuple[table.ServiceRow, str]:
+    name, slash, rest = request.path[len(PREFIX) :].partition("/")
+    row = snapshot.services_by_name.get(name)
+    allowed = caller.team.services
+    if row is None or (allowed and name not in allowed):
+        raise _errors.UnknownService(f"no service {name!r}")
+    # The path goes to the target in encoded form: a decoded line break
+    # would otherwise start a header of the caller's choice.
+    path = parse.quote("/" + rest, safe="/:@!$&'()*+,;=~", encoding="latin-1")
+    if request.query:
+        path += "?" + parse.quote(request.query, safe="=&%+/:@!$'()*,;~?")
+    return row, path
+
+
+def _fingerprint(call: _Call) -> str:
+    digest = hashlib.sha256()
+    for part in (call.request.method.encode(), call.path.encode(), call.body):
+        digest.update(len(part).to_bytes(8, "big"))
+        digest.update(part)
+    return digest.hexdigest()
+
+
+def _end_claim(call: _Call, error: _errors.RequestError) -> None:
+    """Free the key if certainly nothing ran, else leave it unknown."""
+    if call.claim is None:
+        return
+    if error.outcome is _errors.Outcome.NOT_RUN:
+        call.claim.release()
+    else:
+        call.claim.abandon()
+
+
+def _target_request(call: _Call) -> _target_client.TargetRequest:
+    headers = [
+        (name, value)
+        for name, value in call.request.headers()
+        if name.lower() not in _NOT_PASSED_ON and "\n" not in value
+    ]
+    headers.append(("Host", call.row.name))
+    return _target_client.TargetRequest(
+        method=call.request.method,
+        path=call.path,
+        headers=headers,
+        body=call.body,
+        request_id=call.request.request_id,
+        fresh=not call.repeatable,
+    )
+
+
+def _passed_back(
+    answer: _target_client.TargetAnswer,
+) -> list[tuple[str, str]]:
+    return [
+        (name, value)
+        for name, value in answer.headers
+        if name.lower() not in _NOT_PASSED_ON
+        and not name.lower().startswith("x-target-")
+    ]
+
+
+def _own_headers(call: _Call, replica: str) -> list[tuple[str, str]]:
+    return [
+        (_caller_answer.OUTCOME, _errors.Outcome.RAN.value),
+        ("X-Request-Id", call.request.request_id),
+        ("Topazlug-Replica", replica),
+    ]
+
+
+def _of_kept(
+    kept: _claims.KeptAnswer, call: _Call
+) -> _caller_answer.CallerAnswer:
+    headers = list(kept.headers)
+    headers += [
+        (_caller_answer.OUTCOME, _errors.Outcome.RAN.value),
+        ("X-Request-Id", call.request.request_id),
+        ("Idempotency-Replayed", "true"),
+        ("Content-Length", str(len(kept.body))),
+    ]
+    return _caller_answer.CallerAnswer(
+        status=kept.status, headers=headers, body=iter([kept.body])
+    )
--- /dev/null
+++ b/src/topazlug/_settings.py
@@ -0,0 +1,369 @@
+"""Reads the settings file of the daemon and refuses what it can't use.
+
+Each refusal names the file, the key, what was found, what was expected and
+what helps, so that an operator can mend the file without the sources.
+"""
+
+import difflib
+import enum
+import ipaddress
+import math
+import os
+import pathlib
+import re
+from typing import Any
+from typing import final
+from urllib import parse
+
+import msgspec
+import yaml
+
+from topazlug import _errors
+from topazlug._generated import settings
+
+ENV_TAG = "!env"
+OTLP_SCHEMES = ("http", "https")
+HIDDEN_KEYS = ("secret", "bootstrap_token_hash")
+MAX_SHOWN_CHARACTERS = 80
+REFERENCE = "see docs/reference/settings.md"
+
+_FAILURE = re.compile(r"^(?P<what>.*?)(?: - at `\$(?P<path>[^`]*)`)?$", re.S)
+_UNKNOWN = re.compile(r"^Object contains unknown field (?P<key>.*)$", re.S)
+_MISSING = re.compile(r"^Object missing required field (?P<key>.*)$")
+_EXPECTED = re.compile(r"^Expected (?P<expected>.*?)(?:, got .*)?$", re.S)
+
+
+def load(path: pathlib.Path) -> settings.DaemonSettings:
+    """Read and check a settings file.
+
+    Parameters
+    ----------
+    path : pathlib.Path
+        A file in YAML. A string may be written as ``!env NAME``; it is then
+        taken from the environment.
+
+    Returns
+    -------
+    settings.DaemonSettings
+        The settings, with the defaults filled in.
+
+    Raises
+    ------
+    _errors.SettingsInvalid
+        If the file can't be read, is no YAML, or breaks the schema.
+    """
+    document = _read(path)
+    refusal = _Refusal(path=path, document=document)
+    tree = document.tree
+    _refuse_odd_values(tree, (), refusal)
+    try:
+        loaded = msgspec.convert(tree, settings.DaemonSettings, strict=True)
+    except msgspec.ValidationError as error:
+        raise _explain(str(error), refusal) from None
+    _check_values(loaded, (), refusal)
+    _check_deadlines(loaded, refusal)
+    _check_otlp_endpoint(loaded, refusal)
+    return loaded
+
+
+@final
+class _Document(msgspec.Struct, kw_only=True, frozen=True):
+    tree: Any
+    values_from_environment: frozenset[str]
+
+
+@final
+class _Refusal(msgspec.Struct, kw_only=True, frozen=True):
+    """Makes the errors of one file."""
+
+    path: pathlib.Path
+    document: _Document
+
+    def error(
+        self, key: tuple[str, ...], *, expected: str, remedy: str
+    ) -> _errors.SettingsInvalid:
+        found = self._shown(key)
+        return _invalid(
+            self.path,
+            f"{'.'.join(key) or 'the file'}: found {found}, "
+            f"expected {expected}; {remedy}",
+        )
+
+    def _shown(self, key: tuple[str, ...]) -> str:
+        value = _value_at(self.document.tree, key)
+        # A refusal ends up in logs and tickets: a secret that is too short
+        # or of the wrong type must not be printed with it.
+        hidden = bool(key) and key[-1] in HIDDEN_KEYS
+        if isinstance(value, str):
+            hidden |= value in self.document.values_from_environment
+        if hidden:
+            return f"a hidden {type(value).__name__}"
+        if isinstance(value, dict):
+            return "a mapping"
+        if isinstance(value, list):
+            return "a list"
+        if value is None:
+            return "nothing"
+        shown = repr(value)
+        if len(shown) > MAX_SHOWN_CHARACTERS:
+            return shown[:MAX_SHOWN_CHARACTERS] + "…"
+        return shown
+
+
+def _invalid(path: pathlib.Path, what: str) -> _errors.SettingsInvalid:
+    return _errors.SettingsInvalid(f"{path}: {what}")
+
+
+@final
+class _Loader(yaml.SafeLoader):
+    """YAML's safe types, ``!env``, and no key twice in a mapping."""
+
+    def __init__(self, stream: str) -> None:
+        super().__init__(stream)
+        self.values_from_environment: set[str] = set()
+
+    def construct_env(self, node: yaml.Node) -> str:
+        if not isinstance(node, yaml.ScalarNode):
+            raise yaml.constructor.ConstructorError(
+                problem=f"{ENV_TAG} takes the name of one variable",
+                problem_mark=node.start_mark,
+            )
+        name = str(node.value)
+        value = os.environ.get(name)
+        if value is None:
+            raise yaml.constructor.ConstructorError(
+                problem=f"environment variable {name!r} is not set; set it "
+                "before the daemon starts",
+                problem_mark=node.start_mark,
+            )
+        self.values_from_environment.add(value)
+        return value
+
+    def construct_mapping(
+        self, node: yaml.MappingNode, deep: bool = False
+    ) -> dict[Any, Any]:
+        # YAML's loader lets the later of two equal keys win: an operator
+        # who pastes a section twice would run with half of each, unseen.
+        seen = set()
+        for key_node, _ in node.value:
+            if key_node.value in seen:
+                raise yaml.constructor.ConstructorError(
+                    problem=f"key {key_node.value!r} stands twice; keep one",
+                    problem_mark=key_node.start_mark,
+                )
+            seen.add(key_node.value)
+        return super().construct_mapping(node, deep=deep)
+
+
+_Loader.add_constructor(ENV_TAG, _Loader.construct_env)
+
+
+def _read(path: pathlib.Path) -> _Document:
+    try:
+        text = path.read_text(encoding="utf-8")
+    except OSError as error:
+        raise _invalid(
+            path, f"can't be read: {error.strerror}; check path and rights"
+        ) from error
+    except UnicodeDecodeError as error:
+        raise _invalid(
+            path, f"byte {error.start} is not UTF-8; save it as UTF-8"
+        ) from error
+    try:
+        loader = _Loader(text)
+        tree = loader.get_single_data()
+    except yaml.MarkedYAMLError as error:
+        raise _invalid(path, _explain_yaml(error)) from error
+    except (yaml.YAMLError, ValueError, RecursionError) as error:
+        raise _invalid(path, f"not YAML: {error}") from error
+    return _Document(
+        tree=tree,
+        values_from_environment=frozenset(loader.values_from_environment),
+    )
+
+
+def _explain_yaml(error: yaml.MarkedYAMLError) -> str:
+    mark = error.problem_mark or error.context_mark
+    problem = error.problem or error.context
+    if mark is None:
+        return f"not YAML: {problem}"
+    return f"line {mark.line + 1}, column {mark.column + 1}: {problem}"
+
+
+def _explain(text: str, refusal: _Refusal) -> _errors.SettingsInvalid:
+    """Turn a failure of the typed conversion into words of the file."""
+    match = _FAILURE.match(text)
+    if match is None:
+        return _invalid(refusal.path, text)
+    what = match["what"].replace("`", "")
+    key = tuple(part for part in (match["path"] or "").split(".") if part)
+    unknown = _UNKNOWN.match(what)
+    if unknown is not None:
+        return _unknown_key(unknown["key"], key, refusal)
+    missing = _MISSING.match(what)
+    if missing is not None:
+        return refusal.error(
+            (*key, missing["key"]),
+            expected="a value, as the key is required",
+            remedy=f"add it, {REFERENCE}",
+        )
+    expected = _EXPECTED.match(what)
+    return refusal.error(
+        key,
+        expected=(expected["expected"] if expected else _choices(what, key)),
+        remedy=f"correct it, {REFERENCE}",
+    )
+
+
+def _choices(what: str, key: tuple[str, ...]) -> str:
+    kind = _type_at(key)
+    if isinstance(kind, enum.EnumMeta):
+        names = [str(kind[name].value) for name in kind.__members__]
+        return "one of " + ", ".join(names)
+    return what
+
+
+def _unknown_key(
+    name: str, section: tuple[str, ...], refusal: _Refusal
+) -> _errors.SettingsInvalid:
+    known = _known_keys(section)
+    nearest = difflib.get_close_matches(name, known, n=1, cutoff=0.5)
+    remedy = f"known here are {', '.join(known)}"
+    if nearest:
+        remedy = f"did you mean {nearest[0]!r}? {remedy}"
+    return refusal.error(
+        (*section, name), expected="no such key", remedy=remedy
+    )
+
+
+def _known_keys(section: tuple[str, ...]) -> list[str]:
+    kind = _type_at(section)
+    return [field.name for field in msgspec.structs.fields(kind)]
+
+
+def _type_at(key: tuple[str, ...]) -> Any:
+    kind: Any = settings.DaemonSettings
+    for part in key:
+        fields = {f.name: f.type for f in msgspec.structs.fields(kind)}
+        kind = _bare(fields[part])
+    return kind
+
+
+def _bare(kind: Any) -> Any:
+    """Take ``| None`` off a type."""
+    choices = [
+        choice
+        for choice in getattr(kind, "__args__", ())
+        if choice is not type(None)
+    ]
+    return choices[0] if choices else kind
+
+
+def _value_at(tree: Any, key: tuple[str, ...]) -> Any:
+    for part in key:
+        if not isinstance(tree, dict):
+            return None
+        tree = tree.get(part)
+    return tree
+
+
+def _refuse_odd_values(
+    value: Any, key: tuple[str, ...], refusal: _Refusal
+) -> None:
+    # ".inf" and ".nan" are numbers to YAML, and a bound compared with nan
+    # never holds: a daemon would start with a timeout that never ends.
+    if isinstance(value, float) and not math.isfinite(value):
+        raise refusal.error(
+            key, expected="a finite number", remedy="write a plain number"
+        )
+    if isinstance(value, dict):
+        for name, inner in value.items():
+            if not isinstance(name, str):
+                raise refusal.error(
+                    key,
+                    expected=f"keys that are words, not {name!r}",
+                    remedy=f"correct the key, {REFERENCE}",
+                )
+            _refuse_odd_values(inner, (*key, name), refusal)
+
+
+def _check_values(
+    section: msgspec.Struct, key: tuple[str, ...], refusal: _Refusal
+) -> None:
+    if isinstance(section, settings.AddressSettings):
+        _check_host(section, (*key, "host"), refusal)
+    if isinstance(section, settings.TlsSettings):
+        _check_files(section, key, refusal)
+    for field in msgspec.structs.fields(section):
+        value = getattr(section, field.name)
+        if isinstance(value, msgspec.Struct):
+            _check_values(value, (*key, field.name), refusal)
+
+
+def _is_ip_number(text: str) -> bool:
+    try:
+        ipaddress.ip_address(text)
+    except ValueError:
+        return False
+    return True
+
+
+def _check_host(
+    section: settings.AddressSettings,
+    key: tuple[str, ...],
+    refusal: _Refusal,
+) -> None:
+    if not _is_ip_number(section.host):
+        raise refusal.error(
+            key,
+            expected="an IP number such as 10.0.0.7 or fd00::7",
+            remedy="write the number: daemons look up no names, as a name "
+            "service that is down or lags would take them with it",
+        )
+
+
+def _check_files(
+    section: settings.TlsSettings,
+    key: tuple[str, ...],
+    refusal: _Refusal,
+) -> None:
+    for field in msgspec.structs.fields(section):
+        path = pathlib.Path(getattr(section, field.name))
+        if not (path.is_file() and os.access(path, os.R_OK)):
+            raise refusal.error(
+                (*key, field.name),
+                expected="the path of a PEM file that can be read",
+                remedy="put the file there or correct the path",
+            )
+
+
+def _check_deadlines(
+    loaded: settings.DaemonSettings, refusal: _Refusal
+) -> None:
+    limits = loaded.limits
+    if limits.default_deadline > limits.max_deadline:
+        raise refusal.error(
+            ("limits", "default_deadline"),
+            expected=f"at most limits.max_deadline, {limits.max_deadline}",
+            remedy="lower the one or raise the other",
+        )
+
+
+def _check_otlp_endpoint(
+    loaded: settings.DaemonSettings, refusal: _Refusal
+) -> None:
+    endpoint = loaded.metrics.otlp_endpoint
+    if not endpoint:
+        return
+    try:
+        url = parse.urlsplit(endpoint)
+        good = url.scheme in OTLP_SCHEMES and _is_ip_number(url.hostname or "")
+    except ValueError:
+        good = False
+    if not good:
+        raise refusal.error(
+            ("metrics", "otlp_endpoint"),
+            expected="a URL such as http://10.0.0.9:4318/v1/metrics, with an "
+            "IP number",
+            remedy="write it so, or leave the key out",
+        )
--- /dev/null
+++ b/src/topazlug/_table_checks.py
@@ -0,0 +1,308 @@
+"""Checks of the operators' table that go beyond one column's bounds."""
+
+import datetime
+import enum
+import functools
+import re
+from typing import Iterable
+from typing import Iterator
+from typing import Sequence
+from typing import final
+
+import msgspec
+
+from topazlug import _table_snapshot
+from topazlug._generated import messages
+from topazlug._generated import table
+
+SAFE_METHODS = frozenset(("GET", "HEAD", "OPTIONS", "TRACE"))
+IDEMPOTENT_METHODS = SAFE_METHODS | {"PUT", "DELETE"}
+_METHOD = re.compile(r"^[A-Z][A-Z-]*$")
+_HASH = re.compile(r"^[0-9a-f]{64}$")
+_NAME = re.compile(r"^[^/\x00-\x1f\x7f]+$")
+_TABLES = _table_snapshot.TableName
+
+
+class FindingKind(enum.Enum):
+    """What can be wrong with a row beside the others."""
+
+    NAME_INVALID = "name_invalid"
+    POOL_UNKNOWN = "pool_unknown"
+    SERVICE_UNKNOWN = "service_unknown"
+    STILL_NAMED = "still_named"
+    MODEL_TAKEN = "model_taken"
+    HASH_INVALID = "hash_invalid"
+    HASH_TAKEN = "hash_taken"
+    EXPIRY_INVALID = "expiry_invalid"
+    BOUND_BELOW_MEAN = "bound_below_mean"
+    RESERVE_INVALID = "reserve_invalid"
+    RESERVE_TAKES_ALL = "reserve_takes_all"
+    METHOD_INVALID = "method_invalid"
+    METHOD_RISKY = "method_risky"
+    NO_ADMIN_LEFT = "no_admin_left"
+    TEAM_WITHOUT_KEY = "team_without_key"
+
+
+class Severity(enum.Enum):
+    """Whether a finding keeps the edit from being accepted."""
+
+    ERROR = "error"
+    WARNING = "warning"
+
+
+@final
+class Finding(msgspec.Struct, frozen=True, kw_only=True):
+    """One thing that is wrong.
+
+    Attributes
+    ----------
+    table, key, column : str
+        Where.
+    message : str
+        What was found and what helps.
+    """
+
+    kind: FindingKind
+    table: str
+    key: str
+    column: str
+    message: str
+    severity: Severity = Severity.ERROR
+
+
+def errors_of(findings: Iterable[Finding]) -> list[Finding]:
+    """Give the findings that keep an edit from being accepted."""
+    return [f for f in findings if f.severity is Severity.ERROR]
+
+
+def check_changes(
+    after: _table_snapshot.TableSnapshot,
+    changes: Sequence[messages.RowChange],
+) -> list[Finding]:
+    """Check changed rows against the table as they leave it.
+
+    Parameters
+    ----------
+    after : TableSnapshot
+        The table with the changes made.
+    changes : Sequence[RowChange]
+        The changes; unchanged rows are looked at only where a change may
+        have broken them.
+
+    Returns
+    -------
+    list of Finding
+        What is wrong, in the order of the changes.
+    """
+    findings: list[Finding] = []
+    for change in changes:
+        name = _TABLES(change.table)
+        row = after.rows_by_name(name).get(change.key)
+        if row is None:
+            findings += _check_removed(name, change.key, after)
+            continue
+        findings += _check_name(name, change.key)
+        findings += _check_row(row, after)
+    if any(change.table == _TABLES.OPERATORS.value for change in changes):
+        findings += _check_admins(after)
+    return findings
+
+
+def check_all(after: _table_snapshot.TableSnapshot) -> list[Finding]:
+    """Check every row of the table."""
+    return check_changes(after, _table_snapshot.as_changes(after))
+
+
+def _check_name(name: _TABLES, key: str) -> Iterator[Finding]:
+    if not _NAME.match(key):
+        yield Finding(
+            kind=FindingKind.NAME_INVALID,
+            table=name.value,
+            key=key,
+            column="name",
+            message=f"{key!r} has a slash or control character; leave it out",
+        )
+
+
+@functools.singledispatch
+def _check_row(
+    row: _table_snapshot.Row, after: _table_snapshot.TableSnapshot
+) -> Iterator[Finding]:
+    """Check one row against the others; drains need no more checks."""
+    yield from ()
+
+
+@_check_row.register
+def _check_team(
+    row: table.TeamRow, after: _table_snapshot.TableSnapshot
+) -> Iterator[Finding]:
+    made = functools.partial(Finding, table="teams", key=row.name)
+    for pool in row.pools:
+        if pool not in after.pools_by_name:
+            yield made(
+                kind=FindingKind.POOL_UNKNOWN,
+                column="pools",
+                message=f"no pool {pool!r}; add it first or correct the name",
+            )
+    for service in row.services:
+        if service not in after.services_by_name:
+            yield made(
+                kind=FindingKind.SERVICE_UNKNOWN,
+                column="services",
+                message=f"no service {service!r}; add it first or correct it",
+            )
+    yield from _check_keys(row, after)
+
+
+def _check_keys(
+    row: table.TeamRow, after: _table_snapshot.TableSnapshot
+) -> Iterator[Finding]:
+    made = functools.partial(
+        Finding, table="teams", key=row.name, column="keys"
+    )
+    hashes = [key.hash for key in row.keys]
+    if not hashes:
+        yield made(
+            kind=FindingKind.TEAM_WITHOUT_KEY,
+            message="no key yet, so nobody can call as this team; issue one",
+            severity=Severity.WARNING,
+        )
+    for key in row.keys:
+        if not _HASH.match(key.hash):
+            yield made(
+                kind=FindingKind.HASH_INVALID,
+                message=f"{key.hash!r} is no SHA-256 in lower hexadecimal",
+            )
+        holder = after.team_by_key_hash.get(key.hash)
+        is_own = holder is not None and holder.name == row.name
+        if not is_own or hashes.count(key.hash) > 1:
+            yield made(
+                kind=FindingKind.HASH_TAKEN,
+                message=f"{key.hash[:8]}… is there already, or moved from"
+                " another team in the same edit; issue another key",
+            )
+        if key.expires and not _is_time(key.expires):
+            yield made(
+                kind=FindingKind.EXPIRY_INVALID,
+                message=f"{key.expires!r} is no RFC 3339 time with an offset,"
+                " such as 2027-01-31T00:00:00Z",
+            )
+
+
+def _is_time(text: str) -> bool:
+    try:
+        parsed = datetime.datetime.fromisoformat(text)
+    except ValueError:
+        return False
+    return parsed.tzinfo is not None
+
+
+@_check_row.register
+def _check_service(
+    row: table.ServiceRow, after: _table_snapshot.TableSnapshot
+) -> Iterator[Finding]:
+    made = functools.partial(
+        Finding, table="services", key=row.name, column="idempotent_methods"
+    )
+    for method in row.idempotent_methods:
+        if not _METHOD.match(method):
+            yield made(
+                kind=FindingKind.METHOD_INVALID,
+                message=f"{method!r} is no method; write it in capitals",
+            )
+        elif method not in IDEMPOTENT_METHODS:
+            yield made(
+                kind=FindingKind.METHOD_RISKY,
+                message=f"{method} is not idempotent by RFC 9110: it will be"
+                " repeated after failures",
+                severity=Severity.WARNING,
+            )
+
+
+@_check_row.register
+def _check_pool(
+    row: table.PoolRow, after: _table_snapshot.TableSnapshot
+) -> Iterator[Finding]:
+    made = functools.partial(Finding, table="pools", key=row.name)
+    for other in after.pools_by_name.values():
+        if other.model == row.model and other.name != row.name:
+            yield made(
+                kind=FindingKind.MODEL_TAKEN,
+                column="model",
+                message=f"pool {other.name!r} already serves {row.model!r}",
+            )
+    if 0 < row.bound < 1:
+        yield made(
+            kind=FindingKind.BOUND_BELOW_MEAN,
+            column="bound",
+            message=f"{row.bound} is below the mean load, which all replicas"
+            " can't be under; give 1 or more, or 0 for the setting",
+        )
+    if -1 < row.batch_reserve < 0:
+        yield made(
+            kind=FindingKind.RESERVE_INVALID,
+            column="batch_reserve",
+            message=f"{row.batch_reserve} is no part of the slots; give 0 to"
+            " 0.9, or -1 for the setting",
+        )
+    if row.batch_reserve > 0 and row.slots * (1 - row.batch_reserve) < 1:
+        yield made(
+            kind=FindingKind.RESERVE_TAKES_ALL,
+            column="batch_reserve",
+            message=f"{row.batch_reserve} of {row.slots} slots leaves none"
+            " for batch work; lower it or raise slots",
+        )
+
+
+@_check_row.register
+def _check_operator(
+    row: table.OperatorRow, after: _table_snapshot.TableSnapshot
+) -> Iterator[Finding]:
+    made = functools.partial(
+        Finding, table="operators", key=row.name, column="token_hash"
+    )
+    if not _HASH.match(row.token_hash):
+        yield made(
+            kind=FindingKind.HASH_INVALID,
+            message=f"{row.token_hash!r} is no SHA-256 in lower hexadecimal",
+        )
+    for other in after.operators_by_name.values():
+        if other.token_hash == row.token_hash and other.name != row.name:
+            yield made(
+                kind=FindingKind.HASH_TAKEN,
+                message=f"operator {other.name!r} has the same token",
+            )
+
+
+def _check_admins(
+    after: _table_snapshot.TableSnapshot,
+) -> Iterator[Finding]:
+    # With no administrator nobody could ever name another; with no operator
+    # at all the bootstrap token would open the table again.
+    roles = [row.role for row in after.operators_by_name.values()]
+    if table.OperatorRole.admin not in roles:
+        yield Finding(
+            kind=FindingKind.NO_ADMIN_LEFT,
+            table="operators",
+            key="",
+            column="role",
+            message="no operator would have the role admin; keep one",
+        )
+
+
+def _check_removed(
+    name: _TABLES, key: str, after: _table_snapshot.TableSnapshot
+) -> Iterator[Finding]:
+    if name not in (_TABLES.POOLS, _TABLES.SERVICES):
+        return
+    column = "pools" if name is _TABLES.POOLS else "services"
+    for team in after.teams_by_name.values():
+        if key in getattr(team, column):
+            yield Finding(
+                kind=FindingKind.STILL_NAMED,
+                table=name.value,
+                key=key,
+                column="name",
+                message=f"team {team.name!r} still names it; take it out of"
+                f" the team's {column} first",
+            )
--- /dev/null
+++ b/src/topazlug/_table_draft.py
@@ -0,0 +1,131 @@
+"""Makes the next snapshot of the table out of the last one."""
+
+import functools
+from typing import Any
+from typing import Mapping
+from typing import final
+
+import msgspec
+
+from topazlug import _ids
+from topazlug import _sharded_map
+from topazlug import _table_errors
+from topazlug import _table_snapshot
+from topazlug._generated import messages
+from topazlug._generated import table
+
+
+@final
+class TableDraft:
+    """A snapshot in the making: copies only what it writes to."""
+
+    def __init__(self, base: _table_snapshot.TableSnapshot) -> None:
+        self._base = base
+        self._map_by_field: dict[str, _sharded_map.ShardedMapDraft[Any]] = {}
+
+    def writable(self, field: str) -> _sharded_map.ShardedMapDraft[Any]:
+        """Give an attribute of the snapshot to write to."""
+        if field not in self._map_by_field:
+            self._map_by_field[field] = getattr(self._base, field).draft()
+        return self._map_by_field[field]
+
+    def _put(
+        self,
+        name: _table_snapshot.TableName,
+        row: _table_snapshot.Row,
+        version: int,
+    ) -> None:
+        self._remove(name, row.name)
+        self.writable(_table_snapshot.rows_field(name)).put(row.name, row)
+        versions_by_key = self.writable("row_versions_by_key")
+        versions_by_key.put(_table_snapshot.row_key(name, row.name), version)
+        _index(row, self)
+
+    def _remove(self, name: _table_snapshot.TableName, key: str) -> None:
+        old = self.writable(_table_snapshot.rows_field(name)).remove(key)
+        self.writable("row_versions_by_key").remove(
+            _table_snapshot.row_key(name, key)
+        )
+        if old is not None:
+            _unindex(old, self)
+
+    def change(self, change: messages.RowChange) -> None:
+        """Take in one row, or its removal.
+
+        Raises
+        ------
+        RowInvalid
+            The row can't be read; the draft is as before.
+        """
+        name = _table_of(change)
+        if not isinstance(change.value, dict):
+            self._remove(name, change.key)
+            return
+        row = _table_snapshot.decode_row(name, change.key, change.value)
+        self._put(name, row, change.row_version)
+
+    def finished(self, revision: int) -> _table_snapshot.TableSnapshot:
+        """Give the snapshot; the draft must not be used any more."""
+        fields: dict[str, Any] = {
+            field: draft.finished()
+            for field, draft in self._map_by_field.items()
+        }
+        if (
+            _table_snapshot.rows_field(_table_snapshot.TableName.POOLS)
+            in fields
+        ):
+            fields["pool_by_model"] = _pool_by_model(fields["pools_by_name"])
+        return msgspec.structs.replace(
+            self._base, revision=_ids.Revision(revision), **fields
+        )
+
+
+def _pool_by_model(
+    pools_by_name: Mapping[str, table.PoolRow],
+) -> Mapping[str, table.PoolRow]:
+    """Give the pools by model, the first name where two serve one."""
+    pool_by_model: dict[str, table.PoolRow] = {}
+    for name in sorted(pools_by_name):
+        pool = pools_by_name[name]
+        pool_by_model.setdefault(pool.model, pool)
+    return pool_by_model
+
+
+def _table_of(change: messages.RowChange) -> _table_snapshot.TableName:
+    try:
+        return _table_snapshot.TableName(change.table)
+    except ValueError as error:
+        raise _table_errors.RowInvalid(
+            f"{change.table}/{change.key}: no such table; a newer program"
+            " wrote it: update this daemon"
+        ) from error
+
+
+@functools.singledispatch
+def _index(row: _table_snapshot.Row, draft: TableDraft) -> None:
+    """Enter a row in the mappings derived from it."""
+
+
+@functools.singledispatch
+def _unindex(row: _table_snapshot.Row, draft: TableDraft) -> None:
+    """Take a row out of the mappings derived from it."""
+
+
+@_index.register
+def _index_team(row: table.TeamRow, draft: TableDraft) -> None:
+    team_by_key_hash = draft.writable("team_by_key_hash")
+    for key in row.keys:
+        # A team that names another's key would take over its callers, seen
+        # as one team's requests counted as another's. The first keeps it,
+        # and the checks refuse the second's row.
+        if team_by_key_hash.get(key.hash) is None:
+            team_by_key_hash.put(key.hash, row)
+
+
+@_unindex.register
+def _unindex_team(row: table.TeamRow, draft: TableDraft) -> None:
+    team_by_key_hash = draft.writable("team_by_key_hash")
+    for key in row.keys:
+        holder = team_by_key_hash.get(key.hash)
+        if holder is not None and holder.name == row.name:
+            team_by_key_hash.remove(key.hash)
--- /dev/null
+++ b/src/topazlug/_targets.py
@@ -0,0 +1,229 @@
+"""Which targets there are, and which may get new work.
+
+Four signs count, whichever is first: the platform's lagging list, the
+target's own answers, the operators' drains, and peers' facts. A target that
+is leaving gets nothing new until it is seen live under a new incarnation.
+"""
+
+from collections.abc import Callable
+from collections.abc import Iterable
+from collections.abc import Mapping
+import enum
+from typing import final
+
+import msgspec
+
+from topazlug import _clock
+from topazlug import _ids
+from topazlug import _instances
+from topazlug._generated import messages
+
+_AVOID_SECONDS = 1.0
+_HOLD_BASE_SECONDS = 1.0
+_HOLD_MAX_SECONDS = 30.0
+
+
+class TargetKind(enum.Enum):
+    """What a target is."""
+
+    ENGINE = "engine"
+    SERVICE = "service"
+
+
+class Target(msgspec.Struct, frozen=True):
+    """One replica as the platform lists it."""
+
+    replica: _ids.ReplicaId
+    kind: TargetKind
+    group: _ids.GroupName
+    host: str
+    port: int
+    zone: str
+    incarnation: int
+    slots: int
+    leaving: bool
+
+
+class _Health(msgspec.Struct):
+    incarnation: int = 0
+    state: messages.FactState = messages.FactState.live
+    returns: list[float] = msgspec.field(default_factory=list)
+    held_until: float = 0.0
+    avoid_until: float = 0.0
+
+
+class Drains(msgspec.Struct, frozen=True):
+    """What operators took out of service."""
+
+    replicas: frozenset[str] = frozenset()
+    zones: frozenset[str] = frozenset()
+
+
+_UNUSABLE = (messages.FactState.leaving, messages.FactState.dead)
+
+
+@final
+class TargetDirectory:
+    """All known targets.
+
+    Parameters
+    ----------
+    clock : Clock
+        Time.
+    flap_window : float
+        Seconds over which a target's returns are counted.
+
+    Attributes
+    ----------
+    target_by_replica : dict
+        The platform's list as last read.
+    drains : Drains
+        What operators took out of service.
+    """
+
+    def __init__(self, *, clock: _clock.Clock, flap_window: float) -> None:
+        self._clock = clock
+        self._flap_window = flap_window
+        self._health_by_replica: dict[_ids.ReplicaId, _Health] = {}
+        self.drains = Drains()
+        self._callbacks: list[Callable[[], None]] = []
+        self.target_by_replica: dict[_ids.ReplicaId, Target] = {}
+        self._replicas_by_group: dict[_ids.GroupName, list[_ids.ReplicaId]]
+        self._replicas_by_group = {}
+
+    def on_change(self, callback: Callable[[], None]) -> None:
+        """Ask to be called when the set of targets changed."""
+        self._callbacks.append(callback)
+
+    def take_list(self, targets: Iterable[Target]) -> None:
+        """Take over the platform's list of targets.
+
+        Parameters
+        ----------
+        targets : iterable of Target
+            The whole list.
+        """
+        fresh = {target.replica: target for target in targets}
+        if fresh == self.target_by_replica:
+            return
+        self.target_by_replica = fresh
+        for replica in set(self._health_by_replica) - set(fresh):
+            del self._health_by_replica[replica]
+        groups: dict[_ids.GroupName, list[_ids.ReplicaId]] = {}
+        for replica in sorted(fresh):
+            groups.setdefault(fresh[replica].group, []).append(replica)
+        self._replicas_by_group = groups
+        self._notify()
+
+    def take_drains(self, drains: Drains) -> None:
+        """Take over what operators drained."""
+        self.drains = drains
+        self._notify()
+
+    def take_fact(self, fact: messages.Fact) -> None:
+        """Take over what a peer, or this daemon, saw of a target."""
+        health = self._health(_ids.ReplicaId(fact.subject))
+        returned = health.state in _UNUSABLE and fact.state not in _UNUSABLE
+        health.incarnation = fact.incarnation
+        health.state = fact.state
+        if returned:
+            self._note_return(health)
+        self._notify()
+
+    def _note_return(self, health: _Health) -> None:
+        """Hold a target that comes and goes out of new work for longer.
+
+        A target that flaps pulls its chats back and forth, and each swing
+        costs them their context. Each return within the window doubles the
+        time it must stay up before it gets work again.
+        """
+        now = self._clock.monotonic()
+        since = now - self._flap_window
+        health.returns = [at for at in health.returns if at > since]
+        health.returns.append(now)
+        if len(health.returns) < 2:
+            return
+        hold = _HOLD_BASE_SECONDS * 2 ** (len(health.returns) - 1)
+        health.held_until = now + min(hold, _HOLD_MAX_SECONDS)
+
+    def avoid(self, replica: _ids.ReplicaId) -> None:
+        """Pass a target over for a moment, on this daemon only."""
+        until = self._clock.monotonic() + _AVOID_SECONDS
+        self._health(replica).avoid_until = until
+
+    def known(self, group: _ids.GroupName) -> list[_ids.ReplicaId]:
+        """Give all listed replicas of a group."""
+        return self._replicas_by_group.get(group, [])
+
+    def groups(self) -> list[_ids.GroupName]:
+        """Give the groups that have listed replicas."""
+        return list(self._replicas_by_group)
+
+    def usable(self, group: _ids.GroupName) -> list[_ids.ReplicaId]:
+        """Give the replicas of a group that may get new work."""
+        now = self._clock.monotonic()
+        return [
+            replica
+            for replica in self.known(group)
+            if self._is_usable(replica, now)
+        ]
+
+    def is_usable(self, replica: _ids.ReplicaId) -> bool:
+        """Say whether a replica may get new work."""
+        return self._is_usable(replica, self._clock.monotonic())
+
+    def _is_usable(self, replica: _ids.ReplicaId, now: float) -> bool:
+        target = self.target_by_replica.get(replica)
+        if target is None or target.leaving:
+            return False
+        if replica in self.drains.replicas:
+            return False
+        if target.zone in self.drains.zones:
+            return False
+        health = self._health_by_replica.get(replica)
+        if health is None:
+            return True
+        if now < health.held_until or now < health.avoid_until:
+            return False
+        if health.state not in _UNUSABLE:
+            return True
+        return target.incarnation > health.incarnation
+
+    def state_of(self, replica: _ids.ReplicaId) -> messages.FactState:
+        """Give what is known of a replica's state."""
+        health = self._health_by_replica.get(replica)
+        return messages.FactState.live if health is None else health.state
+
+    def _health(self, replica: _ids.ReplicaId) -> _Health:
+        return self._health_by_replica.setdefault(replica, _Health())
+
+    def _notify(self) -> None:
+        for callback in self._callbacks:
+            callback()
+
+
+_KIND_BY_INSTANCE = {
+    _instances.InstanceKind.ENGINE: TargetKind.ENGINE,
+    _instances.InstanceKind.SERVICE: TargetKind.SERVICE,
+}
+
+
+def targets_of(
+    instances_by_id: Mapping[str, _instances.Instance],
+) -> list[Target]:
+    """Pick the targets out of the platform's list of instances."""
+    return [
+        Target(
+            replica=_ids.ReplicaId(instance.id),
+            kind=_KIND_BY_INSTANCE[instance.kind],
+            group=_ids.GroupName(instance.group),
+            host=instance.host,
+            port=instance.port,
+            zone=instance.zone,
+            incarnation=instance.incarnation,
+            slots=instance.slots,
+            leaving=instance.state is _instances.InstanceState.LEAVING,
+        )
+        for instance in instances_by_id.values()
+        if instance.kind in _KIND_BY_INSTANCE
+    ]
--- a/src/topazlug/cli/__init__.py
+++ b/src/topazlug/cli/__init__.py
@@ -1,1 +1,5 @@
-"""The operators' command line."""
+"""The operators' command line, a client of the administration API."""
+
+from topazlug.cli import _main as _main
+
+main = _main.main
--- /dev/null
+++ b/src/topazlug/cli/_values.py
@@ -0,0 +1,104 @@
+"""Turns cells of text into typed columns, and back."""
+
+from typing import Any
+from typing import Iterable
+
+import msgspec
+from msgspec import inspect
+
+from topazlug import _table_snapshot
+from topazlug.cli import _exit_codes
+
+EMPTY_LIST = "[]"
+SEPARATOR = ","
+UNTYPED = frozenset(("keys",))
+
+
+def columns_of(name: _table_snapshot.TableName) -> dict[str, Any]:
+    """Give a table's columns with their types, without the keys."""
+    row_type = _table_snapshot.ROW_TYPE_BY_TABLE[name]
+    info = inspect.type_info(row_type)
+    assert isinstance(info, inspect.StructType)
+    return {
+        field.name: _bare(field.type)
+        for field in info.fields
+        if field.name not in UNTYPED
+    }
+
+
+def _bare(kind: inspect.Type) -> inspect.Type:
+    """Leave out the descriptions that the schema gives a column."""
+    while isinstance(kind, inspect.Metadata):
+        kind = kind.type
+    return kind
+
+
+def parsed_pairs(
+    name: _table_snapshot.TableName, pairs: Iterable[str]
+) -> dict[str, Any]:
+    """Read ``column=value`` pairs.
+
+    Raises
+    ------
+    CommandFailed
+        There is no such column, or the value is of another type.
+    """
+    values = {}
+    for pair in pairs:
+        column, equals, text = pair.partition("=")
+        if not equals:
+            raise _usage(f"{pair!r} is no column=value")
+        values[column] = parsed(name, column, text)
+    return values
+
+
+def parsed(name: _table_snapshot.TableName, column: str, text: str) -> Any:
+    """Read one column's value.
+
+    Raises
+    ------
+    CommandFailed
+        There is no such column, or the value is of another type.
+    """
+    columns = columns_of(name)
+    if column not in columns:
+        raise _usage(
+            f"{name.value} have no column {column!r}; there are:"
+            f" {', '.join(columns)}"
+        )
+    kind = columns[column]
+    if isinstance(kind, inspect.ListType):
+        if text.strip() in ("", EMPTY_LIST):
+            return []
+        return [item.strip() for item in text.split(SEPARATOR)]
+    try:
+        return _scalar(kind, text.strip())
+    except (ValueError, msgspec.ValidationError) as error:
+        raise _exit_codes.CommandFailed(
+            f"{column}={text}: {error}", _exit_codes.ExitCode.INVALID
+        ) from error
+
+
+def _scalar(kind: inspect.Type, text: str) -> Any:
+    if isinstance(kind, inspect.BoolType):
+        return msgspec.convert(text, bool, strict=False)
+    if isinstance(kind, inspect.IntType):
+        return int(text)
+    if isinstance(kind, inspect.FloatType):
+        return float(text)
+    return text
+
+
+def as_text(value: Any) -> str:
+    """Give a column's value as a cell that `parsed` reads back."""
+    if isinstance(value, bool):
+        return "true" if value else "false"
+    if isinstance(value, list):
+        return SEPARATOR.join(value) if value else EMPTY_LIST
+    if isinstance(value, float):
+        return f"{value:.15g}"
+    return str(value)
+
+
+def _usage(message: str) -> _exit_codes.CommandFailed:
+    return _exit_codes.CommandFailed(message, _exit_codes.ExitCode.USAGE)
--- a/standins/_http.py
+++ b/standins/_http.py
@@ -191,6 +191,21 @@
     return value
 
 
+def int_header(request: Request, name: str, default: int) -> int:
+    """Return a header as an int, `default` when absent.
+
+    Raises
+    ------
+    BadRequest
+        The header is no int.
+    """
+    given = request.header(name)
+    try:
+        return int(given) if given else default
+    except ValueError as error:
+        raise BadRequest(f"{name} is {given!r}; send an int") from error
+
+
 def changed_faults(faults: msgspec.Struct, request: Request) -> None:
     """Set the faults that the body names, leave the others.
 
--- a/standins/_registration.py
+++ b/standins/_registration.py
@@ -5,8 +5,8 @@
 from typing import final
 from urllib import parse
 
-import geventhttpclient
 import gevent
+import geventhttpclient
 
 RENEWAL_SECONDS = 2.0
 RETRY_SECONDS = 0.2
--- a/standins/_relay.py
+++ b/standins/_relay.py
@@ -1,6 +1,7 @@
 """A TCP relay that cuts, delays or swallows what passes."""
 
 import socket
+import time
 from typing import Any
 from typing import final
 
@@ -91,11 +92,11 @@
 
     def _pass(self, source: Any, sink: Any) -> None:
         chunks: queue.Queue[tuple[float, bytes]] = queue.Queue(QUEUE_CHUNKS)
-        writer = gevent.spawn(self._write, chunks, sink)
+        writer = gevent.spawn(self._write, chunks, source, sink)
         try:
             while True:
                 data = source.recv(CHUNK_BYTES)
-                due = gevent.get_hub().loop.now() + self.faults.delay
+                due = time.monotonic() + self.faults.delay
                 chunks.put((due, data))
                 if not data:
                     break
@@ -105,10 +106,10 @@
         finally:
             writer.kill()
 
-    def _write(self, chunks: Any, sink: Any) -> None:
+    def _write(self, chunks: Any, source: Any, sink: Any) -> None:
         while True:
             due, data = chunks.get()
-            wait = due - gevent.get_hub().loop.now()
+            wait = due - time.monotonic()
             if wait > 0:
                 gevent.sleep(wait)
             self._passing.wait()
@@ -118,6 +119,8 @@
                     return
                 sink.sendall(data)
             except OSError:
+                # The reader would fill the queue and wait for ever.
+                _shut(source)
                 return
 
     def _close_all(self) -> None:
--- a/standins/_service.py
+++ b/standins/_service.py
@@ -195,6 +195,4 @@
     server = _http.server(made.answer, port)
     registration.instance["port"] = server.server_port
     registration.start()
-    _http.run_until_stopped(
-        server.server_port, max_seconds, registration.stop
-    )
+    _http.run_until_stopped(server.server_port, max_seconds, registration.stop)
--- /dev/null
+++ b/tests/standins/test_service.py
@@ -0,0 +1,54 @@
+"""The plain service and the relay show their faults."""
+
+import http.client
+
+import pytest
+
+
+@pytest.fixture
+def service(start):
+    return start("service", "--id", "s1", "--service", "s")
+
+
+class TestService:
+    def test_run_is_journalled_though_the_answer_is_lost(self, service):
+        service.call("/faults", {"die_before_answer_count": 1})
+        assert service.raw("/any/path", {}, "r") == b""
+        assert service.json("/journal")[0]["request_id"] == "r"
+
+    def test_refused_request_did_not_run(self, service):
+        service.call("/faults", {"refuse_count": 1})
+        status, headers, _ = service.call("/any", {})
+        assert (status, headers["X-Not-Run"]) == (503, "true")
+        assert service.json("/journal") == []
+
+    def test_truncated_answer_is_short(self, service):
+        service.call("/faults", {"truncate_count": 1})
+        with pytest.raises(http.client.IncompleteRead):
+            service.call("/any", {})
+
+
+class TestRelay:
+    @pytest.fixture
+    def relay(self, start, service):
+        return start("relay", "--to", service.address)
+
+    def test_passes_both_ways(self, relay):
+        assert relay.json("/any", {})["service"] == "s"
+
+    def test_cut_closes_open_connections(self, relay, service):
+        service.call("/faults", {"freeze": True})
+        with relay.opened("/any", {}, "r") as sock:
+            relay.call("/faults", {"cut": True}, port=relay.ports[1])
+            assert sock.recv(1) == b""
+
+    def test_blackhole_passes_nothing(self, relay, service):
+        relay.call("/faults", {"blackhole": True}, port=relay.ports[1])
+        with relay.opened("/any", {}, "r") as sock:
+            sock.settimeout(0.3)
+            with pytest.raises(TimeoutError):
+                sock.recv(1)
+            assert service.json("/journal") == []
+            relay.call("/faults", {"blackhole": False}, port=relay.ports[1])
+            sock.settimeout(10)
+            assert sock.recv(4) == b"HTTP"
--- /dev/null
+++ b/tests/topazlug/administration_fakes.py
@@ -0,0 +1,113 @@
+"""An administration listener around a node of `table_fakes`."""
+
+import io
+import json
+from typing import Any
+
+from tests.topazlug import table_fakes
+from topazlug import _administration
+from topazlug import _administration_status
+from topazlug import _errors
+from topazlug import _tokens
+
+BOOTSTRAP = "bootstrap-token"
+
+
+class FakeStatus:
+    """A fleet of the node and one more daemon."""
+
+    def __init__(self, node: table_fakes.Node) -> None:
+        self._node = node
+        self.other_revision = 10**6
+
+    def status(self) -> _administration_status.FleetStatus:
+        made = _administration_status
+        revision = self._node.holder.revision
+        return made.FleetStatus(
+            daemon=self._node.id,
+            revision=revision,
+            daemons=[
+                made.DaemonStatus(id=self._node.id, revision=revision),
+                made.DaemonStatus(
+                    id="other", revision=min(revision, self.other_revision)
+                ),
+                made.DaemonStatus(id="gone", state="dead", revision=0),
+            ],
+            replicas=[made.ReplicaStatus(id="r1", group="p", load=3, bound=4)],
+            teams=[made.TeamStatus(name="acme", running=2)],
+        )
+
+    def explain(
+        self, *, chat: str, pool: str
+    ) -> _administration_status.Explanation:
+        if pool != "p":
+            raise _errors.UnknownModel(f"no pool {pool!r}")
+        made = _administration_status
+        first = made.Candidate(rank=0, replica="r1", verdict="over_bound")
+        return made.Explanation(
+            group=pool, chat=chat, chosen="r2", candidates=[first]
+        )
+
+
+def application(
+    node: table_fakes.Node,
+    store: Any,
+    *,
+    status: FakeStatus | None = None,
+    ready: bool = True,
+) -> _administration.Administration:
+    """Give the administration of a node."""
+    return _administration.Administration(
+        holder=node.holder,
+        editor=node.editor,
+        publisher=node.follower,
+        store=store,
+        status=status or FakeStatus(node),
+        is_ready=lambda: ready,
+        exposition=lambda: b"up 1\n",
+        bootstrap_token_hash=_tokens.hash_of(BOOTSTRAP),
+    )
+
+
+class Answer:
+    """What a call of the application gave."""
+
+    def __init__(self, status: str, headers: Any, body: bytes) -> None:
+        self.status = int(status.split()[0])
+        self.header_by_name = dict(headers)
+        self.text = body.decode()
+
+    @property
+    def body(self) -> Any:
+        return json.loads(self.text)
+
+    @property
+    def code(self) -> str:
+        code: str = self.body["error"]["code"]
+        return code
+
+
+class Caller:
+    """Calls an application as an operator would."""
+
+    def __init__(self, app: Any, token: str = BOOTSTRAP) -> None:
+        self._app = app
+        self.token = token
+
+    def __call__(
+        self, method: str, target: str, body: Any = None, **headers: str
+    ) -> Answer:
+        path, _, query = target.partition("?")
+        content = b"" if body is None else json.dumps(body).encode()
+        environ = {
+            "REQUEST_METHOD": method,
+            "PATH_INFO": path,
+            "QUERY_STRING": query,
+            "CONTENT_LENGTH": str(len(content)),
+            "wsgi.input": io.BytesIO(content),
+            "HTTP_AUTHORIZATION": f"Bearer {self.token}",
+            **{f"HTTP_{name.upper()}": v for name, v in headers.items()},
+        }
+        started: list[Any] = []
+        chunks = self._app(environ, lambda *args: started.extend(args))
+        return Answer(started[0], started[1], b"".join(chunks))
--- /dev/null
+++ b/tests/topazlug/claim_fakes.py
@@ -0,0 +1,198 @@
+"""Clock, table service and object store that tests of claims decide on."""
+
+import collections
+from collections.abc import Callable
+import datetime
+import enum
+from typing import final
+
+import gevent
+
+from topazlug import _claim_rows
+from topazlug import _claims
+from topazlug import _errors
+from topazlug import _ids
+from topazlug import _table_client
+
+EPOCH = datetime.datetime(2026, 1, 1, tzinfo=datetime.timezone.utc)
+TEAM = _ids.TeamName("acme")
+SERVICE = "registration"
+FINGERPRINT = _claim_rows.fingerprint(method="POST", path="/", body=b"a")
+ROW_KEY = _claim_rows.row_key(team=TEAM, service=SERVICE, key="k")
+
+
+class Fault(enum.Enum):
+    """What becomes of one call of the store.
+
+    A lost answer comes after the effect, a lost request has none, and a
+    late one has its effect when the test says `land`.
+    """
+
+    NONE = enum.auto()
+    DOWN = enum.auto()
+    ANSWER_LOST = enum.auto()
+    REQUEST_LOST = enum.auto()
+    LATE = enum.auto()
+    DELAYED = enum.auto()
+
+
+@final
+class FakeClock:
+    """Time that passes only by `sleep` and `advance`."""
+
+    def __init__(self) -> None:
+        self.seconds = 0.0
+
+    def now(self) -> datetime.datetime:
+        return EPOCH + datetime.timedelta(seconds=self.seconds)
+
+    def monotonic(self) -> float:
+        return self.seconds
+
+    def sleep(self, seconds: float) -> None:
+        gevent.sleep(0)
+        self.seconds += seconds
+
+    def advance(self, seconds: float) -> None:
+        self.seconds += seconds
+
+
+@final
+class FakeStore:
+    """Table service in memory; versions start anew after a delete."""
+
+    def __init__(self) -> None:
+        self.row_by_key: dict[str, _table_client.Row] = {}
+        self.transact_faults: collections.deque[Fault] = collections.deque()
+        self.read_faults: collections.deque[Fault] = collections.deque()
+        self.batch_sizes: list[int] = []
+        self._late: list[Callable[[], object]] = []
+
+    def read(self, table, key):
+        fault = _next(self.read_faults)
+        gevent.sleep(0)
+        if fault is Fault.DOWN:
+            raise _errors.StoreUnavailable("read while down")
+        return self.row_by_key.get(key)
+
+    def scan(self, table, *, prefix="", after="", limit=500):
+        keys = sorted(key for key in self.row_by_key if key > after)
+        rows = [self.row_by_key[key] for key in keys[:limit]]
+        return _table_client.Page(rows=rows, more=len(keys) > limit)
+
+    def transact(self, *, conditions, puts, deletes=()):
+        fault = _next(self.transact_faults)
+        self.batch_sizes.append(len(puts) + len(deletes))
+        gevent.sleep(0)
+        if fault is Fault.DOWN:
+            raise _errors.StoreUnavailable("write while down", retry_after=3)
+        if fault is Fault.REQUEST_LOST:
+            raise _errors.StoreAmbiguous("request lost")
+        if fault is Fault.LATE:
+            self._late.append(lambda: self._apply(conditions, puts, deletes))
+            raise _errors.StoreAmbiguous("on its way")
+        if fault is Fault.DELAYED:
+            for _ in range(10):
+                gevent.sleep(0)
+        versions = self._apply(conditions, puts, deletes)
+        gevent.sleep(0)
+        if fault is Fault.ANSWER_LOST:
+            raise _errors.StoreAmbiguous("answer lost")
+        return versions
+
+    def land(self) -> None:
+        """Let late writes have their effect, if their conditions hold."""
+        late, self._late = self._late, []
+        for apply in late:
+            try:
+                apply()
+            except _table_client.TransactionConflict:
+                pass
+
+    def claim_row(self, key: str = ROW_KEY) -> _claim_rows.ClaimRow | None:
+        """Give the claim under a row key."""
+        row = self.row_by_key.get(key)
+        return None if row is None else _claim_rows.row_of(row.value)
+
+    def _apply(self, conditions, puts, deletes):
+        current = [self._current(asked) for asked in conditions]
+        failed = [
+            row
+            for row, asked in zip(current, conditions)
+            if row.version != asked.version
+        ]
+        if failed:
+            raise _table_client.TransactionConflict(failed)
+        versions = {}
+        for put in puts:
+            version = self._current(put).version + 1
+            self.row_by_key[put.key] = _table_client.Row(
+                table=put.table, key=put.key, version=version, value=put.value
+            )
+            versions[f"{put.table}/{put.key}"] = version
+        for delete in deletes:
+            self.row_by_key.pop(delete.key, None)
+        return versions
+
+    def _current(self, named) -> _table_client.Row:
+        absent = _table_client.Row(
+            table=named.table, key=named.key, version=0, value=None
+        )
+        return self.row_by_key.get(named.key, absent)
+
+
+@final
+class FakeObjects:
+    """Object store in memory."""
+
+    def __init__(self) -> None:
+        self.data_by_key: dict[str, bytes] = {}
+        self.down = False
+
+    def put(self, key: str, data: bytes) -> None:
+        if self.down:
+            raise _errors.StoreUnavailable("objects down")
+        self.data_by_key[key] = data
+
+    def get(self, key: str) -> bytes | None:
+        if self.down:
+            raise _errors.StoreUnavailable("objects down")
+        return self.data_by_key.get(key)
+
+
+def make_keeper(store, *, objects=None, clock=None, name="d1", **options):
+    """Make a ClaimKeeper of daemon `name` over fakes."""
+    return _claims.ClaimKeeper(
+        store=store,
+        objects=objects or FakeObjects(),
+        daemon_id=_ids.DaemonId(name),
+        clock=clock or FakeClock(),
+        max_kept_bytes=10_000,
+        min_interval=0.0,
+        **options,
+    )
+
+
+def claim(
+    keeper, *, key="k", fingerprint=FINGERPRINT, deadline=1000.0, team=TEAM
+):
+    """Claim with the values that most tests share."""
+    return keeper.claim(
+        team=team,
+        service=SERVICE,
+        key=key,
+        fingerprint=fingerprint,
+        deadline=deadline,
+    )
+
+
+def crash(keeper) -> None:
+    """Kill all that a daemon's keeper has running."""
+    worker = keeper._committer._worker
+    if worker is not None:
+        worker.kill()
+    keeper._settler._jobs.kill()
+
+
+def _next(faults: collections.deque[Fault]) -> Fault:
+    return faults.popleft() if faults else Fault.NONE
--- /dev/null
+++ b/tests/topazlug/peer_fixtures.py
@@ -0,0 +1,191 @@
+"""Daemons' peer parts in one process, over loopback."""
+
+from collections.abc import Callable
+from collections.abc import Mapping
+import datetime
+import time
+
+import gevent
+
+from topazlug import _clock
+from topazlug import _ids
+from topazlug import _instances
+from topazlug import _membership
+from topazlug import _peers
+from topazlug._generated import settings as _settings
+
+LOCALHOST = "127.0.0.1"
+SECRET = "a secret of the fleet"
+WAIT_SECONDS = 20.0
+
+
+def wait_until(condition: Callable[[], bool]) -> None:
+    """Wait for a condition; fail if it doesn't come true."""
+    limit = time.monotonic() + WAIT_SECONDS
+    while not condition():
+        assert time.monotonic() < limit, "the condition never came true"
+        gevent.sleep(0.005)
+
+
+class ManualClock:
+    """Stands still until it is told to go on."""
+
+    def __init__(self) -> None:
+        self.seconds = 1000.0
+
+    def now(self) -> datetime.datetime:
+        """Give the wall time."""
+        return datetime.datetime.fromtimestamp(
+            self.seconds, tz=datetime.timezone.utc
+        )
+
+    def monotonic(self) -> float:
+        """Give the seconds it was told."""
+        return self.seconds
+
+    def sleep(self, seconds: float) -> None:
+        """Let other greenlets run; the time is not ours to move."""
+        gevent.sleep(seconds)
+
+
+class JumpClock:
+    """The system's clock, which can be made to jump."""
+
+    def __init__(self) -> None:
+        self.ahead = 0.0
+        self._system = _clock.SystemClock()
+
+    def now(self) -> datetime.datetime:
+        """Give the wall time."""
+        return self._system.now()
+
+    def monotonic(self) -> float:
+        """Give monotonic time with the jumps."""
+        return self._system.monotonic() + self.ahead
+
+    def sleep(self, seconds: float) -> None:
+        """Let other greenlets run."""
+        self._system.sleep(seconds)
+
+
+def peer_settings(**values: object) -> _settings.PeerSettings:
+    """Give settings with the fleet's secret."""
+    return _settings.PeerSettings(**{"secret": SECRET, **values})
+
+
+class LinkPair:
+    """Streams of daemons ``a`` and ``b``; more on demand."""
+
+    def __init__(self) -> None:
+        self.clock = ManualClock()
+        self.address_by_id: dict[str, _peers.Address] = {}
+        self.links_by_id: dict[str, _peers.PeerLinks] = {}
+
+    def make(self, name: str, **values: object) -> _peers.PeerLinks:
+        """Start the streams of one more daemon."""
+        links = _peers.PeerLinks(
+            daemon_id=_ids.DaemonId(name),
+            incarnation=1,
+            settings=peer_settings(**values),
+            clock=self.clock,
+            address_of=self.address_by_id.get,
+            idle_seconds=0.4,
+        )
+        port = links.serve(host=LOCALHOST, port=0)
+        self.address_by_id[name] = _peers.Address(LOCALHOST, port)
+        self.links_by_id[name] = links
+        return links
+
+    def stop(self) -> None:
+        """Stop all."""
+        for links in self.links_by_id.values():
+            links.stop()
+
+
+class FakeList:
+    """The platform's list, set by the test."""
+
+    def __init__(self) -> None:
+        self.instances_by_id: Mapping[str, _instances.Instance] = {}
+        self._callbacks: list[Callable[[], None]] = []
+
+    def on_change(self, callback: Callable[[], None]) -> None:
+        """Have a callable called on each change."""
+        self._callbacks.append(callback)
+
+    def show(self, *instances: _instances.Instance) -> None:
+        """Show these instances and no others."""
+        self.instances_by_id = {one.id: one for one in instances}
+        for callback in self._callbacks:
+            callback()
+
+
+class Node:
+    """Links and membership of one daemon."""
+
+    def __init__(
+        self, name: str, instances: FakeList, *, incarnation: int = 1
+    ) -> None:
+        self.name = _ids.DaemonId(name)
+        self.incarnation = incarnation
+        self.clock = JumpClock()
+        self.cut_ids: set[str] = set()
+        self.revision = 0
+        self.links = _peers.PeerLinks(
+            daemon_id=self.name,
+            incarnation=incarnation,
+            settings=peer_settings(),
+            clock=self.clock,
+            address_of=self._address_of,
+        )
+        self.port = self.links.serve(host=LOCALHOST, port=0)
+        self.membership = _membership.Membership(
+            daemon_id=self.name,
+            incarnation=incarnation,
+            address=_peers.Address(LOCALHOST, self.port),
+            zone="mvd-centro",
+            settings=_settings.MembershipSettings(
+                exchange_interval=0.05, answer_timeout=0.3, suspect_timeout=0.3
+            ),
+            links=self.links,
+            instances=instances,
+            clock=self.clock,
+            revision_of=lambda: self.revision,
+        )
+
+    def instance(self) -> _instances.Instance:
+        """Give this daemon's entry on the list."""
+        return _instances.Instance(
+            id=self.name,
+            kind=_instances.InstanceKind.DAEMON,
+            group="fleet",
+            host=LOCALHOST,
+            port=self.port,
+            zone="mvd-centro",
+            incarnation=self.incarnation,
+        )
+
+    def sees(self, *others: "Node") -> bool:
+        """Tell whether just these and itself are usable here."""
+        names = {self.name, *(other.name for other in others)}
+        return set(self.membership.usable()) == names
+
+    def member(self, other: "Node") -> _membership.Member:
+        """Give what this daemon holds of another."""
+        return self.membership.members_by_id[other.name]
+
+    def part_from(self, others: list["Node"]) -> None:
+        """Reach these daemons no more."""
+        self.cut_ids = {other.name for other in others}
+        for other in others:
+            self.links.disconnect(other.name)
+
+    def stop(self) -> None:
+        """Fall silent without a word."""
+        self.membership.stop()
+        self.links.stop()
+
+    def _address_of(self, peer: _ids.DaemonId) -> _peers.Address | None:
+        if peer in self.cut_ids:
+            return None
+        return self.membership.address_of(peer)
--- /dev/null
+++ b/tests/topazlug/table_fakes.py
@@ -0,0 +1,295 @@
+"""Store, peers and clock that tests of the table decide on."""
+
+import copy
+import random
+from typing import Any
+from typing import Callable
+
+import gevent
+
+from tests.topazlug import claim_fakes
+from topazlug import _configuration
+from topazlug import _configuration_follower
+from topazlug import _edit_plan
+from topazlug import _errors
+from topazlug import _ids
+from topazlug import _table_client
+from topazlug import _table_edits
+from topazlug import _table_snapshot
+from topazlug import _table_storage
+from topazlug._generated import messages
+from topazlug._generated import settings
+
+TABLES = _table_snapshot.TableName
+HASH = "a" * 64
+
+
+class FakeStore:
+    """A table service in memory, with faults.
+
+    Attributes
+    ----------
+    down : bool
+        Refuse all.
+    lost_answers, lost_requests : int
+        Transactions whose answer, or that themselves, are lost next.
+    readers : list of FakeStore
+        Replicas that the next reads are sent to, one each.
+    before_transact : list of callable
+        Run once each before the next transactions.
+    """
+
+    def __init__(self) -> None:
+        self.row_by_place: dict[tuple[str, str], _table_client.Row] = {}
+        self.down = False
+        self.lost_answers = 0
+        self.lost_requests = 0
+        self.readers: list["FakeStore"] = []
+        self.before_transact: list[Callable[[], None]] = []
+        self.reads = 0
+        self.commits = 0
+
+    def replica(self) -> "FakeStore":
+        """Give a copy that stays as the rows are now."""
+        made = FakeStore()
+        made.row_by_place = dict(self.row_by_place)
+        return made
+
+    def read(self, table: str, key: str) -> _table_client.Row | None:
+        self.reads += 1
+        self._check_up()
+        if self.readers:
+            return self.readers.pop(0).read(table, key)
+        return self.row_by_place.get((table, key))
+
+    def scan(
+        self,
+        table: str,
+        *,
+        prefix: str = "",
+        after: str = "",
+        limit: int = _table_client.DEFAULT_LIMIT,
+    ) -> _table_client.Page:
+        self.reads += 1
+        self._check_up()
+        if self.readers:
+            return self.readers.pop(0).scan(table, after=after, limit=limit)
+        keys = sorted(k for t, k in self.row_by_place if t == table)
+        found = [k for k in keys if k > after and k.startswith(prefix)]
+        rows = [self.row_by_place[table, key] for key in found[:limit]]
+        return _table_client.Page(rows=rows, more=len(found) > limit)
+
+    def transact(
+        self,
+        *,
+        conditions: Any,
+        puts: Any,
+        deletes: Any = (),
+    ) -> dict[str, int]:
+        if self.before_transact:
+            self.before_transact.pop(0)()
+        self._check_up()
+        if puts and self.lost_requests:
+            self.lost_requests -= 1
+            raise _errors.StoreAmbiguous("the request was lost")
+        failed = [
+            self._row(c.table, c.key)
+            for c in conditions
+            if self._row(c.table, c.key).version != c.version
+        ]
+        if failed:
+            raise _table_client.TransactionConflict(failed)
+        versions = {f"{put.table}/{put.key}": self._put(put) for put in puts}
+        for delete in deletes:
+            self.row_by_place.pop((delete.table, delete.key), None)
+        if puts:
+            self.commits += 1
+        if puts and self.lost_answers:
+            self.lost_answers -= 1
+            raise _errors.StoreAmbiguous("the answer was lost")
+        return versions
+
+    def _put(self, put: _table_client.Put) -> int:
+        version = self._row(put.table, put.key).version + 1
+        self.row_by_place[put.table, put.key] = _table_client.Row(
+            table=put.table,
+            key=put.key,
+            version=version,
+            value=copy.deepcopy(put.value),
+        )
+        return version
+
+    def _row(self, table: str, key: str) -> _table_client.Row:
+        absent = _table_client.Row(table=table, key=key, version=0, value=None)
+        return self.row_by_place.get((table, key), absent)
+
+    def _check_up(self) -> None:
+        if self.down:
+            raise _errors.StoreUnavailable("the store is down")
+
+
+class FakeNetwork:
+    """Streams between the nodes of one test."""
+
+    def __init__(self) -> None:
+        self.handlers_by_daemon: dict[str, dict[type, Any]] = {}
+        self.cut: set[str] = set()
+        self.sent: list[tuple[str, str, Any]] = []
+
+
+class FakeLinks:
+    """One node's streams."""
+
+    def __init__(self, network: FakeNetwork, own: str) -> None:
+        self._network = network
+        self._own = own
+        network.handlers_by_daemon[own] = {}
+
+    def handle(self, kind: type, handler: Any) -> None:
+        self._network.handlers_by_daemon[self._own][kind] = handler
+
+    def send(self, to: str, message: Any) -> None:
+        self._deliver(to, message, lambda reply: None)
+
+    def call(self, to: str, message: Any, *, timeout: float) -> Any:
+        replies: list[Any] = []
+        self._deliver(to, message, replies.append)
+        return replies[0]
+
+    def _deliver(self, to: str, message: Any, reply: Any) -> None:
+        if {to, self._own} & self._network.cut:
+            raise _errors.PeerUnreachable(f"{to} is cut off")
+        self._network.sent.append((self._own, to, message))
+        handlers = self._network.handlers_by_daemon[to]
+        handlers[type(message)](_ids.DaemonId(self._own), message, reply)
+
+
+class FakeMembers:
+    """Everybody on the network is usable."""
+
+    def __init__(self, network: FakeNetwork) -> None:
+        self._network = network
+
+    def usable(self) -> dict[Any, Any]:
+        return dict.fromkeys(self._network.handlers_by_daemon)
+
+
+class Node:
+    """A daemon's part that holds and edits the table."""
+
+    def __init__(
+        self, name: str, *, store: FakeStore, network: FakeNetwork
+    ) -> None:
+        self.id = _ids.DaemonId(name)
+        self.clock = claim_fakes.FakeClock()
+        self.holder = _configuration.ConfigurationHolder()
+        self.follower = _configuration_follower.ConfigurationFollower(
+            daemon_id=self.id,
+            holder=self.holder,
+            store=store,
+            links=FakeLinks(network, name),
+            members=FakeMembers(network),
+            settings=settings.ConfigurationSettings(),
+            clock=self.clock,
+            randomness=random.Random(1),
+        )
+        self.editor = _table_edits.TableEditor(
+            store=store,
+            holder=self.holder,
+            publisher=self.follower,
+            clock=self.clock,
+        )
+
+    def tag(self, table: TABLES, key: str) -> str | None:
+        """Give a row's ETag as this node holds it."""
+        current = self.holder.current
+        assert current is not None
+        row = current.rows_by_name(table).get(key)
+        return _edit_plan.etag_of(row, current.version_of(table, key)) or None
+
+    def put(
+        self, key: str, *, edit_id: str = "", **columns: Any
+    ) -> _table_edits.EditResult:
+        """Write a team based on what this node holds."""
+        edit = team_edit(key, expected=self.tag(TABLES.TEAMS, key), **columns)
+        return self.editor.edit([edit], stamp=stamp(edit_id))
+
+    def weight(self, key: str) -> float:
+        """Give a team's weight in force here."""
+        assert self.holder.current is not None
+        return self.holder.current.teams_by_name[key].weight
+
+
+def settle() -> None:
+    """Let the greenlets that were spawned run to their end."""
+    for _ in range(20):
+        gevent.sleep(0)
+
+
+def stamp(edit_id: str = "") -> _edit_plan.Stamp:
+    """Give a stamp, with an id of its own unless one is given."""
+    made = edit_id or f"edit-{random.getrandbits(64):016x}"
+    return _edit_plan.Stamp(who="ana", why="a test", edit_id=made)
+
+
+def team_edit(
+    key: str, *, expected: str | None = None, **columns: Any
+) -> _edit_plan.RowEdit:
+    """Give an edit of a team."""
+    return _edit_plan.RowEdit(
+        table=TABLES.TEAMS,
+        key=key,
+        value={"name": key, **columns},
+        expected=expected,
+    )
+
+
+def change(
+    revision: int, key: str = "acme", table: str = "teams", **columns: Any
+) -> messages.RowChange:
+    """Give the change of a row."""
+    return messages.RowChange(
+        revision=revision,
+        table=table,
+        key=key,
+        row_version=revision,
+        value={"name": key, **columns},
+    )
+
+
+def removal(revision: int, key: str = "acme") -> messages.RowChange:
+    """Give the removal of a team."""
+    return messages.RowChange(
+        revision=revision, table="teams", key=key, value=None
+    )
+
+
+def place_unreadable_revision(store: FakeStore, revision: int) -> None:
+    """Write a revision as a newer program would, with an unknown column."""
+    value = {"name": "acme", "column_of_a_newer_program": 1}
+    entry = _table_storage.HistoryEntry(
+        revision=revision,
+        table="teams",
+        key="acme",
+        value=value,
+        row_version=1,
+        who="",
+        when="",
+        what="",
+        why="",
+        edit_id="",
+    )
+    key = _table_storage.history_key(revision)
+    made = _table_client.Put
+    store.transact(
+        conditions=(),
+        puts=[
+            made(table="teams", key="acme", value=value),
+            made(
+                table="history",
+                key=key,
+                value={f: getattr(entry, f) for f in entry.__struct_fields__},
+            ),
+            made(table="meta", key="config", value={"revision": revision}),
+        ],
+    )
--- /dev/null
+++ b/tests/topazlug/test_claims.py
@@ -0,0 +1,463 @@
+"""Claims: at most one execution, and never a false not-run."""
+
+import collections
+import datetime
+
+import gevent
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies
+import pytest
+
+from tests.topazlug import claim_fakes as fakes
+from topazlug import _claim_rows
+from topazlug import _claims
+from topazlug import _errors
+from topazlug import _table_client
+
+OTHER = _claim_rows.fingerprint(method="POST", path="/", body=b"b")
+HEADERS = [("Content-Type", "text/plain")]
+CLAIMED = _claim_rows.ClaimState.CLAIMED
+RELEASED = _claim_rows.ClaimState.RELEASED
+FINISHED = _claim_rows.ClaimState.FINISHED
+
+
+@pytest.fixture
+def store():
+    return fakes.FakeStore()
+
+
+@pytest.fixture
+def objects():
+    return fakes.FakeObjects()
+
+
+@pytest.fixture
+def clock():
+    return fakes.FakeClock()
+
+
+@pytest.fixture
+def keeper(store, objects, clock):
+    return fakes.make_keeper(store, objects=objects, clock=clock)
+
+
+class TestClaim:
+    def test_first_attempt_holds_the_row(self, keeper, store):
+        claim = fakes.claim(keeper)
+        claim.may_send()
+        assert store.claim_row().attempt == claim.attempt
+
+    def test_other_teams_have_their_own_keys(self, keeper):
+        fakes.claim(keeper, team="a/b")
+        assert isinstance(fakes.claim(keeper, team="a"), _claims.Claim)
+
+    def test_names_with_slashes_do_not_meet(self):
+        """A team is given another team's answer.
+
+        Team ``a`` and service ``b/c`` name the same row as team ``a/b``
+        and service ``c``, because the parts were joined unquoted.
+        """
+        one = _claim_rows.row_key(team="a", service="b/c", key="k")
+        other = _claim_rows.row_key(team="a/b", service="c", key="k")
+        assert one != other
+
+    def test_running_attempt_makes_the_key_unknown(self, keeper, store):
+        """A slip is printed twice after its daemon died.
+
+        The first daemon claims, sends and dies; the caller repeats at a
+        second one, which takes the claim for abandoned.
+        """
+        fakes.claim(keeper).may_send()
+        with pytest.raises(_errors.KeyInUse) as caught:
+            fakes.claim(fakes.make_keeper(store, name="d2"))
+        assert caught.value.outcome is _errors.Outcome.UNKNOWN
+        assert caught.value.retry_after
+
+    def test_row_of_another_version_is_unknown(self, keeper, store):
+        """A newer daemon's claim is taken for a free key during a rollout."""
+        store.row_by_key[fakes.ROW_KEY] = _table_client.Row(
+            table="claims", key=fakes.ROW_KEY, version=3, value={"new": 1}
+        )
+        with pytest.raises(_errors.KeyInUse):
+            fakes.claim(keeper)
+
+    @pytest.mark.parametrize("end", ["abandon", "release", "finish"])
+    def test_other_request_is_refused_in_each_state(self, keeper, end):
+        claim = fakes.claim(keeper)
+        arguments = (200, HEADERS, b"done") if end == "finish" else ()
+        getattr(claim, end)(*arguments)
+        keeper.wait_settled(10.0)
+        with pytest.raises(_errors.KeyReused):
+            fakes.claim(keeper, fingerprint=OTHER)
+
+    def test_two_at_once_in_one_daemon(self, keeper):
+        """A double click registers a student twice.
+
+        Both requests reach one daemon in the same moment and go into the
+        same batch, where each is told that its row was written.
+        """
+        jobs = [gevent.spawn(fakes.claim, keeper) for _ in range(2)]
+        gevent.joinall(jobs)
+        results = [job.value or job.exception for job in jobs]
+        kinds = sorted(type(result).__name__ for result in results)
+        assert kinds == ["Claim", "KeyInUse"]
+
+
+class TestStoreFaults:
+    def test_down_is_not_run(self, keeper, store):
+        store.transact_faults.append(fakes.Fault.DOWN)
+        with pytest.raises(_errors.StoreUnavailable) as caught:
+            fakes.claim(keeper)
+        assert caught.value.outcome is _errors.Outcome.NOT_RUN
+        assert caught.value.retry_after == 3
+
+    def test_lost_answer_is_settled_by_reading_back(self, keeper, store):
+        """A request is refused for good although its own claim stands.
+
+        The store commits the claim and its answer is lost. Without a read
+        back the daemon refuses, and each repeat meets the claim.
+        """
+        store.transact_faults.append(fakes.Fault.ANSWER_LOST)
+        claim = fakes.claim(keeper)
+        claim.may_send()
+        assert store.claim_row().attempt == claim.attempt
+
+    def test_lost_answer_of_a_conflict(self, keeper, store):
+        """Two daemons send: one took a lost conflict for its own commit."""
+        holder = fakes.claim(fakes.make_keeper(store, name="d2"))
+        store.transact_faults.append(fakes.Fault.REQUEST_LOST)
+        with pytest.raises(_errors.KeyInUse):
+            fakes.claim(keeper)
+        assert store.claim_row().attempt == holder.attempt
+
+    def test_late_insert_never_sends(self, keeper, store):
+        """A claim lands after its caller was told not-run, and blocks.
+
+        The insert is ambiguous and the row absent when read back; the
+        daemon refuses. Later the insert lands: the key would say unknown
+        for a day. The released row written in its place stops it.
+        """
+        store.transact_faults.append(fakes.Fault.LATE)
+        with pytest.raises(_errors.StoreUnavailable) as caught:
+            fakes.claim(keeper)
+        assert caught.value.outcome is _errors.Outcome.NOT_RUN
+        keeper.wait_settled(10.0)
+        store.land()
+        assert store.claim_row().state is RELEASED
+        assert isinstance(fakes.claim(keeper), _claims.Claim)
+
+    def test_insert_that_lands_before_its_fence_is_released(
+        self, keeper, store
+    ):
+        """As above, but the insert lands before the released row does."""
+        store.transact_faults.append(fakes.Fault.LATE)
+        with pytest.raises(_errors.StoreUnavailable):
+            fakes.claim(keeper)
+        store.land()
+        assert store.claim_row().state is CLAIMED
+        keeper.wait_settled(10.0)
+        assert store.claim_row().state is RELEASED
+
+    def test_unreadable_after_a_lost_answer(self, keeper, store):
+        """A claim that can't be settled in time is not sent, and is freed."""
+        store.transact_faults.append(fakes.Fault.ANSWER_LOST)
+        store.read_faults.append(fakes.Fault.DOWN)
+        with pytest.raises(_errors.StoreUnavailable):
+            fakes.claim(keeper)
+        keeper.wait_settled(10.0)
+        assert store.claim_row().state is RELEASED
+
+
+class TestDeadline:
+    def test_paused_claimant_does_not_send(self, keeper, clock, store):
+        """A letter goes out long after its caller had given up.
+
+        The daemon claims, is frozen past the deadline, thaws and goes on
+        where it was: at the first byte.
+        """
+        claim = fakes.claim(keeper, deadline=5.0)
+        clock.advance(6.0)
+        with pytest.raises(_errors.DeadlineExceeded) as caught:
+            claim.may_send()
+        assert caught.value.outcome is _errors.Outcome.NOT_RUN
+        claim.release()
+        keeper.wait_settled(10.0)
+        assert store.claim_row().state is RELEASED
+
+    def test_expired_claim_does_not_send(self, store, clock):
+        """A claim is swept while its suspended holder's clock stood still."""
+        lifetime = datetime.timedelta(seconds=10)
+        keeper = fakes.make_keeper(store, clock=clock, lifetime=lifetime)
+        claim = fakes.claim(keeper)
+        clock.advance(11.0)
+        with pytest.raises(_errors.DeadlineExceeded):
+            claim.may_send()
+
+    def test_claim_that_comes_too_late_is_released(self, keeper, store):
+        """A slow store's late yes is used after the deadline, or blocks."""
+        store.transact_faults.append(fakes.Fault.DELAYED)
+        with pytest.raises(_errors.DeadlineExceeded) as caught:
+            fakes.claim(keeper, deadline=0.0)
+        assert caught.value.outcome is _errors.Outcome.NOT_RUN
+        keeper.wait_settled(10.0)
+        row = store.claim_row()
+        assert row is None or row.state is RELEASED
+
+    def test_killed_while_waiting(self, keeper, store):
+        """A caller hangs up while its claim is written; the key is stuck."""
+        store.transact_faults.append(fakes.Fault.DELAYED)
+        waiting = gevent.spawn(fakes.claim, keeper)
+        while not store.batch_sizes:
+            gevent.sleep(0)
+        waiting.kill()
+        keeper.wait_settled(10.0)
+        assert store.claim_row().state is RELEASED
+
+
+class TestRelease:
+    def test_frees_the_key(self, keeper):
+        fakes.claim(keeper).release()
+        keeper.wait_settled(10.0)
+        assert isinstance(fakes.claim(keeper), _claims.Claim)
+
+    def test_late_release_spares_the_next_claimant(self, keeper, store):
+        """A request runs twice after a release that came late.
+
+        The first release is late, its repeat lands, a second attempt
+        claims, then the late one lands. Were rows deleted, versions would
+        start anew and the late release would fit the second's row.
+        """
+        first = fakes.claim(keeper)
+        store.transact_faults.append(fakes.Fault.LATE)
+        first.release()
+        keeper.wait_settled(10.0)
+        second = fakes.claim(fakes.make_keeper(store, name="d2"))
+        store.land()
+        row = store.claim_row()
+        assert (row.attempt, row.state) == (second.attempt, CLAIMED)
+
+    def test_block_left_before_sending_frees_the_key(self, keeper):
+        """A caller hangs up between claim and first byte; the key sticks."""
+        with fakes.claim(keeper):
+            pass
+        keeper.wait_settled(10.0)
+        assert isinstance(fakes.claim(keeper), _claims.Claim)
+
+    def test_block_left_after_sending_is_unknown(self, keeper):
+        """A request runs twice after its handler failed while sending."""
+        with fakes.claim(keeper) as claim:
+            claim.may_send()
+        keeper.wait_settled(10.0)
+        with pytest.raises(_errors.KeyInUse):
+            fakes.claim(keeper)
+
+    def test_ended_claim_can_not_be_used(self, keeper):
+        """A handler's clean-up frees a key whose request was sent."""
+        claim = fakes.claim(keeper)
+        claim.abandon()
+        with pytest.raises(_errors.ClaimEnded):
+            claim.release()
+        with pytest.raises(_errors.ClaimEnded):
+            claim.may_send()
+
+
+class TestFinish:
+    def repeat(self, keeper, body):
+        fakes.claim(keeper).finish(201, HEADERS, body)
+        keeper.wait_settled(10.0)
+        return fakes.claim(keeper)
+
+    @pytest.mark.parametrize("size", [0, 10, 5000])
+    def test_repeat_gets_the_same_answer(self, keeper, size):
+        body = b"\xff" * size
+        kept = self.repeat(keeper, body)
+        assert kept == _claims.KeptAnswer(
+            status=201, headers=HEADERS, body=body
+        )
+
+    def test_small_answer_needs_no_object(self, keeper, objects):
+        self.repeat(keeper, b"small")
+        assert not objects.data_by_key
+
+    def test_too_large_answer_says_ran(self, keeper):
+        with pytest.raises(_errors.AnswerNotKept) as caught:
+            self.repeat(keeper, b"x" * 20_000)
+        assert caught.value.outcome is _errors.Outcome.RAN
+
+    def test_object_store_down_at_the_finish(self, keeper, objects, store):
+        """A row points to an answer that was never kept."""
+        objects.down = True
+        with pytest.raises(_errors.AnswerNotKept):
+            self.repeat(keeper, b"x" * 5000)
+        answer = store.claim_row().answer
+        assert answer.place is _claim_rows.AnswerPlace.NOWHERE
+
+    def test_object_store_down_at_the_repeat(self, keeper, objects):
+        """A caller is told not-run of a charge that was made.
+
+        The kept answer can't be read, and the read's own error, which says
+        not-run, goes to the caller.
+        """
+        self.repeat(keeper, b"x" * 5000)
+        objects.down = True
+        with pytest.raises(_errors.AnswerNotKept) as caught:
+            fakes.claim(keeper)
+        assert caught.value.outcome is _errors.Outcome.RAN
+
+    @pytest.mark.parametrize("fault", list(fakes.Fault))
+    def test_is_retried(self, keeper, store, fault):
+        """A repeat finds unknown, as one write of the answer failed."""
+        claim = fakes.claim(keeper)
+        store.transact_faults.append(fault)
+        claim.finish(200, HEADERS, b"done")
+        keeper.wait_settled(10.0)
+        assert fakes.claim(keeper).body == b"done"
+
+    def test_long_outage_leaves_the_claim(self, keeper, store):
+        claim = fakes.claim(keeper)
+        store.transact_faults.extend([fakes.Fault.DOWN] * 1000)
+        claim.finish(200, HEADERS, b"done")
+        assert keeper.wait_settled(10.0) == 0
+        assert store.claim_row().state is CLAIMED
+
+
+STEPS = ["", "claimed", "checked", "sent"]
+PLANS = strategies.fixed_dictionaries(
+    {
+        "daemon": strategies.integers(0, 2),
+        "wait": strategies.integers(0, 20),
+        "crash": strategies.sampled_from(["", "", "", *STEPS]),
+        "pause": strategies.sampled_from([0.0, 0.0, 2000.0]),
+        "end": strategies.sampled_from(["finish", "abandon", "release"]),
+        "tries": strategies.integers(1, 3),
+        "hangs_up": strategies.sampled_from([0, 0, 0, 3, 6]),
+    }
+)
+FAULTS = strategies.lists(
+    strategies.sampled_from(list(fakes.Fault)), max_size=25
+)
+
+
+class Run:
+    """One random schedule over daemons that share a store."""
+
+    def __init__(self, transact_faults, read_faults):
+        self.store = fakes.FakeStore()
+        self.store.transact_faults.extend(transact_faults)
+        self.store.read_faults.extend(read_faults)
+        self.objects = fakes.FakeObjects()
+        self.clocks = [fakes.FakeClock() for _ in range(3)]
+        self.keepers = [
+            fakes.make_keeper(
+                self.store,
+                objects=self.objects,
+                clock=clock,
+                name=f"d{number}",
+            )
+            for number, clock in enumerate(self.clocks)
+        ]
+        self.sent = []
+        self.crashed = set()
+        self.jobs_by_daemon = collections.defaultdict(list)
+
+    def call(self, plan):
+        for _ in range(plan["wait"]):
+            gevent.sleep(0)
+        if plan["daemon"] in self.crashed:
+            return
+        for _ in range(plan["tries"]):
+            before = len(self.sent)
+            error = self.attempt(plan)
+            if error is None:
+                return
+            self.check(error, before)
+
+    def check(self, error, before):
+        if error.outcome is _errors.Outcome.RAN:
+            assert self.sent
+        if error.outcome is _errors.Outcome.NOT_RUN:
+            # The tag of a sender is its greenlet: this one sent nothing.
+            assert gevent.getcurrent() not in self.sent[before:]
+
+    def attempt(self, plan):
+        keeper = self.keepers[plan["daemon"]]
+        clock = self.clocks[plan["daemon"]]
+        try:
+            deadline = clock.monotonic() + 1000.0
+            claim = fakes.claim(keeper, deadline=deadline)
+        except _errors.RequestError as error:
+            return error
+        if isinstance(claim, _claims.KeptAnswer):
+            assert len(self.sent) == 1
+            assert claim.body == b"done"
+            return None
+        with claim:
+            return self.use(claim, plan)
+
+    def use(self, claim, plan):
+        self.crash_at("claimed", plan)
+        gevent.sleep(0)
+        self.clocks[plan["daemon"]].advance(plan["pause"])
+        try:
+            claim.may_send()
+        except _errors.DeadlineExceeded as error:
+            return error
+        self.crash_at("checked", plan)
+        if plan["end"] == "release":
+            claim.release()
+            return None
+        self.sent.append(gevent.getcurrent())
+        gevent.sleep(0)
+        self.crash_at("sent", plan)
+        if plan["end"] == "finish":
+            claim.finish(200, HEADERS, b"done")
+        return None
+
+    def crash_at(self, step, plan):
+        if plan["crash"] == step:
+            self.crashed.add(plan["daemon"])
+            fakes.crash(self.keepers[plan["daemon"]])
+            gevent.killall(self.jobs_by_daemon[plan["daemon"]])
+
+    def play(self, plans):
+        jobs = [gevent.spawn(self.call, plan) for plan in plans]
+        for plan, job in zip(plans, jobs):
+            self.jobs_by_daemon[plan["daemon"]].append(job)
+        for turn in range(40):
+            gevent.sleep(0)
+            if turn % 4 == 0:
+                self.store.land()
+            for plan, job in zip(plans, jobs):
+                if plan["hangs_up"] == turn + 1:
+                    job.kill(block=False)
+        gevent.joinall(jobs, timeout=2.0)
+        assert all(job.ready() for job in jobs)
+        for job in jobs:
+            if job.exception is not None:
+                raise job.exception
+        for number, keeper in enumerate(self.keepers):
+            if number not in self.crashed:
+                assert keeper.wait_settled(2.0) == 0
+        self.store.land()
+
+
+class TestSchedules:
+    """Random faults, crashes, pauses and contenders for one key."""
+
+    @settings(max_examples=400, deadline=None)
+    @given(
+        plans=strategies.lists(PLANS, min_size=2, max_size=6),
+        transact_faults=FAULTS,
+        read_faults=FAULTS,
+    )
+    def test_at_most_one_send(self, plans, transact_faults, read_faults):
+        run = Run(transact_faults, read_faults)
+        run.play(plans)
+        assert len(run.sent) <= 1
+        if not run.sent and not run.crashed:
+            # Nothing ran and no daemon died: once the store is well, the
+            # key must be free again.
+            run.store.transact_faults.clear()
+            last = fakes.make_keeper(run.store, name="last")
+            assert isinstance(fakes.claim(last), _claims.Claim)
--- /dev/null
+++ b/tests/topazlug/test_configuration_follower.py
@@ -0,0 +1,249 @@
+import pytest
+
+from tests.topazlug import table_fakes
+from topazlug import _errors
+from topazlug import _table_client
+from topazlug import _table_errors
+from topazlug._generated import messages
+
+
+@pytest.fixture
+def store():
+    return table_fakes.FakeStore()
+
+
+@pytest.fixture
+def network():
+    return table_fakes.FakeNetwork()
+
+
+@pytest.fixture
+def add_node(store, network):
+    def add(name):
+        node = table_fakes.Node(name, store=store, network=network)
+        node.follower.catch_up()
+        return node
+
+    return add
+
+
+def revisions(nodes):
+    return [node.holder.revision for node in nodes]
+
+
+class TestSpread:
+    def test_edit_reaches_all_without_a_poll(self, add_node):
+        nodes = [add_node(f"d{number}") for number in range(5)]
+        nodes[0].put("acme", weight=7)
+        table_fakes.settle()
+        assert [node.weight("acme") for node in nodes] == [7] * 5
+
+    def test_daemon_that_missed_pushes_pulls_what_it_lacks(
+        self, add_node, network
+    ):
+        """One daemon holds a revision with a row missing, or stays behind.
+
+        Sequence: a daemon is cut off while two edits are pushed, then gets
+        the push of the third. Cause: a gap between the held and the pushed
+        revision that nobody fills.
+        """
+        first, second = add_node("a"), add_node("b")
+        network.cut.add("b")
+        first.put("acme", weight=1)
+        first.put("beta", weight=2)
+        table_fakes.settle()
+        network.cut.clear()
+        first.put("acme", weight=3)
+        table_fakes.settle()
+        assert second.holder.revision == 3
+        assert (second.weight("acme"), second.weight("beta")) == (3, 2)
+
+    def test_heartbeat_with_a_higher_revision_is_followed(
+        self, add_node, network
+    ):
+        first, second = add_node("a"), add_node("b")
+        network.cut.add("b")
+        first.put("acme", weight=4)
+        table_fakes.settle()
+        network.cut.clear()
+        second.follower.hint(peer=first.id, revision=1)
+        table_fakes.settle()
+        assert second.weight("acme") == 4
+
+    def test_heartbeat_with_an_older_revision_asks_for_nothing(
+        self, add_node, network
+    ):
+        first, second = add_node("a"), add_node("b")
+        first.put("acme")
+        table_fakes.settle()
+        network.sent.clear()
+        first.follower.hint(peer=second.id, revision=0)
+        table_fakes.settle()
+        assert not network.sent
+
+    def test_news_is_pushed_on_once(self, add_node, network):
+        nodes = [add_node(f"d{number}") for number in range(4)]
+        nodes[0].put("acme")
+        table_fakes.settle()
+        senders = [
+            sender
+            for sender, _, message in network.sent
+            if isinstance(message, messages.ConfigPush)
+        ]
+        assert len(senders) == 3 + 3 * 2
+
+
+class TestOutage:
+    def test_daemon_that_starts_in_an_outage_gets_the_table_from_peers(
+        self, add_node, store, network
+    ):
+        """A replaced daemon refuses all callers while the store is down.
+
+        Sequence: the store goes down, an instance is replaced. Cause: the
+        table read from the store alone.
+        """
+        behind, ahead = add_node("a"), add_node("b")
+        behind.put("acme", weight=1)
+        table_fakes.settle()
+        network.cut.add("a")
+        ahead.put("acme", weight=2)
+        network.cut.clear()
+        store.down = True
+        started = table_fakes.Node("c", store=store, network=network)
+        started.follower.start()
+        table_fakes.settle()
+        started.follower.stop()
+        assert started.weight("acme") == 2
+        assert started.follower.failure_count >= 1
+
+    def test_outage_leaves_the_revision_in_force(self, add_node, store):
+        node = add_node("a")
+        node.put("acme", weight=5)
+        store.down = True
+        with pytest.raises(_errors.StoreUnavailable):
+            node.follower.catch_up()
+        assert node.weight("acme") == 5
+
+
+class TestReplicas:
+    def test_replica_that_lags_does_not_revert(self, add_node, store):
+        """An accepted edit is undone on one daemon for a while.
+
+        Sequence: an edit is in force; the next poll is answered by a
+        replica of the store that has not got it. Cause: the store's last
+        answer taken for the newest.
+        """
+        node = add_node("a")
+        node.put("acme", weight=1)
+        old = store.replica()
+        node.put("acme", weight=2)
+        store.readers = [old]
+        node.follower.catch_up()
+        assert node.weight("acme") == 2
+        assert node.follower.stale_count == 1
+
+    def test_history_from_a_replica_that_lags_waits(self, add_node, store):
+        writer, reader = add_node("a"), add_node("b")
+        old = store.replica()
+        reader.follower.stop()
+        edit = table_fakes.team_edit("acme", weight=2)
+        writer.editor.edit([edit], stamp=table_fakes.stamp())
+        store.readers = [store.replica(), old]
+        reader.follower.catch_up()
+        assert reader.holder.revision == 0
+        reader.follower.catch_up()
+        assert reader.weight("acme") == 2
+
+    def test_rows_from_a_replica_that_lags_are_not_taken_for_whole(
+        self, add_node, store, network
+    ):
+        """A daemon lacks a team for good, though at the newest revision.
+
+        Sequence: a daemon starts and reads the whole table; the revision
+        comes from a fresh replica of the store before and after, the teams
+        from one that lags. Cause: rows of two revisions taken for one.
+        """
+        writer = add_node("a")
+        writer.put("acme")
+        old = store.replica()
+        writer.put("beta")
+        started = table_fakes.Node("c", store=store, network=network)
+        fresh = store.replica()
+        # The revision once, then tries of: revision, teams, 4 other
+        # tables, revision.
+        one_try = [fresh, old, *[fresh] * 4, fresh]
+        store.readers = [fresh, *one_try]
+        started.follower.catch_up()
+        assert set(started.holder.current.teams_by_name) == {"acme", "beta"}
+        assert not store.readers
+
+    def test_rows_that_never_agree_are_refused(self, add_node, store, network):
+        writer = add_node("a")
+        writer.put("acme")
+        del store.row_by_place["teams", "acme"]
+        started = table_fakes.Node("c", store=store, network=network)
+        with pytest.raises(_table_errors.TableInconsistent):
+            started.follower.catch_up()
+        assert started.holder.current is None
+
+
+class TestUnreadable:
+    def test_later_readable_table_goes_past_an_unreadable_revision(
+        self, add_node, store
+    ):
+        """A daemon stays at an old revision after the row was mended.
+
+        Sequence: revision 1 can't be read, revision 2 mends the row. Cause:
+        the changes are applied one by one and the first stands in the way.
+        """
+        node = add_node("a")
+        table_fakes.place_unreadable_revision(store, 1)
+        node.follower.catch_up()
+        assert node.holder.revision == 0
+        assert node.holder.is_blocked
+        mended = {"name": "acme", "weight": 3.0}
+        put = _table_client.Put
+        store.transact(
+            conditions=(),
+            puts=[
+                put(table="teams", key="acme", value=mended),
+                put(table="meta", key="config", value={"revision": 2}),
+            ],
+        )
+        node.follower.catch_up()
+        assert (node.holder.revision, node.weight("acme")) == (2, 3)
+
+    def test_unreadable_table_is_read_whole_once(self, add_node, store):
+        node = add_node("a")
+        table_fakes.place_unreadable_revision(store, 1)
+        node.follower.catch_up()
+        before = store.reads
+        node.follower.catch_up()
+        assert store.reads - before == 2
+
+
+class TestPull:
+    def answer(self, node, network, after):
+        replies = []
+        handler = network.handlers_by_daemon[node.id][messages.ConfigPull]
+        handler("x", messages.ConfigPull(after=after), replies.append)
+        return replies[0]
+
+    def test_changes_kept_are_answered_one_by_one(self, add_node, network):
+        node = add_node("a")
+        for number in range(3):
+            node.put("acme", weight=number + 1)
+        answer = self.answer(node, network, 1)
+        assert not answer.whole
+        assert [c.revision for c in answer.changes] == [2, 3]
+
+    def test_who_holds_nothing_gets_the_whole_table(self, add_node, network):
+        node = add_node("a")
+        node.put("acme")
+        answer = self.answer(node, network, -1)
+        assert answer.whole
+        assert [c.key for c in answer.changes] == ["acme"]
+
+    def test_who_is_ahead_gets_nothing(self, add_node, network):
+        node = add_node("a")
+        assert self.answer(node, network, 5).changes == []
--- /dev/null
+++ b/tests/topazlug/test_instances.py
@@ -0,0 +1,144 @@
+"""The platform's list of instances."""
+
+import json
+
+from gevent import pywsgi
+import pytest
+
+from tests.topazlug import peer_fixtures
+from topazlug import _errors
+from topazlug import _instances
+
+ENTRY = {
+    "id": "e1",
+    "kind": "engine",
+    "group": "p",
+    "host": "127.0.0.1",
+    "port": 80,
+    "zone": "wien-a",
+    "region": "wien",
+    "state": "live",
+    "incarnation": 3,
+    "slots": 8,
+}
+
+
+class FakePlatform:
+    """Serves a list, and takes entries."""
+
+    def __init__(self):
+        self.body = json.dumps({"instances": [ENTRY]}).encode()
+        self.status = "200 OK"
+        self.calls = []
+        self.server = pywsgi.WSGIServer(("127.0.0.1", 0), self, log=None)
+        self.server.start()
+
+    def __call__(self, environ, start_response):
+        body = environ["wsgi.input"].read()
+        method, path = environ["REQUEST_METHOD"], environ["PATH_INFO"]
+        self.calls.append((method, path, body))
+        start_response(self.status, [])
+        return [self.body]
+
+
+@pytest.fixture
+def platform():
+    platform = FakePlatform()
+    yield platform
+    platform.server.stop()
+
+
+@pytest.fixture
+def listed(platform):
+    listed = _instances.InstanceList(
+        host="127.0.0.1",
+        port=platform.server.server_port,
+        timeout=5.0,
+        interval=0.01,
+        clock=peer_fixtures.ManualClock(),
+    )
+    yield listed
+    listed.stop()
+
+
+class TestDecode:
+    """A list is read as far as it can be."""
+
+    def test_entry(self):
+        (found,) = _instances.decode(
+            json.dumps({"instances": [ENTRY]}).encode()
+        ).values()
+        assert found.kind is _instances.InstanceKind.ENGINE
+        assert (found.id, found.incarnation, found.slots) == ("e1", 3, 8)
+
+    def test_entry_of_a_kind_to_come_is_left_out(self):
+        other = {**ENTRY, "id": "n", "kind": "novelty"}
+        data = json.dumps({"instances": [other, ENTRY]}).encode()
+        assert list(_instances.decode(data)) == ["e1"]
+
+
+class TestReading:
+    """The last whole list stays in force."""
+
+    def test_change_is_told_once(self, listed):
+        told = []
+        listed.on_change(lambda: told.append(set(listed.instances_by_id)))
+        listed.refresh()
+        listed.refresh()
+        assert told == [{"e1"}]
+        assert listed.refreshed_at is not None
+
+    @pytest.mark.parametrize(
+        ("status", "body"),
+        [
+            ("503 Outage", b""),
+            ("200 OK", b'{"instances": [{"id"'),
+            ("200 OK", b"[]"),
+        ],
+    )
+    def test_failed_read_keeps_the_last(self, platform, listed, status, body):
+        listed.refresh()
+        platform.status, platform.body = status, body
+        with pytest.raises(_errors.StoreUnavailable):
+            listed.refresh()
+        assert set(listed.instances_by_id) == {"e1"}
+
+    def test_reads_on_through_an_outage(self, platform, listed):
+        platform.status = "503 Outage"
+        listed.start()
+        peer_fixtures.wait_until(lambda: len(platform.calls) > 2)
+        platform.status = "200 OK"
+        peer_fixtures.wait_until(lambda: "e1" in listed.instances_by_id)
+
+
+class TestRegistering:
+    """Our own entry gets on the list, and off it."""
+
+    @pytest.fixture
+    def mine(self):
+        return _instances.Instance(
+            id="d/1",
+            kind=_instances.InstanceKind.DAEMON,
+            group="fleet",
+            host="127.0.0.1",
+            port=7,
+            zone="wien-a",
+        )
+
+    def test_register_goes_on_until_it_holds(
+        self, platform, listed, mine, monkeypatch
+    ):
+        monkeypatch.setattr(_instances, "RETRY_SECONDS", 0.01)
+        platform.status = "503 Outage"
+        listed.register(mine)
+        peer_fixtures.wait_until(lambda: len(platform.calls) > 1)
+        platform.status = "204 No Content"
+        sent = len(platform.calls)
+        peer_fixtures.wait_until(lambda: len(platform.calls) > sent)
+        method, path, body = platform.calls[-1]
+        assert (method, path) == ("PUT", "/instances/d/1")
+        assert json.loads(body)["port"] == 7
+
+    def test_unregister(self, platform, listed, mine):
+        listed.unregister("d/1")
+        assert platform.calls == [("DELETE", "/instances/d/1", b"")]
--- /dev/null
+++ b/tests/topazlug/test_logs.py
@@ -0,0 +1,159 @@
+import datetime
+import io
+import json
+import logging
+
+import gevent
+import pytest
+
+from topazlug import _ids
+from topazlug import _logs
+from topazlug._generated import settings
+
+log = _logs.logger("test")
+
+
+@pytest.fixture
+def stream():
+    return io.StringIO()
+
+
+@pytest.fixture
+def handler(stream, request):
+    chosen = getattr(request, "param", settings.LogSettings())
+    handler = _logs.set_up(chosen, _ids.DaemonId("d1"), stream=stream)
+    yield handler
+    handler.pop_application()
+
+
+@pytest.fixture
+def lines(handler, stream):
+    def read():
+        return [json.loads(line) for line in stream.getvalue().splitlines()]
+
+    return read
+
+
+class TestLines:
+    def test_hold_time_level_logger_message_and_fields(self, lines):
+        log.info("peer {peer} left", peer="d2")
+        (line,) = lines()
+        when = datetime.datetime.fromisoformat(line.pop("time"))
+        assert when.utcoffset() == datetime.timedelta(0)
+        assert line == {
+            "level": "info",
+            "logger": "test",
+            "daemon": "d1",
+            "message": "peer d2 left",
+            "peer": "d2",
+        }
+
+    def test_hold_the_exception(self, lines):
+        try:
+            raise ValueError("odd")
+        except ValueError:
+            log.exception("failed")
+        assert "ValueError: odd" in lines()[0]["exception"]
+
+    def test_come_from_libraries_too(self, lines):
+        logging.getLogger("library").warning("slow %s", "disk")
+        assert lines()[0]["message"] == "slow disk"
+
+    def test_are_left_out_below_the_level(self, lines):
+        log.debug("detail")
+        assert lines() == []
+
+    def test_survive_a_message_that_does_not_fit_its_fields(self, lines):
+        log.info("{missing}", other=1)
+        assert "{missing}" in lines()[0]["message"]
+
+    @pytest.mark.parametrize(
+        "handler",
+        [settings.LogSettings(format=settings.LogFormat.text)],
+        indirect=True,
+    )
+    def test_of_text_are_one_each(self, handler, stream):
+        log.info("first\nsecond", chat="a\nb")
+        (line,) = stream.getvalue().splitlines()
+        assert r'first\nsecond daemon="d1" chat="a\nb"' in line
+
+
+class TestWithheld:
+    @pytest.mark.parametrize(
+        "name", ["prompt", "messages", "api_key", "Authorization", "token"]
+    )
+    def test_fields_never_reach_a_line(self, handler, stream, name):
+        log.info("got {" + name + "}", **{name: "hush"})
+        log.info("nested", request={"list": [{name: "hush"}]})
+        log.info("extra", extra={name: "hush"})
+        with _logs.request_fields(**{name: "hush"}):
+            log.info("request")
+        assert len(stream.getvalue().splitlines()) == 4
+        assert "hush" not in stream.getvalue()
+
+    def test_bearer_tokens_never_reach_a_line(self, handler, stream):
+        log.info("head was Authorization: Bearer hush", why="bearer hush")
+        assert "hush" not in stream.getvalue()
+
+    def test_objects_are_shown_by_type(self, lines):
+        log.info("object", held=settings.PeerSettings(secret="hush" * 4))
+        assert lines()[0]["held"] == "<PeerSettings>"
+
+
+class TestRequestFields:
+    def test_nest(self, lines):
+        with _logs.request_fields(request_id="r1", team="acme"):
+            with _logs.request_fields(replica="e1"):
+                log.info("inner")
+            log.info("outer")
+        log.info("none")
+        inner, outer, none = lines()
+        assert (inner["request_id"], inner["replica"]) == ("r1", "e1")
+        assert outer["team"] == "acme" and "replica" not in outer
+        assert "request_id" not in none
+
+    def test_stay_in_their_greenlet(self, lines):
+        """Lines that name another caller's request.
+
+        Symptom: a search by request id shows another team's lines.
+        Sequence: two greenlets log in turn, each inside its block. Cause:
+        fields kept per thread, as all greenlets share one.
+        """
+
+        def work(request_id):
+            with _logs.request_fields(request_id=request_id):
+                for _ in range(3):
+                    gevent.sleep(0)
+                    log.info("step", mine=request_id)
+
+        gevent.joinall([gevent.spawn(work, name) for name in ("a", "b")])
+        assert len(lines()) == 6
+        assert all(line["request_id"] == line["mine"] for line in lines())
+
+    def test_can_be_handed_to_another_greenlet(self, lines):
+        def work(fields):
+            with _logs.request_fields(**fields):
+                log.info("helper")
+
+        with _logs.request_fields(request_id="r1"):
+            gevent.spawn(work, _logs.current_fields()).join()
+        assert lines()[0]["request_id"] == "r1"
+
+    def test_survive_a_generator_closed_elsewhere(self, lines):
+        """A greenlet that loses its fields to another's garbage.
+
+        Symptom: lines without a request id. Sequence: a response generator
+        is left half read; another greenlet's collection closes it. Cause:
+        leaving the block resets the fields of whoever runs.
+        """
+
+        def answer():
+            with _logs.request_fields(request_id="r1"):
+                yield
+
+        left = answer()
+        gevent.spawn(next, left).join()
+        with _logs.request_fields(request_id="r2"):
+            left.close()
+            log.info("mine")
+        assert lines()[0]["request_id"] == "r2"
--- /dev/null
+++ b/tests/topazlug/test_peer_auth.py
@@ -0,0 +1,211 @@
+"""Handshakes and seals."""
+
+import gevent
+from gevent import socket
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies
+import pytest
+
+from tests.topazlug import peer_fixtures
+from topazlug import _errors
+from topazlug import _peer_auth
+from topazlug._generated import messages
+
+LIMIT = 4096
+KEY = b"k" * 32
+
+
+def shake(sock, role, *, name, secret=peer_fixtures.SECRET, expected=None):
+    """Go through one side of a handshake, and close when it fails."""
+    try:
+        with gevent.Timeout(5, TimeoutError()):
+            return _peer_auth.shake_hands(
+                sock,
+                role=role,
+                me=_peer_auth.Identity(name, 3),
+                secret=secret,
+                max_batch_bytes=LIMIT,
+                expected=expected,
+            )
+    except BaseException:
+        sock.close()
+        raise
+
+
+def accept_in_greenlet(sock, **values):
+    return gevent.spawn(
+        shake, sock, _peer_auth.Role.ACCEPTING, name="b", **values
+    )
+
+
+def dial(sock, **values):
+    return shake(sock, _peer_auth.Role.DIALLING, name="a", **values)
+
+
+class RecordingSocket:
+    """Keeps what was sent."""
+
+    def __init__(self, sock):
+        self._sock = sock
+        self.sent = b""
+        self.recv = sock.recv
+        self.close = sock.close
+
+    def sendall(self, data):
+        self.sent += data
+        self._sock.sendall(data)
+
+
+@pytest.fixture
+def pair():
+    ends = socket.socketpair()
+    yield ends
+    for end in ends:
+        end.close()
+
+
+class TestHandshake:
+    """Both sides prove that they hold the secret."""
+
+    def test_each_learns_the_other(self, pair):
+        accepting = accept_in_greenlet(pair[1])
+        assert dial(pair[0]).peer == _peer_auth.Identity("b", 3)
+        assert accepting.get().peer == _peer_auth.Identity("a", 3)
+
+    def test_each_opens_what_the_other_seals(self, pair):
+        accepting = accept_in_greenlet(pair[1])
+        dialled, accepted = dial(pair[0]), accepting.get()
+        asked = dialled.sealer.sealed(b"question")
+        assert list(accepted.opener.batches(asked)) == [b"question"]
+        answered = accepted.sealer.sealed(b"answer")
+        assert list(dialled.opener.batches(answered)) == [b"answer"]
+
+    def test_wrong_secret(self, pair):
+        accepting = accept_in_greenlet(pair[1])
+        with pytest.raises(_errors.PeerRefused):
+            dial(pair[0], secret="another secret of some length")
+        with pytest.raises(_errors.PeerRefused, match="peers.secret"):
+            accepting.get()
+
+    def test_another_daemon_at_the_address(self, pair):
+        """Messages for a replaced daemon reach the one in its place.
+
+        Sequence: a daemon is replaced, its address goes to another, a peer
+        dials by the old list. Cause: a name taken from the address alone.
+        """
+        accept_in_greenlet(pair[1])
+        with pytest.raises(_errors.PeerRefused, match="dialled 'c'"):
+            dial(pair[0], expected="c")
+
+    def test_recorded_handshake_is_refused(self, pair):
+        """A stranger gets in by sending what a daemon once sent.
+
+        Sequence: one handshake is recorded and sent again word for word.
+        Cause: a proof that does not depend on the acceptor's nonce.
+        """
+        recording = RecordingSocket(pair[0])
+        accepting = accept_in_greenlet(pair[1])
+        dial(recording)
+        accepting.get()
+        stranger, daemon = socket.socketpair()
+        accepting = accept_in_greenlet(daemon)
+        stranger.sendall(recording.sent)
+        with pytest.raises(_errors.PeerRefused, match="wrong proof"):
+            accepting.get()
+
+    def test_own_words_sent_back_are_refused(self, pair):
+        """A stranger gets in by sending a daemon its own words.
+
+        Sequence: all that the dialling side sends comes straight back.
+        Cause: a proof that both sides would make alike.
+        """
+
+        def echo():
+            while data := pair[1].recv(4096):
+                pair[1].sendall(data)
+
+        gevent.spawn(echo)
+        with pytest.raises(_errors.PeerRefused, match="nonce"):
+            dial(pair[0])
+
+    def test_message_before_the_proof_is_refused(self, pair):
+        hello = messages.Hello(
+            version=1, daemon="a", incarnation=1, nonce="00"
+        )
+        handshake = _peer_auth._Handshake(pair[0])
+        accepting = accept_in_greenlet(pair[1])
+        handshake.send(hello)
+        handshake.send(messages.Ack())
+        with pytest.raises(_errors.PeerRefused, match="expected Proof"):
+            accepting.get()
+
+    @settings(max_examples=100, deadline=None)
+    @given(data=strategies.binary(max_size=3000))
+    def test_garbage_is_refused(self, data):
+        stranger, daemon = socket.socketpair()
+        accepting = accept_in_greenlet(daemon)
+        stranger.sendall(data)
+        stranger.shutdown(socket.SHUT_WR)
+        with pytest.raises((_errors.PeerRefused, OSError)):
+            accepting.get()
+        stranger.close()
+
+
+class TestSeals:
+    """Batches arrive whole, unchanged and in order, or not at all."""
+
+    @pytest.fixture
+    def sealer(self):
+        return _peer_auth.Sealer(KEY)
+
+    @pytest.fixture
+    def opener(self):
+        return _peer_auth.Opener(KEY, max_bytes=LIMIT)
+
+    @settings(max_examples=100, deadline=None)
+    @given(
+        batches=strategies.lists(strategies.binary(max_size=LIMIT)),
+        cuts=strategies.integers(1, 5000),
+    )
+    def test_any_pieces(self, batches, cuts):
+        sealer = _peer_auth.Sealer(KEY)
+        opener = _peer_auth.Opener(KEY, max_bytes=LIMIT)
+        data = b"".join(sealer.sealed(batch) for batch in batches)
+        pieces = (data[at : at + cuts] for at in range(0, len(data), cuts))
+        found = [one for piece in pieces for one in opener.batches(piece)]
+        assert found == batches
+
+    def test_many_large_batches(self, sealer):
+        opener = _peer_auth.Opener(KEY, max_bytes=10**6)
+        for size in (10**6, 10, 10**5, 0):
+            data = sealer.sealed(b"x" * size)
+            assert list(opener.batches(data)) == [b"x" * size]
+
+    def test_changed_batch(self, sealer, opener):
+        data = sealer.sealed(b"pay 100").replace(b"100", b"900")
+        with pytest.raises(_errors.PeerMessageInvalid, match="seal"):
+            list(opener.batches(data))
+
+    def test_repeated_batch(self, sealer, opener):
+        data = sealer.sealed(b"once")
+        with pytest.raises(_errors.PeerMessageInvalid, match="seal"):
+            list(opener.batches(data + data))
+
+    def test_dropped_batch(self, sealer, opener):
+        sealer.sealed(b"lost")
+        with pytest.raises(_errors.PeerMessageInvalid, match="seal"):
+            list(opener.batches(sealer.sealed(b"next")))
+
+    def test_oversized_batch(self, sealer, opener):
+        with pytest.raises(_errors.PeerMessageInvalid):
+            list(opener.batches(sealer.sealed(b"x" * (LIMIT + 1))))
+
+    @settings(max_examples=200, deadline=None)
+    @given(data=strategies.binary(min_size=1, max_size=200))
+    def test_garbage_never_opens(self, data):
+        opener = _peer_auth.Opener(KEY, max_bytes=LIMIT)
+        try:
+            assert not list(opener.batches(data))
+        except _errors.PeerMessageInvalid:
+            pass
--- /dev/null
+++ b/tests/topazlug/test_peers.py
@@ -0,0 +1,321 @@
+"""Streams between daemons."""
+
+import pathlib
+
+import gevent
+from gevent import server
+from gevent import socket
+import pytest
+
+from tests.topazlug import peer_fixtures
+from topazlug import _errors
+from topazlug import _peer_auth
+from topazlug import _peer_link
+from topazlug import _peers
+from topazlug._generated import messages
+from topazlug._generated import settings
+
+PATIENT = 10.0
+CERTIFICATES = pathlib.Path(__file__).parent / "peer_certificates"
+
+
+@pytest.fixture
+def pair():
+    pair = peer_fixtures.LinkPair()
+    yield pair
+    pair.stop()
+
+
+@pytest.fixture
+def asking(pair):
+    return pair.make("a")
+
+
+@pytest.fixture
+def answering(pair):
+    return pair.make("b")
+
+
+def pull(number):
+    return messages.ConfigPull(after=number)
+
+
+def answer_with_number(_peer, message, reply):
+    reply(messages.Slice(team="t", lent=message.after, lapse=1.0))
+
+
+class ListeningPeer:
+    """A TCP listener that a test gives its manners."""
+
+    def __init__(self, pair, name, manners):
+        self.sockets = []
+        self._manners = manners
+        self.server = server.StreamServer(("127.0.0.1", 0), self._accept)
+        self.server.start()
+        address = _peers.Address("127.0.0.1", self.server.server_port)
+        pair.address_by_id[name] = address
+
+    def _accept(self, sock, _address):
+        self.sockets.append(sock)
+        self._manners(sock)
+
+
+def say_nothing(_sock):
+    gevent.sleep(3600)
+
+
+def prove_and_say_nothing(sock):
+    _peer_auth.shake_hands(
+        sock,
+        role=_peer_auth.Role.ACCEPTING,
+        me=_peer_auth.Identity("b", 1),
+        secret=peer_fixtures.SECRET,
+        max_batch_bytes=100,
+    )
+    gevent.sleep(3600)
+
+
+class TestCalls:
+    """Questions find their answers."""
+
+    def test_answer(self, asking, answering):
+        answering.handle(messages.ConfigPull, answer_with_number)
+        assert asking.call("b", pull(5), timeout=PATIENT).lent == 5
+
+    def test_handler_learns_who_asks(self, asking, answering):
+        askers = []
+        answering.handle(
+            messages.ConfigPull,
+            lambda peer, _message, reply: (
+                askers.append(peer),
+                reply(messages.Ack()),
+            ),
+        )
+        asking.call("b", pull(5), timeout=PATIENT)
+        assert askers == ["a"]
+
+    def test_answers_out_of_order(self, asking, answering):
+        kept = []
+        answering.handle(
+            messages.ConfigPull,
+            lambda _peer, message, reply: kept.append((message, reply)),
+        )
+        calls = [
+            gevent.spawn(asking.call, "b", pull(n), timeout=PATIENT)
+            for n in range(3)
+        ]
+        peer_fixtures.wait_until(lambda: len(kept) == 3)
+        for message, reply in reversed(kept):
+            answer_with_number("a", message, reply)
+        assert [call.get().lent for call in calls] == [0, 1, 2]
+
+    def test_late_answer_goes_to_nobody(self, asking, answering):
+        """A question is answered with the answer to an earlier one.
+
+        Sequence: a call times out, another is made, and both answers come.
+        Cause: answers matched by their place in the stream.
+        """
+        kept = []
+        answering.handle(
+            messages.ConfigPull,
+            lambda _peer, message, reply: kept.append((message, reply)),
+        )
+        with pytest.raises(_errors.PeerUnreachable, match="unanswered"):
+            asking.call("b", pull(1), timeout=0.2)
+        second = gevent.spawn(asking.call, "b", pull(2), timeout=PATIENT)
+        peer_fixtures.wait_until(lambda: len(kept) == 2)
+        for message, reply in kept:
+            answer_with_number("a", message, reply)
+        assert second.get().lent == 2
+
+    def test_outer_timeout_is_not_swallowed(self, asking, answering):
+        answering.handle(messages.ConfigPull, lambda *_: None)
+        with pytest.raises(gevent.Timeout):
+            with gevent.Timeout(0.1):
+                asking.call("b", pull(1), timeout=PATIENT)
+
+    def test_unknown_kind_fails_at_once(self, asking, answering):
+        with pytest.raises(_errors.PeerUnreachable, match="refused"):
+            asking.call("b", pull(1), timeout=PATIENT)
+
+    def test_handler_that_fails_leaves_the_stream(self, asking, answering):
+        answering.handle(messages.ConfigPull, lambda *_: 1 / 0)
+        answering.handle(
+            messages.Release, lambda _p, _m, reply: reply(pull(1))
+        )
+        with pytest.raises(_errors.PeerUnreachable, match="refused"):
+            asking.call("b", pull(1), timeout=PATIENT)
+        answer = asking.call("b", messages.Release(asks=[]), timeout=PATIENT)
+        assert answer == pull(1)
+        assert answering.link_count == 1
+
+    def test_sends_arrive_in_order(self, asking, answering):
+        found = []
+        answering.handle(
+            messages.ConfigPull, lambda _p, message, _r: found.append(message)
+        )
+        sent = [pull(number) for number in range(2000)]
+        for message in sent:
+            asking.send("b", message)
+        peer_fixtures.wait_until(lambda: len(found) == len(sent))
+        assert found == sent
+
+    def test_large_message(self, asking, answering):
+        answering.handle(
+            messages.Release, lambda _p, message, reply: reply(message)
+        )
+        large = messages.Release(asks=list(range(500_000)))
+        assert asking.call("b", large, timeout=PATIENT) == large
+
+    def test_bytes_are_counted_alike(self, asking, answering):
+        answering.handle(messages.ConfigPull, answer_with_number)
+        asking.call("b", pull(1), timeout=PATIENT)
+        assert asking.bytes_sent == answering.bytes_received > 0
+        assert asking.bytes_received == answering.bytes_sent > 0
+
+
+class TestBrokenStreams:
+    """Each way in which a peer fails ends in the one error."""
+
+    def test_unknown_peer(self, asking):
+        with pytest.raises(_errors.PeerUnreachable, match="no address"):
+            asking.call("b", pull(1), timeout=PATIENT)
+
+    def test_cut_fails_those_who_wait(self, asking, answering):
+        answering.handle(messages.ConfigPull, lambda *_: answering.stop())
+        with pytest.raises(_errors.PeerUnreachable, match="cut"):
+            asking.call("b", pull(1), timeout=PATIENT)
+
+    def test_peer_that_comes_back_is_dialled_anew(self, pair, asking):
+        pair.make("b").handle(messages.ConfigPull, answer_with_number)
+        asking.call("b", pull(1), timeout=PATIENT)
+        pair.links_by_id["b"].stop()
+        pair.make("b").handle(messages.ConfigPull, answer_with_number)
+        peer_fixtures.wait_until(lambda: asking.link_count == 0)
+        assert asking.call("b", pull(2), timeout=PATIENT).lent == 2
+
+    def test_back_off_fails_at_once_and_ends(self, pair, asking, answering):
+        answering.handle(messages.ConfigPull, answer_with_number)
+        right = pair.address_by_id["b"]
+        pair.address_by_id["b"] = _peers.Address("127.0.0.1", 1)
+        with pytest.raises(_errors.PeerUnreachable, match="cut"):
+            asking.call("b", pull(1), timeout=PATIENT)
+        pair.address_by_id["b"] = right
+        with pytest.raises(_errors.PeerUnreachable, match="retried"):
+            asking.call("b", pull(1), timeout=PATIENT)
+        pair.clock.seconds += 2.0
+        assert asking.call("b", pull(2), timeout=PATIENT).lent == 2
+
+    def test_frozen_peer_fails_the_call(self, pair, asking):
+        """Callers hang on a peer that is stopped.
+
+        Sequence: the peer's process is frozen, its kernel still accepts.
+        Cause: no bound on the time for the handshake.
+        """
+        ListeningPeer(pair, "b", say_nothing)
+        with pytest.raises(_errors.PeerUnreachable):
+            asking.call("b", pull(1), timeout=PATIENT)
+
+    def test_peer_that_does_not_read_blocks_nobody(self, pair, asking):
+        """Senders hang, or memory grows, at a peer that reads nothing.
+
+        Sequence: a peer freezes after the handshake, its buffers fill up.
+        Cause: writing in the sender's greenlet, or a queue without bound.
+        """
+        ListeningPeer(pair, "b", prove_and_say_nothing)
+        large = messages.Release(asks=list(range(100_000)))
+        with pytest.raises(_errors.PeerUnreachable, match="takes nothing"):
+            for _ in range(1000):
+                asking.send("b", large)
+                gevent.sleep(0.001)
+
+    def test_silent_stream_is_given_up(self, pair, asking):
+        """Each call to a peer that is cut off waits out its timeout.
+
+        Sequence: the path drops all packets; the connection stays open.
+        Cause: a stream judged by its socket, not by its answers.
+        """
+        ListeningPeer(pair, "b", prove_and_say_nothing)
+        with pytest.raises(_errors.PeerUnreachable, match="unanswered"):
+            asking.call("b", pull(1), timeout=0.2)
+        assert asking.link_count == 1
+        pair.clock.seconds += _peer_link.SILENCE_SECONDS + 1
+        with pytest.raises(_errors.PeerUnreachable):
+            asking.call("b", pull(1), timeout=0.2)
+        peer_fixtures.wait_until(lambda: asking.link_count == 0)
+
+    def test_idle_stream_closes(self, pair, asking, answering):
+        answering.handle(messages.ConfigPull, answer_with_number)
+        asking.call("b", pull(1), timeout=PATIENT)
+        pair.clock.seconds += 1.0
+        peer_fixtures.wait_until(lambda: asking.link_count == 0)
+        peer_fixtures.wait_until(lambda: answering.link_count == 0)
+        assert asking.call("b", pull(2), timeout=PATIENT).lent == 2
+
+
+class TestStrangers:
+    """Who does not prove itself gets nothing."""
+
+    @pytest.mark.parametrize("data", [b"", b"GET / HTTP/1.1\r\n\r\n" * 90])
+    def test_connection_is_closed(self, pair, answering, data):
+        with socket.create_connection(pair.address_by_id["b"]) as stranger:
+            stranger.sendall(data)
+            stranger.settimeout(PATIENT)
+            try:
+                assert stranger.recv(1) == b""
+            except ConnectionResetError:
+                pass
+
+    def test_wrong_secret_runs_no_handler(self, pair, answering):
+        found = []
+        answering.handle(messages.ConfigPull, lambda *_: found.append(1))
+        stranger = pair.make("c", secret="another secret of some length")
+        with pytest.raises(_errors.PeerUnreachable):
+            stranger.call("b", pull(1), timeout=PATIENT)
+        assert not found
+
+    def test_invalid_message_cuts_the_stream(self, pair, answering):
+        sock = socket.create_connection(pair.address_by_id["b"])
+        session = _peer_auth.shake_hands(
+            sock,
+            role=_peer_auth.Role.DIALLING,
+            me=_peer_auth.Identity("c", 1),
+            secret=peer_fixtures.SECRET,
+            max_batch_bytes=100,
+        )
+        sock.sendall(session.sealer.sealed(b"no frames"))
+        sock.settimeout(PATIENT)
+        assert sock.recv(1) == b""
+        sock.close()
+
+
+class TestTls:
+    """Certificates of the fleet's authority, where settings give them."""
+
+    @pytest.fixture
+    def tls_of(self):
+        def tls_of(name):
+            return settings.TlsSettings(
+                certificate=str(CERTIFICATES / f"{name}.pem"),
+                key=str(CERTIFICATES / f"{name}-key.pem"),
+                authority=str(CERTIFICATES / "authority.pem"),
+            )
+
+        return tls_of
+
+    def test_call(self, pair, tls_of):
+        asking = pair.make("a", tls=tls_of("daemon"))
+        answering = pair.make("b", tls=tls_of("daemon"))
+        answering.handle(
+            messages.Release, lambda _p, message, reply: reply(message)
+        )
+        large = messages.Release(asks=list(range(100_000)))
+        assert asking.call("b", large, timeout=PATIENT) == large
+
+    def test_another_authority_is_refused(self, pair, tls_of):
+        asking = pair.make("a", tls=tls_of("stranger"))
+        answering = pair.make("b", tls=tls_of("daemon"))
+        answering.handle(messages.ConfigPull, answer_with_number)
+        with pytest.raises(_errors.PeerUnreachable):
+            asking.call("b", pull(1), timeout=PATIENT)
+        assert answering.link_count == 0
--- /dev/null
+++ b/tests/topazlug/test_table_edits.py
@@ -0,0 +1,280 @@
+import pytest
+
+from tests.topazlug import table_fakes
+from topazlug import _edit_plan
+from topazlug import _errors
+from topazlug import _table_edits
+from topazlug import _table_errors
+from topazlug import _table_storage
+
+TEAMS = table_fakes.TABLES.TEAMS
+
+
+@pytest.fixture
+def store():
+    return table_fakes.FakeStore()
+
+
+@pytest.fixture
+def network():
+    return table_fakes.FakeNetwork()
+
+
+@pytest.fixture
+def node(store, network):
+    made = table_fakes.Node("a", store=store, network=network)
+    made.follower.catch_up()
+    return made
+
+
+@pytest.fixture
+def other(store, network):
+    network.cut.add("b")
+    made = table_fakes.Node("b", store=store, network=network)
+    made.follower.catch_up()
+    return made
+
+
+def edit(node, key="acme", *, edit_id="", **columns):
+    made = table_fakes.team_edit(key, **columns)
+    return node.editor.edit([made], stamp=table_fakes.stamp(edit_id))
+
+
+class TestEdit:
+    def test_accepted_edit_is_in_force_at_once(self, node):
+        result = node.put("acme", weight=2)
+        assert (result.first_revision, result.revision) == (1, 1)
+        assert node.weight("acme") == 2
+
+    def test_history_says_who_when_what_and_why(self, node, store):
+        node.put("acme", weight=2)
+        node.put("acme", weight=3)
+        entry = _table_storage.read_history(store, after=1)[0]
+        assert (entry.who, entry.why) == ("ana", "a test")
+        assert entry.what == "weight: 2.0 -> 3.0"
+        assert entry.when.startswith("2026-01-01T")
+
+    def test_rows_of_one_edit_come_together(self, node):
+        edits = [table_fakes.team_edit(key) for key in ("a", "b")]
+        result = node.editor.edit(edits, stamp=table_fakes.stamp())
+        assert (result.first_revision, result.revision) == (1, 2)
+
+    def test_refused_row_keeps_the_others_out(self, node, store):
+        edits = [table_fakes.team_edit("a", pools=["none"])]
+        edits.append(table_fakes.team_edit("b"))
+        with pytest.raises(_table_errors.RowInvalid, match="'none'"):
+            node.editor.edit(edits, stamp=table_fakes.stamp())
+        assert not store.commits
+
+    def test_removal(self, node):
+        node.put("acme")
+        gone = _edit_plan.RowEdit(
+            table=TEAMS,
+            key="acme",
+            value=None,
+            expected=node.tag(TEAMS, "acme"),
+        )
+        node.editor.edit([gone], stamp=table_fakes.stamp())
+        assert not node.holder.current.teams_by_name
+
+    def test_removal_of_no_row(self, node):
+        gone = _edit_plan.RowEdit(table=TEAMS, key="acme", value=None)
+        with pytest.raises(_table_errors.RowNotFound):
+            node.editor.edit([gone], stamp=table_fakes.stamp())
+
+    def test_existing_row_needs_its_version(self, node):
+        node.put("acme")
+        with pytest.raises(_table_errors.PreconditionMissing):
+            edit(node, weight=2)
+
+    def test_force_needs_none(self, node):
+        node.put("acme")
+        edit_ = table_fakes.team_edit("acme", weight=2)
+        forced = _edit_plan.RowEdit(
+            table=TEAMS, key="acme", value=edit_.value, force=True
+        )
+        node.editor.edit([forced], stamp=table_fakes.stamp())
+        assert node.weight("acme") == 2
+
+    def test_old_history_makes_room(self, node, store, monkeypatch):
+        monkeypatch.setattr(_table_edits, "KEPT_REVISIONS", 2)
+        for number in range(4):
+            node.put("acme", edit_id=f"edit-{number}-x")
+        kept = [key for table, key in store.row_by_place if table == "edits"]
+        assert sorted(kept) == ["edit-2-x", "edit-3-x"]
+        entries = _table_storage.read_history(store, after=0)
+        assert [entry.revision for entry in entries] == [3, 4]
+
+
+class TestConflicts:
+    def test_second_of_two_editors_sees_both_values(self, node, other):
+        """An operator's change is gone and nobody was told.
+
+        Sequence: two operators read one row, both write it. Cause: the last
+        write wins unseen.
+        """
+        node.put("acme", weight=1)
+        other.follower.catch_up()
+        tag = other.tag(TEAMS, "acme")
+        node.put("acme", weight=2)
+        with pytest.raises(_table_errors.RowConflict) as caught:
+            edit(other, expected=tag, weight=3)
+        assert caught.value.mine["weight"] == 3
+        assert caught.value.current["weight"] == 2
+
+    def test_editors_at_the_same_moment(self, node, other, store):
+        """As above, with the other's commit between read and write."""
+        node.put("acme", weight=1)
+        other.follower.catch_up()
+        tag = other.tag(TEAMS, "acme")
+        store.before_transact = [lambda: node.put("acme", weight=2)]
+        with pytest.raises(_table_errors.RowConflict):
+            edit(other, expected=tag, weight=3)
+        assert other.weight("acme") == 2
+
+    def test_edits_of_different_rows_both_hold(self, node, other, store):
+        store.before_transact = [lambda: node.put("acme", weight=2)]
+        other.put("beta", weight=3)
+        assert (other.weight("acme"), other.weight("beta")) == (2, 3)
+
+    def test_row_that_was_removed_and_added_again(self, node):
+        """An edit based on a removed row changes its successor.
+
+        Sequence: a row is read, removed, added again; the reader writes.
+        Cause: the new row starts at the version that the old one had.
+        """
+        node.put("acme", weight=1)
+        tag = node.tag(TEAMS, "acme")
+        gone = _edit_plan.RowEdit(
+            table=TEAMS, key="acme", value=None, expected=tag
+        )
+        node.editor.edit([gone], stamp=table_fakes.stamp())
+        node.put("acme", weight=5)
+        with pytest.raises(_table_errors.RowConflict):
+            edit(node, expected=tag, weight=2)
+
+    def test_two_editors_can_not_both_pass_a_check(self, node, other, store):
+        """A team names a pool that is gone.
+
+        Sequence: one operator removes a pool while another lets a team use
+        it. Cause: each edit was checked against the table without the
+        other.
+        """
+        pools = table_fakes.TABLES.POOLS
+        pool = _edit_plan.RowEdit(
+            table=pools, key="p", value={"name": "p", "model": "m"}
+        )
+        node.editor.edit([pool], stamp=table_fakes.stamp())
+
+        def remove_pool():
+            gone = _edit_plan.RowEdit(
+                table=pools, key="p", value=None, force=True
+            )
+            node.editor.edit([gone], stamp=table_fakes.stamp())
+
+        other.follower.catch_up()
+        store.before_transact = [remove_pool]
+        with pytest.raises(_table_errors.RowInvalid, match="no pool 'p'"):
+            edit(other, pools=["p"])
+
+    def test_endless_contention_is_given_up(self, node, store):
+        bump = [("meta", "config"), ("x", "y")]
+        numbers = iter(range(1000))
+
+        def move_meta():
+            table, key = bump[0]
+            put = type("P", (), {"table": table, "key": key})
+            put.value = {"revision": 0, "n": next(numbers)}
+            store._put(put)
+
+        store.before_transact = [move_meta] * _table_edits.MAX_TRIES
+        with pytest.raises(_table_errors.EditContention):
+            edit(node)
+        assert not store.commits
+
+
+class TestLostAnswers:
+    def test_edit_whose_answer_was_lost_is_found_by_its_id(self, node, store):
+        """An accepted edit is reported as failed, or made twice.
+
+        Sequence: the store commits, its answer is lost. Cause: the write
+        repeated, or given up, without asking whether it took effect.
+        """
+        store.lost_answers = 1
+        result = node.put("acme", weight=2)
+        assert (result.revision, result.repeated) == (1, True)
+        assert store.commits == 1
+        assert node.weight("acme") == 2
+
+    def test_edit_whose_request_was_lost_is_made(self, node, store):
+        store.lost_requests = 1
+        result = node.put("acme", weight=2)
+        assert (result.revision, result.repeated) == (1, False)
+        assert store.commits == 1
+
+    def test_outage_after_a_lost_answer_is_unknown(self, node, store):
+        """The operator is told that nothing changed, and it did.
+
+        Sequence: the store commits, the answer is lost, the store goes
+        down. Cause: the outage reported in place of the doubt.
+        """
+        read = store.read
+
+        def lose_then_fail(table, key):
+            if store.commits:
+                raise _errors.StoreUnavailable("down")
+            return read(table, key)
+
+        store.read = lose_then_fail
+        store.lost_answers = 1
+        with pytest.raises(_errors.StoreAmbiguous, match="edit-one"):
+            edit(node, edit_id="edit-one")
+        store.read = read
+        repeat = edit(node, edit_id="edit-one")
+        assert (repeat.revision, repeat.repeated) == (1, True)
+
+    def test_outage_before_is_surely_no_edit(self, node, store):
+        store.down = True
+        with pytest.raises(_errors.StoreUnavailable):
+            edit(node)
+
+    def test_lost_answer_read_from_a_replica_that_lags(self, node, store):
+        """An accepted edit is made twice.
+
+        Sequence: the answer is lost, the edit's row is asked of a replica
+        that has not got it. Cause: absent there taken for not made.
+        """
+        store.lost_answers = 1
+        old = store.replica()
+        store.before_transact = [lambda: store.readers.append(old)]
+        result = edit(node, weight=2)
+        assert (result.revision, result.repeated) == (1, True)
+        assert store.commits == 1
+
+
+class TestEditIds:
+    def test_repeat_gives_the_first_result(self, node, store):
+        first = edit(node, edit_id="edit-one", weight=2)
+        node.put("acme", weight=3)
+        again = edit(node, edit_id="edit-one", weight=2)
+        assert (again.revision, again.repeated) == (first.revision, True)
+        assert node.weight("acme") == 3
+
+    def test_id_of_another_edit_is_refused(self, node):
+        edit(node, edit_id="edit-one", weight=2)
+        with pytest.raises(_table_errors.EditIdReused):
+            edit(node, edit_id="edit-one", weight=3)
+
+
+class TestUnreadable:
+    def test_no_edit_beyond_an_unreadable_revision(self, node, store):
+        """An old daemon overwrites what a newer one wrote.
+
+        Sequence: a newer daemon writes a column that this one does not
+        know; an operator edits through this one. Cause: the edit worked
+        out on a table without that revision.
+        """
+        node.follower.catch_up()
+        table_fakes.place_unreadable_revision(store, 1)
+        with pytest.raises(_errors.StoreUnavailable, match="newer"):
+            edit(node, "beta")
