Hold teams' ceilings over the whole fleet by lent slices

Cause: each of nine daemons sees a ninth of a team's demand, so a ceiling checked locally is either nine times too high or, split evenly, too low for a team whose calls land on one daemon. A team's owner lends slices that lapse; a cut side lends only its part of the ceiling. Ruled out: counting in the table service (thousands of writes a second). A ceiling on running requests stays below its value (room lent to nine daemons idles for up to a second).

--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -1,5 +1,6 @@
 """A whole deployment as processes on loopback."""
 
+import functools
 import json
 import pathlib
 import shutil
@@ -7,6 +8,7 @@
 import time
 from typing import Any
 from typing import Callable
+from typing import Sequence
 from typing import final
 import urllib.error
 import urllib.request
@@ -14,6 +16,7 @@
 import yaml
 
 from bench import deployment as _deployment
+from bench import group_links
 from bench import processes
 from topazlug import _clock
 from topazlug import _configuration
@@ -82,12 +85,14 @@
 class TargetProcess:
     """One stand-in engine or service and its address."""
 
-    def __init__(
-        self, *, name: str, process: processes.Process, port: int
-    ) -> None:
+    def __init__(self, *, name: str, process: processes.Process) -> None:
         self.name = name
         self.process = process
-        self.port = port
+
+    @functools.cached_property
+    def port(self) -> int:
+        """Give its port, once it listens."""
+        return _port_of(self.process)
 
     @property
     def url(self) -> str:
@@ -105,6 +110,8 @@
         What to start.
     daemons : int or None
         How many daemons, where the deployment's number is too many.
+    groups : sequence of sequence of int
+        Numbers of daemons in groups whose links can be cut.
     """
 
     def __init__(
@@ -112,6 +119,7 @@
         deployment: _deployment.Deployment,
         *,
         daemons: int | None = None,
+        groups: Sequence[Sequence[int]] = (),
     ) -> None:
         self.deployment = deployment
         self._count = daemons or deployment.daemons
@@ -121,6 +129,7 @@
         self.daemons: list[DaemonProcess] = []
         self.engines: list[TargetProcess] = []
         self.services: list[TargetProcess] = []
+        self._links = group_links.GroupLinks(groups) if groups else None
 
     def __enter__(self) -> "Fleet":
         try:
@@ -141,15 +150,16 @@
     def start(self) -> None:
         """Start everything and wait until all daemons are ready."""
         self._start_platform()
-        self.seed()
         for pool in self.deployment.pools:
             for number in range(pool.replicas):
                 self.engines.append(self.start_engine(pool, number))
         for service in self.deployment.services:
             for number in range(service.replicas):
                 self.services.append(self._start_service(service, number))
-        for number in range(self._count):
-            self.daemons.append(self.start_daemon(number))
+        self._start_daemons()
+        self.seed()
+        for target in self.engines + self.services:
+            target.port
         self.wait_ready()
 
     def _run(self, name: str, arguments: list[str]) -> processes.Process:
@@ -181,7 +191,7 @@
     def start_engine(
         self, pool: _deployment.Pool, number: int
     ) -> TargetProcess:
-        """Start one engine of a pool."""
+        """Start one engine of a pool; its port is known once it listens."""
         name = f"{pool.name}-{number}"
         engine = self.deployment.engine
         options = {
@@ -203,9 +213,7 @@
             "--load-lag": str(engine.load_lag),
         }
         process = self._run(name, _stand_in("engine", options))
-        return TargetProcess(
-            name=name, process=process, port=_port_of(process)
-        )
+        return TargetProcess(name=name, process=process)
 
     def _start_service(
         self, service: _deployment.Service, number: int
@@ -221,21 +229,45 @@
             "--slots": str(service.slots),
         }
         process = self._run(name, _stand_in("service", options))
-        return TargetProcess(
-            name=name, process=process, port=_port_of(process)
-        )
+        return TargetProcess(name=name, process=process)
 
-    def start_daemon(self, number: int) -> DaemonProcess:
-        """Start one daemon."""
-        settings = self.daemon_settings(number)
+    def _start_daemons(self) -> None:
+        settings_by_number = {
+            number: self.daemon_settings(number)
+            for number in range(self._count)
+        }
+        if self._links is not None:
+            self._links.start(
+                settings_by_number=settings_by_number,
+                folder=self.folder,
+                start=self._run,
+            )
+        for number, settings in settings_by_number.items():
+            self.daemons.append(self.start_daemon(number, settings))
+
+    def start_daemon(
+        self, number: int, settings: dict[str, Any] | None = None
+    ) -> DaemonProcess:
+        """Start one daemon, with settings of its own where some are given.
+
+        Where the links between groups can be cut, settings are needed: the
+        relays lead to the peers' port that they name.
+        """
+        settings = settings or self.daemon_settings(number)
         name = settings["daemon"]["id"]
         path = self.folder / f"{name}.yaml"
         path.write_text(yaml.safe_dump(settings, sort_keys=False))
-        process = self._run(
-            name, ["-m", "topazlug._daemon_command", "--settings", str(path)]
-        )
+        command = ["-m", "topazlug._daemon_command"]
+        if self._links is not None:
+            command = self._links.command(number)
+        process = self._run(name, [*command, "--settings", str(path)])
         return DaemonProcess(process=process, settings=settings)
 
+    def switch_links(self, **faults: object) -> None:
+        """Set the faults of all links between the groups."""
+        for url in self._links.control_urls if self._links else ():
+            post(f"{url}/faults", faults)
+
     def daemon_settings(self, number: int) -> dict[str, Any]:
         """Make the settings of one daemon."""
         platform = {"host": HOST, "port": self.platform_port}
@@ -295,7 +327,11 @@
         end = time.monotonic() + seconds
         for daemon in self.daemons:
             _wait_until(
-                lambda: _is_serving(daemon, len(self.daemons)),
+                lambda: _is_serving(
+                    daemon,
+                    daemons=len(self.daemons),
+                    targets=len(self.engines) + len(self.services),
+                ),
                 end,
                 f"{daemon.name} is not ready: {daemon.process.log[-3000:]}",
             )
@@ -306,6 +342,8 @@
         started += [item.process for item in self.engines + self.services]
         if self.platform is not None:
             started.append(self.platform)
+        if self._links is not None:
+            started += self._links.started
         for process in started:
             process.kill()
         shutil.rmtree(self.folder, ignore_errors=True)
@@ -331,14 +369,18 @@
         time.sleep(0.05)
 
 
-def _is_serving(daemon: DaemonProcess, count: int) -> bool:
+def _is_serving(daemon: DaemonProcess, *, daemons: int, targets: int) -> bool:
     if not daemon.process.is_running():
         raise processes.NotReady(daemon.process.log[-3000:])
     try:
         text = get(f"{daemon.administration_url}/metrics").decode()
     except OSError:
         return False
-    return f"topazlug_members {count}.0" in text
+    wanted = [
+        f"topazlug_members {daemons}.0",
+        f"topazlug_replicas_known {targets}.0",
+    ]
+    return all(line in text.splitlines() for line in wanted)
 
 
 def get(url: str, *, timeout: float = 5.0) -> bytes:
--- a/src/topazlug/_daemon.py
+++ b/src/topazlug/_daemon.py
@@ -32,6 +32,7 @@
 from topazlug import _peers
 from topazlug import _place
 from topazlug import _policies
+from topazlug import _quota_owner
 from topazlug import _quotas
 from topazlug import _retry_budget
 from topazlug import _rules
@@ -49,6 +50,7 @@
 _QUIET_SECONDS = 1.0
 _POLL_SECONDS = 0.05
 _ADMINISTRATION_CONNECTIONS = 64
+_QUOTA_RENEW_SECONDS = 0.5
 _LEAVE_SECONDS = 0.3
 
 
@@ -84,6 +86,7 @@
         self._build_platform()
         self._build_peers()
         self._build_routing()
+        self._build_quotas()
         self._build_callers()
         self._build_administration()
 
@@ -198,6 +201,49 @@
             settings.routing.policy, self
         )
 
+    def _build_quotas(self) -> None:
+        self.quota_owner = _quota_owner.QuotaOwner(
+            team_of=self.rules.team_of,
+            reachable_part=self._reachable_part,
+            clock=self.clock,
+        )
+        self.quotas = _quotas.TeamQuotas(
+            daemon=self.daemon_id,
+            owner=self.quota_owner,
+            links=self.links,
+            daemons=self.membership.usable,
+            clock=self.clock,
+        )
+        self.links.handle(messages.SliceAsk, self._on_slice_ask)
+
+    def _on_slice_ask(
+        self, sender: _ids.DaemonId, ask: Any, reply: _peers.Reply
+    ) -> None:
+        reply(self.quota_owner.lend(sender, ask))
+
+    def _reachable_part(self) -> float:
+        """Give which part of the fleet is on this side of a cut.
+
+        A daemon that is silent but still on the platform's list may run on
+        the other side; one that failed for good leaves the list.
+        """
+        usable = self.membership.usable()
+        listed = self.instances.instances_by_id
+        members = self.membership.members_by_id
+        silent = [
+            daemon
+            for daemon, member in members.items()
+            if member.state is messages.FactState.dead
+            and daemon in listed
+            and listed[daemon].incarnation <= member.incarnation
+        ]
+        return len(usable) / max(1, len(usable) + len(silent))
+
+    def _renew_quotas(self) -> None:
+        while True:
+            self.clock.sleep(_QUOTA_RENEW_SECONDS)
+            self.quotas.renew()
+
     def _build_callers(self) -> None:
         settings = self.settings
         self.budget = _retry_budget.RetryBudget(
@@ -217,7 +263,6 @@
             clock=self.clock,
             max_kept_bytes=settings.limits.max_kept_answer_bytes,
         )
-        self.quotas: _quotas.Quotas = _quotas.NoQuotas()
         shared: dict[str, Any] = {
             "attempts": attempts,
             "admission": self.admission,
@@ -310,6 +355,7 @@
         self._spawn(self.duties.renew_forever)
         self._spawn(self.duties.report_forever)
         self._spawn(self.watch.run)
+        self._spawn(self._renew_quotas)
         self.administration.start()
         self.callers.start()
         _log.info(
@@ -350,8 +396,14 @@
         for daemon, member in self.membership.members_by_id.items():
             if member.state is messages.FactState.dead:
                 self.owner.drop_daemon(daemon)
+                self.quota_owner.drop_daemon(daemon)
+        self.quota_owner.forget(self._lends)
         self._update_ownership()
 
+    def _lends(self, team: _ids.TeamName) -> bool:
+        owner = _quotas.owner_of(team, self.membership.usable())
+        return owner == self.daemon_id
+
     def _target_fact(self, fact: messages.Fact) -> None:
         self.targets.take_fact(fact)
 
@@ -376,6 +428,10 @@
         watch(_metrics.Gauge.CONNECTIONS, lambda: self.callers.connections)
         watch(_metrics.Gauge.MEMBERS, lambda: len(self.membership.usable()))
         watch(_metrics.Gauge.REVISION, lambda: self.configuration.revision)
+        watch(
+            _metrics.Gauge.KNOWN_REPLICAS,
+            lambda: len(self.targets.target_by_replica),
+        )
         watch(
             _metrics.Gauge.OWNED_REPLICAS,
             lambda: len(self.owner.ledger_by_replica),
--- a/src/topazlug/_metrics.py
+++ b/src/topazlug/_metrics.py
@@ -54,6 +54,7 @@
     MEMBERS = "topazlug.members"
     REVISION = "topazlug.configuration.revision"
     OWNED_REPLICAS = "topazlug.replicas.owned"
+    KNOWN_REPLICAS = "topazlug.replicas.known"
     SKEW = "topazlug.pool.skew"
     MEAN_LOAD = "topazlug.pool.mean_load"
 
@@ -73,6 +74,7 @@
     Gauge.QUEUED: "Requests that wait for a place.",
     Gauge.MEMBERS: "Daemons that this one counts as usable.",
     Gauge.REVISION: "Revision of the table in force.",
+    Gauge.KNOWN_REPLICAS: "Replicas on the platform's list.",
     Gauge.OWNED_REPLICAS: "Replicas whose places this daemon admits.",
     Gauge.SKEW: "Largest load of a pool's replicas over their mean.",
     Gauge.MEAN_LOAD: "Mean load of a pool's replicas.",
--- a/src/topazlug/_quotas.py
+++ b/src/topazlug/_quotas.py
@@ -1,16 +1,33 @@
-"""Ceilings of teams over the whole fleet, by slices that owners lend.
+"""Ceilings of teams over the whole fleet, as the entry daemon keeps them.
 
 A team's owner daemon (ranked like a replica's) lends parts of the ceiling to
 the daemons that see the team's demand. A slice lapses, so what a dead daemon
-held comes back by itself.
+held comes back by itself. With no owner in reach a daemon keeps to its even
+share.
 """
 
+from collections.abc import Callable
+from collections.abc import Iterable
+import math
 from typing import Protocol
 from typing import final
 
+from gevent import lock
+import msgspec
+
+from topazlug import _clock
+from topazlug import _errors
+from topazlug import _ids
+from topazlug import _quota_owner
+from topazlug import _ranking
 from topazlug._generated import messages
 from topazlug._generated import table
 
+_ASK_TIMEOUT = 0.2
+_SILENT_SECONDS = 1.0
+_SMOOTHING_SECONDS = 1.0
+_MIN_RETRY_AFTER = 0.1
+
 
 class Ticket(Protocol):
     """Leave for one request to run."""
@@ -35,20 +52,239 @@
         """Give what teams use of this daemon."""
 
 
+class Links(Protocol):
+    """What is needed of the peers' streams."""
+
+    def call(
+        self, to: _ids.DaemonId, message: msgspec.Struct, *, timeout: float
+    ) -> msgspec.Struct:
+        """Ask and wait; raises PeerUnreachable."""
+
+
+class _Use(msgspec.Struct):
+    """What one team uses of this daemon, and what it was lent."""
+
+    lock: lock.BoundedSemaphore
+    running: int = 0
+    room: int = 0
+    room_until: float = 0.0
+    left: float = 0.0
+    lapses: float = 0.0
+    rate: float = 0.0
+    seen_at: float = 0.0
+    refused: int = 0
+    alone_at: float = 0.0
+
+    def note_demand(self, now: float) -> None:
+        """Keep a smoothed rate of requests a second."""
+        gap = max(1e-6, now - self.seen_at)
+        weight = 1.0 - math.exp(-gap / _SMOOTHING_SECONDS)
+        self.rate += weight * (1.0 / gap - self.rate)
+        self.seen_at = now
+
+
 @final
-class _Free:
+class _Ticket:
+    def __init__(self, use: _Use) -> None:
+        self._use: _Use | None = use
+        use.running += 1
+
     def give_back(self) -> None:
-        return
+        use, self._use = self._use, None
+        if use is not None:
+            use.running -= 1
+
+
+def owner_of(
+    team: _ids.TeamName, daemons: Iterable[_ids.DaemonId]
+) -> _ids.DaemonId | None:
+    """Give the daemon that lends a team's ceiling."""
+    seed = _ranking.chat_hash("team", team)
+    name = _ranking.first(daemons, seed)
+    return None if name is None else _ids.DaemonId(name)
 
 
 @final
-class NoQuotas:
-    """Grants every ticket."""
+class TeamQuotas:
+    """Tickets within the teams' ceilings.
+
+    Parameters
+    ----------
+    daemon : DaemonId
+        This daemon.
+    owner : QuotaOwner
+        Lends what this daemon itself owns.
+    links : Links
+        Streams to peers.
+    daemons : callable
+        Gives the usable daemons.
+    clock : Clock
+        Time.
+    """
+
+    def __init__(
+        self,
+        *,
+        daemon: _ids.DaemonId,
+        owner: _quota_owner.QuotaOwner,
+        links: Links,
+        daemons: Callable[[], Iterable[_ids.DaemonId]],
+        clock: _clock.Clock,
+    ) -> None:
+        self._daemon = daemon
+        self._owner = owner
+        self._links = links
+        self._daemons = daemons
+        self._clock = clock
+        self._use_by_team: dict[_ids.TeamName, _Use] = {}
+        self._silent_until: dict[_ids.DaemonId, float] = {}
 
     def take(self, team: table.TeamRow, *, deadline: float) -> Ticket:
-        """Take a ticket; there is always one."""
-        return _Free()
+        """Take a ticket; a team without ceilings always gets one.
+
+        Raises
+        ------
+        TeamCeiling
+            The team uses all that its row allows; the error says when a
+            repeat makes sense.
+        """
+        use = self._use(_ids.TeamName(team.name))
+        use.note_demand(self._clock.monotonic())
+        if not team.ceiling_rate and not team.ceiling_running:
+            return _Ticket(use)
+        if not self._has(team, use):
+            with use.lock:
+                if not self._has(team, use):
+                    self._ask(team, use)
+        if team.ceiling_rate:
+            use.left -= 1
+        return _Ticket(use)
+
+    def _has(self, team: table.TeamRow, use: _Use) -> bool:
+        now = self._clock.monotonic()
+        if team.ceiling_rate and (use.left < 1 or now > use.lapses):
+            return False
+        if not team.ceiling_running:
+            return True
+        return use.running < use.room and now <= use.room_until
+
+    def _ask(self, team: table.TeamRow, use: _Use) -> None:
+        """Get a slice that has room for one request, or raise."""
+        name = _ids.TeamName(team.name)
+        owner = owner_of(name, self._daemons())
+        now = self._clock.monotonic()
+        unused = math.floor(use.left) if now <= use.lapses else 0
+        wanted = math.ceil(use.rate * _quota_owner.BUCKET_SECONDS)
+        message = messages.SliceAsk(
+            team=name,
+            want=max(1, wanted),
+            unused=max(0, unused),
+            running=use.running,
+        )
+        use.left = 0.0
+        answer = self._exchange(owner, message)
+        if answer is None:
+            self._share_alone(team, use)
+        else:
+            self._note(team, use, answer)
+        if not self._has(team, use):
+            use.refused += 1
+            retry_after = answer.retry_after if answer else 1.0
+            raise _errors.TeamCeiling(
+                f"team {name} uses all that its ceiling allows",
+                retry_after=max(retry_after, _MIN_RETRY_AFTER),
+            )
+
+    def _note(
+        self, team: table.TeamRow, use: _Use, answer: messages.Slice
+    ) -> None:
+        now = self._clock.monotonic()
+        use.left = answer.lent
+        use.lapses = now + answer.lapse
+        if team.ceiling_running:
+            use.room = answer.running_room
+            # The owner forgets room after ROOM_SECONDS; it must be asked
+            # for again well before, or two daemons count the same room.
+            use.room_until = now + _quota_owner.SLICE_SECONDS
+
+    def _exchange(
+        self, owner: _ids.DaemonId | None, message: messages.SliceAsk
+    ) -> messages.Slice | None:
+        if owner is None:
+            return None
+        if owner == self._daemon:
+            return self._owner.lend(self._daemon, message)
+        now = self._clock.monotonic()
+        if now < self._silent_until.get(owner, 0.0):
+            return None
+        try:
+            answer = self._links.call(owner, message, timeout=_ASK_TIMEOUT)
+        except _errors.PeerUnreachable:
+            # A frozen owner would cost each request the whole timeout.
+            self._silent_until[owner] = now + _SILENT_SECONDS
+            return None
+        return answer if isinstance(answer, messages.Slice) else None
+
+    def _share_alone(self, team: table.TeamRow, use: _Use) -> None:
+        """Keep to the even share while no owner answers."""
+        now = self._clock.monotonic()
+        daemons = max(1, len(list(self._daemons())))
+        if team.ceiling_rate:
+            rate = team.ceiling_rate / daemons
+            since = min(now - use.alone_at, _quota_owner.SLICE_SECONDS)
+            if since * rate >= 1:
+                use.left = math.floor(since * rate)
+                use.lapses = now + _quota_owner.SLICE_SECONDS
+                use.alone_at = now
+        if team.ceiling_running:
+            use.room = math.ceil(team.ceiling_running / daemons)
+            use.room_until = now + _quota_owner.SLICE_SECONDS
+
+    def _use(self, team: _ids.TeamName) -> _Use:
+        use = self._use_by_team.get(team)
+        if use is None:
+            use = _Use(
+                lock=lock.BoundedSemaphore(),
+                seen_at=self._clock.monotonic(),
+            )
+            self._use_by_team[team] = use
+        return use
 
     def use(self) -> list[messages.TeamUse]:
-        """Give what teams use; nothing is counted."""
-        return []
+        """Give what teams use of this daemon; idle ones are left out."""
+        now = self._clock.monotonic()
+        return [
+            messages.TeamUse(
+                team=team,
+                running=use.running,
+                rate=use.rate if now - use.seen_at < 5 else 0.0,
+                refused=use.refused,
+            )
+            for team, use in self._use_by_team.items()
+        ]
+
+    def renew(self) -> None:
+        """Confirm room for running requests before the owner forgets it.
+
+        Called every second. A long answer asks for nothing by itself; its
+        room would lapse at the owner and be lent twice.
+        """
+        now = self._clock.monotonic()
+        for team, use in list(self._use_by_team.items()):
+            if use.running and use.room and now > use.room_until:
+                self._renew(team, use)
+            elif not use.running and now - use.seen_at > 60:
+                del self._use_by_team[team]
+
+    def _renew(self, team: _ids.TeamName, use: _Use) -> None:
+        owner = owner_of(team, self._daemons())
+        message = messages.SliceAsk(
+            team=team, want=0, unused=0, running=use.running
+        )
+        with use.lock:
+            answer = self._exchange(owner, message)
+            if answer is None or answer.running_room < 0:
+                return
+            use.room = answer.running_room
+            now = self._clock.monotonic()
+            use.room_until = now + _quota_owner.SLICE_SECONDS
--- a/src/topazlug/_rules.py
+++ b/src/topazlug/_rules.py
@@ -56,10 +56,14 @@
 
     def weight_of(self, team: _ids.TeamName) -> float:
         """Give a team's weight."""
-        snapshot = self._configuration.current
-        row = snapshot.teams_by_name.get(team) if snapshot else None
+        row = self.team_of(team)
         return 1.0 if row is None else row.weight
 
+    def team_of(self, team: _ids.TeamName) -> table.TeamRow | None:
+        """Give a team's row."""
+        snapshot = self._configuration.current
+        return snapshot.teams_by_name.get(team) if snapshot else None
+
     def drains(self) -> _targets.Drains:
         """Give what operators took out of service."""
         snapshot = self._configuration.current
