Share the reads of the instance list and tell its news as facts

Now the fleet shares four reads a second, and who sees a new target first tells the others its address as a fact. Ruled out: conditional reads, which the platform is not known to offer.

--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -333,7 +333,7 @@
                     targets=len(self.engines) + len(self.services),
                 ),
                 end,
-                f"{daemon.name} is not ready: {daemon.process.log[-3000:]}",
+                daemon.process,
             )
 
     def stop(self) -> None:
@@ -361,11 +361,13 @@
 
 
 def _wait_until(
-    condition: Callable[[], bool], end: float, message: str
+    condition: Callable[[], bool], end: float, process: processes.Process
 ) -> None:
     while not condition():
         if time.monotonic() > end:
-            raise processes.NotReady(message)
+            raise processes.NotReady(
+                f"{process.name} is not ready: {process.log[-3000:]}"
+            )
         time.sleep(0.05)
 
 
--- a/src/topazlug/_attempts.py
+++ b/src/topazlug/_attempts.py
@@ -100,8 +100,9 @@
         self._budget.earn()
         outcome = _errors.Outcome.NOT_RUN
         excluded: frozenset[_ids.ReplicaId] = frozenset()
+        failure: _errors.RequestError | None = None
         for number in range(1, _MAX_ATTEMPTS + 1):
-            place = self._admit(request, excluded, outcome)
+            place = self._admit(request, excluded, failure)
             try:
                 return attempt(place)
             except _target_client.ConnectFailed as error:
@@ -121,14 +122,15 @@
             if not self._may_repeat(failure, number, repeatable):
                 raise failure
             excluded |= {place.target.replica}
-        raise failure
+        raise AssertionError("the last attempt returns or raises")
 
     def _admit(
         self,
         request: _place.PlaceRequest,
         excluded: frozenset[_ids.ReplicaId],
-        outcome: _errors.Outcome,
+        before: _errors.RequestError | None,
     ) -> _place.Place:
+        """Find a place; a repeat that finds none tells what broke before."""
         wanted = _place.PlaceRequest(
             group=request.group,
             chat=request.chat,
@@ -140,9 +142,10 @@
         )
         try:
             return self._admission.admit(wanted)
-        except _errors.RequestError as error:
-            error.outcome = outcome
-            raise
+        except _errors.RequestError:
+            if before is None:
+                raise
+            raise before from None
 
     def _connect_failed(
         self, place: _place.Place, error: _target_client.ConnectFailed
@@ -166,6 +169,8 @@
     ) -> bool:
         if number >= _MAX_ATTEMPTS:
             return False
+        if isinstance(failure, _errors.DeadlineExceeded):
+            return False
         certain = failure.outcome is _errors.Outcome.NOT_RUN
         if not certain and not repeatable:
             return False
--- a/src/topazlug/_caller_answer.py
+++ b/src/topazlug/_caller_answer.py
@@ -28,6 +28,17 @@
     body: Iterator[bytes]
 
 
+def started(pieces: Iterator[bytes]) -> Iterator[bytes]:
+    """Run a generator up to its first piece, which must be empty.
+
+    Closing a generator that was never started skips its ``finally``. An
+    answer that fails before its first byte would then keep its place on the
+    replica, and the replica would look fuller with each.
+    """
+    next(pieces)
+    return pieces
+
+
 class _ErrorBody(msgspec.Struct):
     message: str
     type: str
--- a/src/topazlug/_caller_request.py
+++ b/src/topazlug/_caller_request.py
@@ -22,6 +22,7 @@
 _READ_BLOCK = 65536
 _MAX_KEY_CHARACTERS = 512
 SOCKET = "topazlug.socket"
+RAW_PATH = "topazlug.raw_path"
 
 
 @final
@@ -72,6 +73,7 @@
         self.request_id = _ids.RequestId(uuid.uuid4().hex)
         self.method: str = environ["REQUEST_METHOD"]
         self.path: str = environ["PATH_INFO"]
+        self.raw_path: str = environ.get(RAW_PATH, self.path)
         self.query: str = environ.get("QUERY_STRING", "")
         self.started = clock.monotonic()
         self.deadline = self.started + limits.default_deadline
--- a/src/topazlug/_caller_watch.py
+++ b/src/topazlug/_caller_watch.py
@@ -6,6 +6,8 @@
 """
 
 from collections.abc import Callable
+from collections.abc import Iterator
+import contextlib
 import socket as _plain_socket
 import ssl
 from typing import Any
@@ -13,6 +15,35 @@
 
 import gevent
 
+from topazlug import _errors
+
+
+class CallerLeft(_errors.TopazlugError):
+    """The caller hung up before its answer began; nobody hears of it."""
+
+
+@contextlib.contextmanager
+def watched(connection: Any) -> Iterator[None]:
+    """Stop what this greenlet does when the caller hangs up.
+
+    Parameters
+    ----------
+    connection : socket or None
+        The caller's connection.
+
+    Raises
+    ------
+    CallerLeft
+        The caller hung up.
+    """
+    here = gevent.getcurrent()
+    left = CallerLeft("the caller hung up before its answer began")
+    watch = CallerWatch(connection, left=lambda: here.throw(left))
+    try:
+        yield
+    finally:
+        watch.stop()
+
 
 @final
 class CallerWatch:
@@ -27,7 +58,7 @@
     connection : socket or None
         The caller's connection.
     left : callable
-        Called in the hub; it must not block.
+        Called in the hub, which it must not block.
     """
 
     def __init__(self, connection: Any, *, left: Callable[[], None]) -> None:
--- a/src/topazlug/_callers.py
+++ b/src/topazlug/_callers.py
@@ -16,10 +16,13 @@
 import msgspec
 
 from topazlug import _caller_answer
+from topazlug import _caller_head
 from topazlug import _caller_request
+from topazlug import _caller_watch
 from topazlug import _clock
 from topazlug import _configuration
 from topazlug import _errors
+from topazlug import _ids
 from topazlug import _logs
 from topazlug import _metrics
 from topazlug import _service_calls
@@ -31,6 +34,9 @@
 _MODELS = "/v1/models"
 _HEAD_SECONDS = 10.0
 _IDLE_SECONDS = 75.0
+_WRITE_SECONDS = 30.0
+_LINGER_SECONDS = 2.0
+_LINGER_BLOCK = 65536
 
 StartResponse = Callable[[str, list[tuple[str, str]]], Any]
 
@@ -103,15 +109,19 @@
             environ=environ, limits=self._limits, clock=self._clock
         )
         self.in_progress += 1
+        body = _Body(ended=self._ended)
         try:
             answer = self._answer(request)
-            status = HTTPStatus(answer.status)
-            line = f"{answer.status} {status.phrase}"
+            body.pieces = answer.body
+            start(_status_line(answer.status), answer.headers)
         except BaseException:
-            self.in_progress -= 1
+            body.close()
             raise
-        start(line, answer.headers)
-        return _Body(answer.body, ended=self._ended)
+        if request.method == "HEAD":
+            # Bytes after this head would be read as the next answer.
+            body.close()
+            return _Body()
+        return body
 
     def _ended(self) -> None:
         self.in_progress -= 1
@@ -122,6 +132,9 @@
         with _logs.request_fields(request_id=request.request_id):
             try:
                 return self._serve(request)
+            except _caller_watch.CallerLeft as error:
+                _log.info("the caller left before its answer began")
+                return _caller_answer.of_error(error, request.request_id)
             except _errors.TopazlugError as error:
                 _log.info(
                     "refused with {code}: {why}",
@@ -162,7 +175,7 @@
         if request.path == _MODELS:
             _want_method(request, "GET")
             return _models(request, caller, snapshot)
-        if request.path.startswith(_service_calls.PREFIX):
+        if request.raw_path.startswith(_service_calls.PREFIX):
             return self._services.serve(request, caller, snapshot)
         raise _errors.UnknownPath(f"no path {request.path!r}")
 
@@ -179,6 +192,15 @@
             self._metrics.count_refusal(caller.name, request_class, error.code)
 
 
+def _status_line(status: int) -> str:
+    """Give the status line; a target may use a status nobody knows."""
+    try:
+        phrase = HTTPStatus(status).phrase
+    except ValueError:
+        phrase = "Unknown"
+    return f"{status} {phrase}"
+
+
 def _want_method(request: _caller_request.CallerRequest, method: str) -> None:
     if request.method != method:
         raise _errors.BadMethod(
@@ -205,27 +227,38 @@
 class _Body:
     """An answer's pieces; tells when the answer has ended, however."""
 
-    def __init__(
-        self, pieces: Iterator[bytes], *, ended: Callable[[], None]
-    ) -> None:
-        self._pieces = pieces
-        self._ended: Callable[[], None] | None = ended
+    def __init__(self, *, ended: Callable[[], None] | None = None) -> None:
+        self.pieces: Iterator[bytes] = iter(())
+        self._ended = ended
 
     def __iter__(self) -> Iterator[bytes]:
-        return self._pieces
+        return self.pieces
 
     def close(self) -> None:
-        close = getattr(self._pieces, "close", None)
-        if close is not None:
-            close()
         ended, self._ended = self._ended, None
-        if ended is not None:
-            ended()
+        try:
+            close = getattr(self.pieces, "close", None)
+            if close is not None:
+                close()
+        finally:
+            if ended is not None:
+                ended()
+
+
+def _refused(error: _errors.RequestError) -> bytes:
+    """Give the whole answer to what is no request."""
+    answer = _caller_answer.of_error(error, _ids.RequestId(""))
+    lines = [f"HTTP/1.1 {_status_line(answer.status)}"]
+    lines += [f"{name}: {value}" for name, value in answer.headers]
+    lines += ["Connection: close", "", ""]
+    return "\r\n".join(lines).encode("latin-1") + b"".join(answer.body)
 
 
 class CallersHandler(pywsgi.WSGIHandler):
     """The library's handler, with bounds on time and the socket at hand."""
 
+    _refusal: _errors.RequestError | None = None
+
     def handle(self) -> None:
         """Serve one connection."""
         self.socket.setsockopt(
@@ -245,22 +278,100 @@
         A caller that sends a byte now and then would otherwise hold a
         connection for ever, and enough of them hold all.
         """
-        late = ValueError("the head of the request took too long")
+        late = _errors.BodyTooSlow("the head of the request took too long")
         with gevent.Timeout(_HEAD_SECONDS, late):
             return super().read_request(raw_requestline)
 
+    def MessageClass(self, *args: Any) -> Any:  # noqa: N802
+        """Read the fields; the library asks for them by this name."""
+        version = self.request_version
+        _caller_head.check_line(
+            method=self.command, target=self.path, version=version
+        )
+        fields = _caller_head.read(self.rfile, version=version)
+        return super().MessageClass(fields)
+
+    def handle_one_request(self) -> Any:
+        """Serve one request; what is none gets an error of our shape."""
+        result = super().handle_one_request()
+        if not isinstance(result, tuple):
+            return result
+        error = self._refusal or _errors.BadHeader(
+            "the request line is too long"
+        )
+        self.socket.sendall(_refused(error))
+        self._linger()
+        return None
+
+    def _handle_client_error(self, ex: Exception) -> Any:
+        self._refusal = (
+            ex
+            if isinstance(ex, _errors.RequestError)
+            else _errors.BadHeader("not an HTTP/1.1 request")
+        )
+        _log.info("refused: {why}", why=self._refusal.message)
+        return super()._handle_client_error(self._refusal)
+
     def get_environ(self) -> dict[str, Any]:
         """Give the WSGI environment and the connection."""
         environ = super().get_environ()
         environ[_caller_request.SOCKET] = self.socket
+        environ[_caller_request.RAW_PATH] = self.path.partition("?")[0]
         return environ
 
     def handle_one_response(self) -> None:
         """Answer; while the daemon stops, keep no connection after it."""
         if getattr(self.server, "stopping", False):
             self.close_connection = True
+        # A caller that reads nothing would otherwise block the answer for
+        # ever, and with it a slot of an engine.
+        self.socket.settimeout(_WRITE_SECONDS)
         super().handle_one_response()
 
+    def start_response(
+        self, status: str, headers: Any, exc_info: Any = None
+    ) -> Any:
+        """Start the answer, and say so when the connection ends with it."""
+        if self.close_connection or self._has_unread_body():
+            headers = [*headers, ("Connection", "close")]
+        return super().start_response(status, headers, exc_info)
+
+    def run_application(self) -> None:
+        """Answer; a body that nobody read is not read after the answer.
+
+        The library reads what is left of it, however long that takes. A
+        caller without a key could hold a connection for ever.
+        """
+        try:
+            super().run_application()
+        finally:
+            if self._has_unread_body():
+                self.close_connection = True
+                self.wsgi_input = pywsgi.Input(self.rfile, None)
+                self._linger()
+
+    def _has_unread_body(self) -> bool:
+        body = self.wsgi_input
+        if body is None:
+            return False
+        if body.chunked_input:
+            return bool(body.chunk_length)
+        return bool(body.position < (body.content_length or 0))
+
+    def _linger(self) -> None:
+        """Let a caller that still sends read its answer first.
+
+        A connection closed with bytes unread is reset, and the reset can
+        overtake the answer.
+        """
+        try:
+            self.socket.shutdown(_plain_socket.SHUT_WR)
+            with gevent.Timeout(_LINGER_SECONDS, False):
+                while self.socket.recv(_LINGER_BLOCK):
+                    pass
+        except OSError:
+            return
+
     def log_request(self) -> None:
         """Leave it out; the application logs what matters."""
 
--- a/src/topazlug/_chat_calls.py
+++ b/src/topazlug/_chat_calls.py
@@ -48,7 +48,7 @@
 
     model: str
     messages: list[ChatMessage]
-    stream: bool = False
+    stream: bool | None = None
 
 
 class _Call(msgspec.Struct):
@@ -135,7 +135,7 @@
             caller=caller,
             body=body,
             chat_id=_chat_id(request, caller, chat),
-            streamed=chat.stream,
+            streamed=bool(chat.stream),
             returning=any(m.role == "assistant" for m in chat.messages),
         )
         wanted = _place.PlaceRequest(
@@ -146,7 +146,13 @@
             weight=1,
             deadline=request.deadline,
         )
-        ticket = self._quotas.take(caller.team, deadline=request.deadline)
+        with _caller_watch.watched(request.socket):
+            return self._run(call, wanted)
+
+    def _run(
+        self, call: _Call, wanted: _place.PlaceRequest
+    ) -> _caller_answer.CallerAnswer:
+        ticket = self._quotas.take(call.caller.team, deadline=wanted.deadline)
         try:
             return self._attempts.run(
                 wanted,
@@ -159,16 +165,31 @@
 
     def _attempt(
         self, call: _Call, place: _place.Place, ticket: _quotas.Ticket
+    ) -> _caller_answer.CallerAnswer:
+        """Make one attempt; what it may have left behind is cancelled."""
+        try:
+            return self._send(call, place, ticket)
+        except _errors.RequestError as error:
+            if error.outcome is _errors.Outcome.UNKNOWN:
+                self._cancel(call, place)
+            raise
+        except _caller_watch.CallerLeft:
+            self._cancel(call, place)
+            raise
+
+    def _send(
+        self, call: _Call, place: _place.Place, ticket: _quotas.Ticket
     ) -> _caller_answer.CallerAnswer:
         waited = self._clock.monotonic() - call.request.started
         self._metrics.observe_queueing(
             call.caller.name, call.request_class, waited
         )
-        timeout = min(
-            self._limits.first_byte_timeout, call.request.remaining()
-        )
+        call.request.remaining()
         answer = self._connections.exchange(
-            place.target, _engine_request(call), head_timeout=timeout
+            place.target,
+            _engine_request(call),
+            head_timeout=self._limits.first_byte_timeout,
+            deadline=call.request.deadline,
         )
         if answer.status == 200 and call.streamed:
             return self._stream(call, place, answer, ticket)
@@ -182,16 +203,10 @@
         ticket: _quotas.Ticket,
     ) -> _caller_answer.CallerAnswer:
         """Read an answer that is not streamed, and give it whole."""
-        silence = min(self._limits.target_silence, call.request.remaining())
-        watch = self._watch(call, answer.abort)
         try:
-            body = _read_whole(answer.chunks(silence=silence))
-        except _errors.RequestError:
-            if answer.aborted:
-                self._cancel(call, place)
-            raise
+            body = _read_whole(call, answer, self._limits.target_silence)
         finally:
-            watch.stop()
+            answer.close()
         self._admission.release(place)
         ticket.give_back()
         self._note_first(call, answer)
@@ -221,22 +236,22 @@
             answer=answer,
             silence=self._limits.target_silence,
             deadline=call.request.deadline,
-            clock=self._clock,
         )
-        watch = self._watch(call, stream.caller_left)
         pieces = stream.pieces()
         try:
             first = next(pieces, b"")
         except BaseException:
-            watch.stop()
-            answer.close()
+            stream.answer.close()
             raise
         self._note_first(call, answer)
+        watch = _caller_watch.CallerWatch(
+            call.request.socket, left=stream.caller_left
+        )
         body = self._relay(call, place, ticket, stream, watch, first, pieces)
         return _caller_answer.CallerAnswer(
             status=200,
             headers=_caller_headers(call, place, answer),
-            body=body,
+            body=_caller_answer.started(body),
         )
 
     def _relay(
@@ -250,6 +265,7 @@
         pieces: Iterator[bytes],
     ) -> Iterator[bytes]:
         try:
+            yield b""
             yield first
             yield from self._rest(call, pieces)
             self._note_end(call, 200 if stream.is_whole else 499)
@@ -275,11 +291,6 @@
             before = now
             yield piece
 
-    def _watch(
-        self, call: _Call, left: Callable[[], None]
-    ) -> _caller_watch.CallerWatch:
-        return _caller_watch.CallerWatch(call.request.socket, left=left)
-
     def _cancel(self, call: _Call, place: _place.Place) -> None:
         """Have the engine stop work that nobody waits for any more.
 
@@ -432,10 +443,13 @@
     return headers
 
 
-def _read_whole(chunks: Iterator[bytes]) -> bytes:
+def _read_whole(
+    call: _Call, answer: _target_client.TargetAnswer, silence: float
+) -> bytes:
     blocks: list[bytes] = []
     size = 0
-    for block in chunks:
+    deadline = call.request.deadline
+    for block in answer.chunks(silence=silence, deadline=deadline):
         size += len(block)
         if size > _MAX_ANSWER_BYTES:
             raise _errors.TargetFailed(
@@ -443,7 +457,25 @@
                 outcome=_errors.Outcome.UNKNOWN,
             )
         blocks.append(block)
-    return b"".join(blocks)
+    body = b"".join(blocks)
+    if answer.status == 200:
+        _check_json(body)
+    return body
+
+
+def _check_json(body: bytes) -> None:
+    """Refuse an answer that is not whole.
+
+    Without a length, the end of the connection ends the answer, and that of
+    an engine that died looks the same.
+    """
+    try:
+        msgspec.json.decode(body, type=msgspec.Raw)
+    except msgspec.DecodeError as error:
+        raise _errors.TargetTruncated(
+            f"the engine's answer is not whole: {error}",
+            outcome=_errors.Outcome.UNKNOWN,
+        ) from error
 
 
 def _number(text: str) -> int | None:
--- a/src/topazlug/_chat_stream.py
+++ b/src/topazlug/_chat_stream.py
@@ -11,7 +11,6 @@
 import logbook
 
 from topazlug import _caller_answer
-from topazlug import _clock
 from topazlug import _errors
 from topazlug import _ids
 from topazlug import _sse
@@ -41,8 +40,6 @@
         Seconds without a byte that count as silence.
     deadline : float
         Monotonic seconds at which the request ends.
-    clock : Clock
-        Time.
     """
 
     def __init__(
@@ -54,14 +51,12 @@
         answer: _target_client.TargetAnswer,
         silence: float,
         deadline: float,
-        clock: _clock.Clock,
     ) -> None:
         self._connections = connections
         self._target = target
         self._request_id = request_id
         self._silence = silence
         self._deadline = deadline
-        self._clock = clock
         self._reader = _sse.EventReader()
         self._left = False
         self.answer = answer
@@ -94,15 +89,24 @@
             try:
                 yield from self._relay()
                 return
-            except _errors.DeadlineExceeded:
-                raise
             except _errors.RequestError as error:
-                if self._left:
+                # Nobody is left to hear of it, or the caller has it whole:
+                # an error event after the closing one would deny that.
+                if self._left or self._reader.done:
+                    self.answer.close()
                     return
+                if isinstance(error, _errors.DeadlineExceeded):
+                    raise
                 self._resume(error)
+            if self._left:
+                self.answer.close()
+                return
 
     def _relay(self) -> Iterator[bytes]:
-        for data in self.answer.chunks(silence=self._silence):
+        chunks = self.answer.chunks(
+            silence=self._silence, deadline=self._deadline
+        )
+        for data in chunks:
             try:
                 events = self._reader.feed(data)
             except ValueError as error:
@@ -110,12 +114,6 @@
                 raise _torn(str(error)) from error
             if events:
                 yield events
-            if self._clock.monotonic() > self._deadline:
-                self.answer.close()
-                raise _errors.DeadlineExceeded(
-                    "the request's deadline passed",
-                    outcome=_errors.Outcome.UNKNOWN,
-                )
         if not self._reader.done:
             raise _torn("it ended without the closing event")
 
@@ -139,7 +137,10 @@
         )
         try:
             answer = self._connections.exchange(
-                self._target, request, head_timeout=_RESUME_TIMEOUT
+                self._target,
+                request,
+                head_timeout=_RESUME_TIMEOUT,
+                deadline=self._deadline,
             )
         except _errors.TopazlugError:
             raise error from None
--- a/src/topazlug/_claims.py
+++ b/src/topazlug/_claims.py
@@ -168,6 +168,8 @@
         How long a key is remembered.
     max_waiting : int
         Most claims that wait for the table service.
+    max_batch : int
+        Most rows of one transaction.
     min_interval : float
         Least seconds between two transactions of this daemon.
     """
@@ -182,6 +184,7 @@
         max_kept_bytes: int,
         lifetime: datetime.timedelta = LIFETIME,
         max_waiting: int = _claim_commit.MAX_WAITING,
+        max_batch: int = _claim_commit.MAX_BATCH,
         min_interval: float = _claim_commit.MIN_INTERVAL,
     ) -> None:
         self._objects = objects
@@ -192,6 +195,7 @@
             store=store,
             clock=clock,
             max_waiting=max_waiting,
+            max_batch=max_batch,
             min_interval=min_interval,
         )
         self._settler = _claim_settling.ClaimSettler(
--- a/src/topazlug/_daemon.py
+++ b/src/topazlug/_daemon.py
@@ -29,6 +29,7 @@
 from topazlug import _owner
 from topazlug import _owner_duties
 from topazlug import _ownership
+from topazlug import _page
 from topazlug import _peers
 from topazlug import _place
 from topazlug import _policies
@@ -108,7 +109,7 @@
             host=platform.instances.host,
             port=platform.instances.port,
             timeout=platform.timeout,
-            interval=platform.instances_interval,
+            interval=self._list_interval,
             clock=self.clock,
         )
 
@@ -317,6 +318,7 @@
                 self.settings.administration.bootstrap_token_hash
             ),
         )
+        self.administration_app.add(_page.routes())
         address = self.settings.listen.administration
         self.administration = pywsgi.WSGIServer(
             (address.host, address.port),
@@ -387,10 +389,20 @@
             return False
         return self.instances.refreshed_at is not None
 
+    def _list_interval(self) -> float:
+        platform = self.settings.platform
+        shared = len(self.membership.usable())
+        shared_interval = shared / platform.instances_reads_per_second
+        return max(platform.instances_interval, shared_interval)
+
     def _list_changed(self) -> None:
-        self.targets.take_list(
-            _targets.targets_of(self.instances.instances_by_id)
-        )
+        listed = _targets.targets_of(self.instances.instances_by_id)
+        # A daemon that starts finds all of the list new; the fleet does not.
+        if self.instances.refreshed_at is not None:
+            known = self.targets.target_by_replica
+            for target in _targets.news(known, listed):
+                self.membership.publish_listed(_targets.listed_fact(target))
+        self.targets.take_list(listed)
 
     def _members_changed(self) -> None:
         for daemon, member in self.membership.members_by_id.items():
--- a/src/topazlug/_fact_exchange.py
+++ b/src/topazlug/_fact_exchange.py
@@ -45,8 +45,6 @@
 
     Parameters
     ----------
-    daemon_id : DaemonId
-        This daemon.
     settings : MembershipSettings
         Interval, fan-out and timeout.
     links : PeerLinks
@@ -75,7 +73,6 @@
     def __init__(
         self,
         *,
-        daemon_id: _ids.DaemonId,
         settings: _settings.MembershipSettings,
         links: _peers.PeerLinks,
         book: _facts.FactBook,
@@ -89,7 +86,6 @@
         self.revision_callbacks: list[Callable[[_ids.DaemonId, int], None]] = (
             []
         )
-        self._daemon_id = daemon_id
         self._settings = settings
         self._links = links
         self._book = book
--- a/src/topazlug/_fair_queue.py
+++ b/src/topazlug/_fair_queue.py
@@ -46,6 +46,7 @@
         self._virtual = 0.0
         self._size = 0
         self._line_by_team: dict[_ids.TeamName, _Line[ItemT]] = {}
+        self._finish_by_idle_team: dict[_ids.TeamName, float] = {}
 
     def __len__(self) -> int:
         return self._size
@@ -78,7 +79,8 @@
         """
         line = self._line_by_team.get(team)
         if line is None:
-            line = _Line(finish=self._virtual, entries=collections.deque())
+            finish = self._finish_by_idle_team.pop(team, self._virtual)
+            line = _Line(finish=finish, entries=collections.deque())
             self._line_by_team[team] = line
         start = max(self._virtual, line.finish)
         line.finish = start + size / weight
@@ -126,6 +128,7 @@
             for entry in line.entries
         ]
         self._line_by_team.clear()
+        self._finish_by_idle_team.clear()
         self._size = 0
         return items
 
@@ -144,7 +147,26 @@
         self._size -= 1
         if line.entries:
             return
-        # An idle team's line is forgotten: its finish time matters only
-        # while it lies ahead of the queue's virtual time, and keeping 13,000
-        # lines on each replica would grow without bound.
         del self._line_by_team[team]
+        if not self._size:
+            self._finish_by_idle_team.clear()
+            return
+        self._remember(team, line.finish)
+
+    def _remember(self, team: _ids.TeamName, finish: float) -> None:
+        """Keep an idle team's finish time while it lies ahead.
+
+        Forgotten, a team of small weight that sends one request at a time
+        would start level with the others each time, and get as much as they.
+        """
+        idle = self._finish_by_idle_team
+        if finish > self._virtual:
+            idle[team] = finish
+        if len(idle) <= self._capacity:
+            return
+        # 13,000 teams on each replica would grow without bound; those whose
+        # time has come start level in any case.
+        for name in [n for n, at in idle.items() if at <= self._virtual]:
+            del idle[name]
+        while len(idle) > self._capacity:
+            del idle[min(idle, key=lambda name: idle[name])]
--- a/src/topazlug/_generated/messages.py
+++ b/src/topazlug/_generated/messages.py
@@ -193,6 +193,16 @@
     host: str = ""
     port: int = 0
     zone: str = ""
+    group: (
+        Annotated[
+            str,
+            Meta(
+                description="Of a target that its teller saw on the list first, with its address."
+            ),
+        ]
+    ) = ""
+    slots: int = 0
+    engine: bool = False
 
 
 class Exchange(Struct, kw_only=True, omit_defaults=True):
--- a/src/topazlug/_generated/settings.py
+++ b/src/topazlug/_generated/settings.py
@@ -85,12 +85,21 @@
         Annotated[
             float,
             Meta(
-                description="Time between reads of the list of instances.",
+                description="Shortest time between reads of the list of instances.",
                 gt=0.0,
                 le=300.0,
             ),
         ]
     ) = 1.0
+    instances_reads_per_second: (
+        Annotated[
+            float,
+            Meta(
+                description="Reads of the list a second, over the whole fleet.",
+                gt=0.0,
+            ),
+        ]
+    ) = 4.0
 
 
 class PeerSettings(Struct, kw_only=True, forbid_unknown_fields=True):
--- a/src/topazlug/_instances.py
+++ b/src/topazlug/_instances.py
@@ -7,7 +7,6 @@
 from collections.abc import Callable
 from collections.abc import Mapping
 import enum
-import hashlib
 import random
 from typing import final
 from urllib import parse
@@ -15,6 +14,7 @@
 import gevent
 import logbook
 import msgspec
+import xxhash
 
 from topazlug import _clock
 from topazlug import _errors
@@ -114,8 +114,10 @@
         Where the platform serves the list.
     timeout : float
         Longest wait for one answer, in seconds.
-    interval : float
-        Seconds between two reads.
+    interval : callable
+        Gives the seconds to the next read. At the fleet's target size the
+        list is 1.3 MB, so daemons share one rate of reads and tell each
+        other what is new on it.
     clock : Clock
         Source of monotonic time.
 
@@ -133,7 +135,7 @@
         host: str,
         port: int,
         timeout: float,
-        interval: float,
+        interval: Callable[[], float],
         clock: _clock.Clock,
     ) -> None:
         self.instances_by_id: Mapping[str, Instance] = {}
@@ -175,8 +177,8 @@
         """
         data = self._requested("GET", LIST_PATH, b"")
         # At the fleet's target size the list is a megabyte, and mostly
-        # the same one: hashing it costs a hundredth of decoding it.
-        fingerprint = hashlib.blake2b(data).digest()
+        # the same one: hashing it costs far less than decoding it.
+        fingerprint = xxhash.xxh3_128_digest(data)
         if fingerprint != self._fingerprint:
             self._replace(data)
             self._fingerprint = fingerprint
@@ -220,7 +222,7 @@
             # Daemons that were started together would otherwise ask
             # together for good.
             jitter = random.uniform(1 - INTERVAL_JITTER, 1 + INTERVAL_JITTER)
-            self._clock.sleep(self._interval * jitter)
+            self._clock.sleep(self._interval() * jitter)
 
     def _keep(self, instance: Instance) -> None:
         body = msgspec.json.encode(instance)
--- a/src/topazlug/_membership.py
+++ b/src/topazlug/_membership.py
@@ -121,7 +121,6 @@
         self._greenlets: list[gevent.Greenlet] = []
         self._book = _facts.FactBook(clock=clock)
         self._exchange = _fact_exchange.FactExchange(
-            daemon_id=daemon_id,
             settings=settings,
             links=links,
             book=self._book,
@@ -235,6 +234,29 @@
             sequence=sequence,
             state=state,
         )
+        if held is not None and held.incarnation == incarnation:
+            fact = msgspec.structs.replace(
+                held, sequence=sequence, state=state
+            )
+        self._tell(fact)
+
+    def publish_listed(self, fact: messages.Fact) -> None:
+        """Tell the fleet of a target that the list shows anew.
+
+        Daemons share the reads of the list; without this, one that reads it
+        every few minutes would send a new replica no work for as long.
+        """
+        held = self._book.get(messages.FactKind.target, fact.subject)
+        if held is None or held.incarnation < fact.incarnation:
+            self._tell(fact)
+        elif fact.state is messages.FactState.leaving:
+            self.publish_target(
+                _ids.ReplicaId(fact.subject),
+                incarnation=fact.incarnation,
+                state=fact.state,
+            )
+
+    def _tell(self, fact: messages.Fact) -> None:
         if self._take(fact):
             self._exchange.spread(fact)
 
--- a/src/topazlug/_service_calls.py
+++ b/src/topazlug/_service_calls.py
@@ -30,6 +30,8 @@
 IDEMPOTENCY_KEY = "Idempotency-Key"
 _MAX_KEY = 256
 _BUFFERED = 1 << 20
+_MAX_KEPT_WHOLE = 16 << 20
+_BODYLESS = (204, 304)
 # Fields that describe one connection (RFC 9110, 7.6.1), the caller's own
 # credentials, and the names that only this daemon may set.
 _NOT_PASSED_ON = frozenset(
@@ -214,16 +216,19 @@
     def _attempt(
         self, call: _Call, place: _place.Place, ticket: _quotas.Ticket
     ) -> _caller_answer.CallerAnswer:
-        timeout = min(
-            self._limits.first_byte_timeout, call.request.remaining()
-        )
+        call.request.remaining()
         if call.claim is not None:
             call.claim.may_send()
         answer = self._connections.exchange(
-            place.target, _target_request(call), head_timeout=timeout
+            place.target,
+            _target_request(call),
+            head_timeout=self._limits.first_byte_timeout,
+            deadline=call.request.deadline,
+        )
+        chunks = answer.chunks(
+            silence=self._limits.target_silence,
+            deadline=call.request.deadline,
         )
-        silence = min(self._limits.target_silence, call.request.remaining())
-        chunks = answer.chunks(silence=silence)
         if call.claim is not None:
             return self._keep(call, place, answer, chunks, ticket)
         return self._relay(call, place, answer, chunks, ticket)
@@ -237,7 +242,10 @@
         ticket: _quotas.Ticket,
     ) -> _caller_answer.CallerAnswer:
         """Read a claimed call's answer whole, so that a repeat gets it."""
-        body = b"".join(chunks)
+        try:
+            body = _read_whole(chunks)
+        finally:
+            answer.close()
         headers = _passed_back(answer)
         if call.claim is not None:
             call.claim.finish(answer.status, headers, body)
@@ -246,7 +254,7 @@
             status=answer.status,
             headers=headers
             + _own_headers(call, place.target.replica)
-            + [("Content-Length", str(len(body)))],
+            + _length(answer.status, len(body)),
             body=iter([body]),
         )
 
@@ -277,11 +285,15 @@
         )
         if whole:
             self._end(call, place, answer.status, ticket)
-            if call.request.method != "HEAD":
-                headers.append(("Content-Length", str(size)))
+            if call.request.method == "HEAD":
+                stated = answer.header("Content-Length")
+                size = int(stated) if stated.isdigit() else 0
+            headers += _length(answer.status, size)
             body: Iterator[bytes] = iter(head)
         else:
-            body = self._rest(call, place, answer, head, chunks, ticket)
+            body = _caller_answer.started(
+                self._rest(call, place, answer, head, chunks, ticket)
+            )
         return _caller_answer.CallerAnswer(
             status=answer.status, headers=headers, body=body
         )
@@ -296,6 +308,7 @@
         ticket: _quotas.Ticket,
     ) -> Iterator[bytes]:
         try:
+            yield b""
             yield from head
             yield from chunks
         finally:
@@ -326,14 +339,15 @@
     caller: _caller_request.Caller,
     snapshot: _configuration.TableSnapshot,
 ) -> tuple[table.ServiceRow, str]:
-    name, slash, rest = request.path[len(PREFIX) :].partition("/")
+    name, _, rest = request.raw_path[len(PREFIX) :].partition("/")
     row = snapshot.services_by_name.get(name)
     allowed = caller.team.services
     if row is None or (allowed and name not in allowed):
         raise _errors.UnknownService(f"no service {name!r}")
-    # The path goes to the target in encoded form: a decoded line break
-    # would otherwise start a header of the caller's choice.
-    path = parse.quote("/" + rest, safe="/:@!$&'()*+,;=~", encoding="latin-1")
+    # The path goes on encoded as it came: decoded, a line break would start
+    # a header of the caller's choice, and an encoded slash would name
+    # another resource.
+    path = parse.quote("/" + rest, safe="%/:@!$&'()*+,;=~", encoding="latin-1")
     if request.query:
         path += "?" + parse.quote(request.query, safe="=&%+/:@!$'()*,;~?")
     return row, path
@@ -381,10 +395,28 @@
         (name, value)
         for name, value in answer.headers
         if name.lower() not in _NOT_PASSED_ON
-        and not name.lower().startswith("x-target-")
+        and not name.lower().startswith(("x-target-", "topazlug-"))
     ]
 
 
+def _length(status: int, size: int) -> list[tuple[str, str]]:
+    return [] if status in _BODYLESS else [("Content-Length", str(size))]
+
+
+def _read_whole(chunks: Iterator[bytes]) -> bytes:
+    blocks: list[bytes] = []
+    size = 0
+    for block in chunks:
+        size += len(block)
+        if size > _MAX_KEPT_WHOLE:
+            raise _errors.TargetFailed(
+                "the answer of a claimed request is too long",
+                outcome=_errors.Outcome.UNKNOWN,
+            )
+        blocks.append(block)
+    return b"".join(blocks)
+
+
 def _own_headers(call: _Call, replica: str) -> list[tuple[str, str]]:
     return [
         (_caller_answer.OUTCOME, _errors.Outcome.RAN.value),
@@ -401,7 +433,7 @@
         (_caller_answer.OUTCOME, _errors.Outcome.RAN.value),
         ("X-Request-Id", call.request.request_id),
         ("Idempotency-Replayed", "true"),
-        ("Content-Length", str(len(kept.body))),
+        *_length(kept.status, len(kept.body)),
     ]
     return _caller_answer.CallerAnswer(
         status=kept.status, headers=headers, body=iter([kept.body])
--- a/src/topazlug/_target_client.py
+++ b/src/topazlug/_target_client.py
@@ -9,6 +9,7 @@
 
 import collections
 from collections.abc import Iterator
+import math
 import socket as _plain_socket
 from typing import final
 
@@ -24,6 +25,7 @@
 _BLOCK = 16384
 _IDLE_PER_TARGET = 32
 _MAX_HEAD = 65536
+_FINAL = 200
 REQUEST_ID = "X-Request-Id"
 NOT_RUN = "X-Not-Run"
 TARGET_STATE = "X-Target-State"
@@ -55,7 +57,38 @@
 
 
 class _Parser(_response.HTTPResponse):
-    """The library's parser; it hands over the body as it comes."""
+    """The library's parser; it hands over the body as it comes.
+
+    The library goes on with whatever follows a whole answer, and adds the
+    body of a second answer to that of the first: a caller would read what
+    belongs to another. Here the answer ends where its framing says; more
+    bytes only show that the connection must not be used again.
+    """
+
+    def __init__(self, *, method: str) -> None:
+        super().__init__(method=method)
+        self.final_status = 0
+        self.has_more = False
+
+    def _on_headers_complete(self) -> int | bool | None:
+        self.final_status = self.get_code()
+        return super()._on_headers_complete()
+
+    def _on_message_begin(self) -> None:
+        if self.message_complete and self.final_status >= _FINAL:
+            self.has_more = True
+            raise _response.HTTPParseError("bytes after the whole answer")
+        super()._on_message_begin()
+
+    def feed(self, data: str | bytes) -> None:
+        try:
+            super().feed(data)
+        except _response.HTTPParseError:
+            if not self.has_more:
+                raise
+
+    def should_close(self) -> bool:
+        return self.has_more or super().should_close()
 
     def take_body(self) -> bytes:
         body = bytes(self._body_buffer)
@@ -81,13 +114,15 @@
         connection: socket.socket,
         parser: _Parser,
         pool: "_IdleConnections",
+        clock: _clock.Clock,
     ) -> None:
         self._connection = connection
+        self._clock = clock
         self._parser = parser
         self._pool = pool
         self._closed = False
         self.aborted = False
-        self.status = parser.status_code
+        self.status = parser.final_status
         self.headers = list(parser.items())
 
     def header(self, name: str) -> str:
@@ -95,13 +130,23 @@
         value = self._parser.get(name)
         return value if isinstance(value, str) else ""
 
-    def chunks(self, *, silence: float) -> Iterator[bytes]:
+    def header_values(self, name: str) -> list[str]:
+        """Give all values of a header."""
+        wanted = name.lower()
+        return [value for key, value in self.headers if key.lower() == wanted]
+
+    def chunks(
+        self, *, silence: float, deadline: float = math.inf
+    ) -> Iterator[bytes]:
         """Give the body as it comes.
 
         Parameters
         ----------
         silence : float
             Seconds without a byte after which the target counts as silent.
+        deadline : float
+            Monotonic seconds at which the request ends, also when bytes
+            trickle in.
 
         Raises
         ------
@@ -109,8 +154,9 @@
             The connection ended before the answer was whole.
         TargetSilent
             Nothing came for too long.
+        DeadlineExceeded
+            The answer was not whole at the deadline.
         """
-        self._connection.settimeout(silence)
         while True:
             body = self._parser.take_body()
             if body:
@@ -118,14 +164,18 @@
             if self._parser.message_complete:
                 self._finish()
                 return
-            self._receive()
+            self._receive(silence, deadline)
 
-    def _receive(self) -> None:
+    def _receive(self, silence: float, deadline: float) -> None:
+        left = deadline - self._clock.monotonic()
         try:
+            self._connection.settimeout(max(0.0, min(silence, left)))
             data = self._connection.recv(_BLOCK)
             self._parser.feed(data)
-        except TimeoutError as error:
+        except (TimeoutError, BlockingIOError) as error:
             self.close()
+            if left <= silence:
+                raise _too_late() from error
             raise _errors.TargetSilent(
                 "the target fell silent in the middle of its answer",
                 outcome=_errors.Outcome.UNKNOWN,
@@ -164,6 +214,13 @@
         self._connection.close()
 
 
+def _too_late() -> _errors.DeadlineExceeded:
+    return _errors.DeadlineExceeded(
+        "the request's deadline passed before the target's answer was whole",
+        outcome=_errors.Outcome.UNKNOWN,
+    )
+
+
 def _truncated() -> _errors.TargetTruncated:
     return _errors.TargetTruncated(
         "the target's answer ended before it was whole",
@@ -236,6 +293,7 @@
         request: TargetRequest,
         *,
         head_timeout: float,
+        deadline: float = math.inf,
     ) -> TargetAnswer:
         """Send a request and wait for the head of its answer.
 
@@ -247,6 +305,8 @@
             What.
         head_timeout : float
             Longest wait for the head in seconds.
+        deadline : float
+            Monotonic seconds at which the request ends.
 
         Raises
         ------
@@ -256,13 +316,17 @@
             The target says that it did not run the request.
         TargetFailed, TargetSilent
             Bytes were sent and no proper answer came: outcome unknown.
+        DeadlineExceeded
+            Bytes were sent and the deadline came first: outcome unknown.
         """
         pool = self._pool(target)
         connection = None if request.fresh else pool.take()
         if connection is None:
             connection = self._connect(target)
         try:
-            answer = self._talk(connection, request, pool, head_timeout)
+            answer = self._talk(
+                connection, request, pool, head_timeout, deadline
+            )
         except BaseException:
             connection.close()
             raise
@@ -297,24 +361,42 @@
         request: TargetRequest,
         pool: _IdleConnections,
         head_timeout: float,
+        deadline: float,
     ) -> TargetAnswer:
         parser = _Parser(method=request.method)
-        connection.settimeout(head_timeout)
+        now = self._clock.monotonic()
+        if now >= deadline:
+            # A daemon that was frozen while it connected would run a
+            # request long after its caller was told of the deadline.
+            raise _errors.DeadlineExceeded("no connection before the deadline")
+        silent_at = now + head_timeout
+        end = min(silent_at, deadline)
         try:
+            connection.settimeout(self._left(end))
             connection.sendall(_head(request) + request.body)
-            self._read_head(connection, parser)
-        except TimeoutError as error:
+            self._read_head(connection, parser, end)
+        except (TimeoutError, BlockingIOError) as error:
+            if deadline <= silent_at:
+                raise _too_late() from error
             raise _errors.TargetSilent(
                 "the target did not answer in time",
                 outcome=_errors.Outcome.UNKNOWN,
             ) from error
         except (OSError, _response.HTTPParseError) as error:
             raise _failed(str(error)) from error
-        return TargetAnswer(connection=connection, parser=parser, pool=pool)
+        return TargetAnswer(
+            connection=connection, parser=parser, pool=pool, clock=self._clock
+        )
 
-    def _read_head(self, connection: socket.socket, parser: _Parser) -> None:
+    def _left(self, end: float) -> float:
+        return max(0.0, end - self._clock.monotonic())
+
+    def _read_head(
+        self, connection: socket.socket, parser: _Parser, end: float
+    ) -> None:
         size = 0
-        while not parser.headers_complete or parser.status_code < 200:
+        while not parser.headers_complete or parser.final_status < _FINAL:
+            connection.settimeout(self._left(end))
             data = connection.recv(_BLOCK)
             if not data:
                 raise _failed("the connection ended before the answer")
@@ -325,8 +407,8 @@
 
     def _check(self, answer: TargetAnswer, request: TargetRequest) -> None:
         """Drop an answer that belongs to another request."""
-        echoed = answer.header(REQUEST_ID)
-        if echoed and echoed != request.request_id:
+        echoed = set(answer.header_values(REQUEST_ID))
+        if echoed - {request.request_id}:
             answer.close()
             raise _failed("the answer belongs to another request")
         if answer.status == 503 and answer.header(NOT_RUN) == "true":
--- a/src/topazlug/_targets.py
+++ b/src/topazlug/_targets.py
@@ -19,6 +19,7 @@
 from topazlug._generated import messages
 
 _AVOID_SECONDS = 1.0
+_TOLD_SECONDS = 900.0
 _HOLD_BASE_SECONDS = 1.0
 _HOLD_MAX_SECONDS = 30.0
 
@@ -44,6 +45,11 @@
     leaving: bool
 
 
+class _Told(msgspec.Struct):
+    target: Target
+    until: float
+
+
 class _Health(msgspec.Struct):
     incarnation: int = 0
     state: messages.FactState = messages.FactState.live
@@ -76,7 +82,7 @@
     Attributes
     ----------
     target_by_replica : dict
-        The platform's list as last read.
+        The platform's list as last read, and what peers saw on it since.
     drains : Drains
         What operators took out of service.
     """
@@ -87,6 +93,8 @@
         self._health_by_replica: dict[_ids.ReplicaId, _Health] = {}
         self.drains = Drains()
         self._callbacks: list[Callable[[], None]] = []
+        self._listed_by_replica: dict[_ids.ReplicaId, Target] = {}
+        self._told_by_replica: dict[_ids.ReplicaId, _Told] = {}
         self.target_by_replica: dict[_ids.ReplicaId, Target] = {}
         self._replicas_by_group: dict[_ids.GroupName, list[_ids.ReplicaId]]
         self._replicas_by_group = {}
@@ -103,7 +111,21 @@
         targets : iterable of Target
             The whole list.
         """
-        fresh = {target.replica: target for target in targets}
+        self._listed_by_replica = {t.replica: t for t in targets}
+        self._merge()
+
+    def _merge(self) -> None:
+        """Join the list with what peers saw on a newer one."""
+        now = self._clock.monotonic()
+        fresh = dict(self._listed_by_replica)
+        for replica, told in list(self._told_by_replica.items()):
+            listed = fresh.get(replica)
+            if now > told.until:
+                del self._told_by_replica[replica]
+            elif (
+                listed is None or listed.incarnation < told.target.incarnation
+            ):
+                fresh[replica] = told.target
         if fresh == self.target_by_replica:
             return
         self.target_by_replica = fresh
@@ -122,6 +144,12 @@
 
     def take_fact(self, fact: messages.Fact) -> None:
         """Take over what a peer, or this daemon, saw of a target."""
+        if fact.group and fact.port:
+            self._told_by_replica[_ids.ReplicaId(fact.subject)] = _Told(
+                target=_told_target(fact),
+                until=self._clock.monotonic() + _TOLD_SECONDS,
+            )
+            self._merge()
         health = self._health(_ids.ReplicaId(fact.subject))
         returned = health.state in _UNUSABLE and fact.state not in _UNUSABLE
         health.incarnation = fact.incarnation
@@ -227,3 +255,51 @@
         for instance in instances_by_id.values()
         if instance.kind in _KIND_BY_INSTANCE
     ]
+
+
+def listed_fact(target: Target) -> messages.Fact:
+    """Give what the list says of a target, as a fact for peers."""
+    state = messages.FactState.live
+    if target.leaving:
+        state = messages.FactState.leaving
+    return messages.Fact(
+        kind=messages.FactKind.target,
+        subject=target.replica,
+        incarnation=target.incarnation,
+        sequence=0,
+        state=state,
+        host=target.host,
+        port=target.port,
+        zone=target.zone,
+        group=target.group,
+        slots=target.slots,
+        engine=target.kind is TargetKind.ENGINE,
+    )
+
+
+def _told_target(fact: messages.Fact) -> Target:
+    return Target(
+        replica=_ids.ReplicaId(fact.subject),
+        kind=TargetKind.ENGINE if fact.engine else TargetKind.SERVICE,
+        group=_ids.GroupName(fact.group),
+        host=fact.host,
+        port=fact.port,
+        zone=fact.zone,
+        incarnation=fact.incarnation,
+        slots=fact.slots,
+        leaving=False,
+    )
+
+
+def news(
+    before: Mapping[_ids.ReplicaId, Target], after: Iterable[Target]
+) -> list[Target]:
+    """Give the targets that are new, newly started, or newly leaving."""
+    return [target for target in after if _is_news(target, before)]
+
+
+def _is_news(target: Target, before: Mapping[_ids.ReplicaId, Target]) -> bool:
+    known = before.get(target.replica)
+    if known is None or known.incarnation < target.incarnation:
+        return True
+    return target.leaving and not known.leaving
--- a/tests/topazlug/test_peer_auth.py
+++ b/tests/topazlug/test_peer_auth.py
@@ -176,6 +176,22 @@
         found = [one for piece in pieces for one in opener.batches(piece)]
         assert found == batches
 
+    def test_two_connections_in_pieces(self):
+        """Bytes of one connection are read as another's.
+
+        Sequence: half a batch comes in on each of two connections. Cause:
+        a reader shared by connections while it holds bytes of one.
+        """
+        sealers = [_peer_auth.Sealer(KEY) for _ in range(2)]
+        openers = [_peer_auth.Opener(KEY, max_bytes=LIMIT) for _ in range(2)]
+        data = [sealer.sealed(b"x" * 50) for sealer in sealers]
+        for part in (slice(None, 30), slice(30, 31), slice(31, None)):
+            found = [
+                list(opener.batches(one[part]))
+                for opener, one in zip(openers, data)
+            ]
+        assert found == [[b"x" * 50], [b"x" * 50]]
+
     def test_many_large_batches(self, sealer):
         opener = _peer_auth.Opener(KEY, max_bytes=10**6)
         for size in (10**6, 10, 10**5, 0):
