Bound the cost of renewals, and use the loads an entry has just heard

Cause: (1) renewals to some 500 owners a second would take 75 KB/s at the target; (2) each ask looked through the whole group for usable replicas; (3) in a burst all owners go by a mean that lags by a report and all refuse, so a caller waits for the next report although one replica lies below the true mean; (4) a ledger kept the slots it was opened with when an operator changed them. Ruled out for (3): a shorter report interval, which multiplies the traffic. Figures: none measured for these at size yet; the interval is worked out from 150 bytes an owner.

--- a/src/topazlug/_admission.py
+++ b/src/topazlug/_admission.py
@@ -50,8 +50,7 @@
     def __init__(self, ranked: list[_ids.ReplicaId]) -> None:
         self.ranked = ranked
         self.asked: set[_ids.ReplicaId] = set()
-        self.least: _ids.ReplicaId | None = None
-        self.least_load = math.inf
+        self.load_by_replica: dict[_ids.ReplicaId, int] = {}
         self.seat: _ids.ReplicaId | None = None
         self.retry_after = 0.0
 
@@ -59,9 +58,25 @@
         self, replica: _ids.ReplicaId, reply: messages.AdmitReply
     ) -> None:
         self.retry_after = max(self.retry_after, reply.retry_after)
-        if reply.load < self.least_load:
-            self.least = replica
-            self.least_load = reply.load
+        self.load_by_replica[replica] = reply.load
+
+    @property
+    def least(self) -> _ids.ReplicaId | None:
+        """Give the replica that said it has the least load."""
+        loads = self.load_by_replica
+        return min(loads, key=loads.__getitem__) if loads else None
+
+    def total(self, replicas: int) -> int:
+        """Give the group's load if all owners have just told theirs.
+
+        The mean that owners go by lags. When calls come in a burst, each
+        owner still counts the others as idle and all refuse, though one of
+        them must lie below the true mean; the caller would wait for the
+        next report.
+        """
+        if len(self.load_by_replica) < replicas:
+            return 0
+        return sum(self.load_by_replica.values())
 
 
 @final
@@ -210,7 +225,14 @@
         wait = request.deadline - self._clock.monotonic()
         if wait <= 0:
             raise _errors.DeadlineExceeded("no place before the deadline")
-        answer = self._ask(request, replica, home=False, wait=wait)
+        replicas = len(self._targets.usable(request.group))
+        answer = self._ask(
+            request,
+            replica,
+            home=False,
+            wait=wait,
+            total=search.total(replicas),
+        )
         if answer is None:
             return None
         ask, owner, reply = answer
@@ -227,6 +249,7 @@
         *,
         home: bool,
         wait: float = 0.0,
+        total: int = 0,
     ) -> tuple[_ids.AskNumber, _ids.DaemonId, messages.AdmitReply] | None:
         owner = self._ownership.owner_of(replica)
         if owner is None:
@@ -246,6 +269,7 @@
             weight=request.weight,
             home=home,
             wait=wait,
+            total=total,
         )
         self.pending_by_ask[ask] = owner
         try:
@@ -380,11 +404,21 @@
             # The next renewal carries the whole truth.
             return
 
-    def renew(self) -> None:
+    def renew(self, only: set[_ids.DaemonId] | None = None) -> int:
         """Tell each owner all that this daemon holds of it.
 
         Owners that held something at the last renewal hear an empty list
         once, so a place whose release was lost does not stay counted.
+
+        Parameters
+        ----------
+        only : set of DaemonId or None
+            Owners to tell; None for all.
+
+        Returns
+        -------
+        int
+            Owners told.
         """
         held: dict[_ids.DaemonId, list[messages.HeldPlace]] = {}
         pending: dict[_ids.DaemonId, list[int]] = {}
@@ -395,7 +429,10 @@
         for ask, owner in self.pending_by_ask.items():
             pending.setdefault(owner, []).append(ask)
         current = set(held) | set(pending)
-        for owner in current | self._renewed:
+        told = current | self._renewed
+        if only is not None:
+            told &= only
+        for owner in told:
             message = messages.Renew(
                 held=held.get(owner, []), pending=pending.get(owner, [])
             )
@@ -403,7 +440,8 @@
                 self._owner.renew(self._daemon, message)
             else:
                 self._send(owner, message)
-        self._renewed = current
+        self._renewed = current | (self._renewed - told)
+        return len(told)
 
     def _reassign(self, place: _place.Place) -> None:
         owner = self._ownership.owner_of(place.target.replica)
--- a/src/topazlug/_daemon.py
+++ b/src/topazlug/_daemon.py
@@ -403,6 +403,7 @@
             for target in _targets.news(known, listed):
                 self.membership.publish_listed(_targets.listed_fact(target))
         self.targets.take_list(listed)
+        self.owner.refresh_slots()
 
     def _members_changed(self) -> None:
         for daemon, member in self.membership.members_by_id.items():
@@ -433,6 +434,7 @@
         drains = self.rules.drains()
         if drains != self.targets.drains:
             self.targets.take_drains(drains)
+        self.owner.refresh_slots()
 
     def _watch_metrics(self) -> None:
         watch = self.metrics.watch
--- a/src/topazlug/_generated/messages.py
+++ b/src/topazlug/_generated/messages.py
@@ -68,6 +68,14 @@
             ),
         ]
     ) = 0
+    total: (
+        Annotated[
+            int,
+            Meta(
+                description="Load of the whole group, where the entry has just heard it of all owners."
+            ),
+        ]
+    ) = 0
 
 
 class Verdict(StrEnum):
--- a/src/topazlug/_owner.py
+++ b/src/topazlug/_owner.py
@@ -139,6 +139,7 @@
         )
         now = self._clock.monotonic()
         total, replicas = self._group_total(ledger.group, now)
+        total = max(total, ask.total)
         judgement = ledger.judge(
             weight=ask.weight,
             batch=ask.batch,
@@ -253,6 +254,23 @@
             ledger.keep_only(sender, held.get(replica, {}), pending, now=now)
             self._pump(ledger)
 
+    def refresh_slots(self) -> None:
+        """Take over what the table and the list now say of slots."""
+        for replica, ledger in self.ledger_by_replica.items():
+            target = self._targets.target_by_replica.get(replica)
+            if target is None:
+                continue
+            ledger.slots, ledger.batch_slots = self._slots_of(target)
+            self._pump(ledger)
+
+    def _slots_of(self, target: _targets.Target) -> tuple[int, int]:
+        """Give a replica's slots, and how many batch work may take."""
+        slots = self._rules.slots_of(target.group)
+        if target.slots:
+            slots = min(slots, target.slots)
+        reserve = self._rules.batch_reserve_of(target.group)
+        return slots, max(1, math.floor(slots * (1 - reserve)))
+
     def drop_daemon(self, daemon: _ids.DaemonId) -> None:
         """Free all that a dead daemon held."""
         now = self._clock.monotonic()
@@ -396,9 +414,7 @@
         return ledger
 
     def _open(self, target: _targets.Target) -> _ledger.ReplicaLedger:
-        slots = target.slots or self._rules.slots_of(target.group)
-        reserve = self._rules.batch_reserve_of(target.group)
-        batch_slots = max(1, math.floor(slots * (1 - reserve)))
+        slots, batch_slots = self._slots_of(target)
         ledger = _ledger.ReplicaLedger(
             replica=target.replica,
             group=target.group,
--- a/src/topazlug/_owner_duties.py
+++ b/src/topazlug/_owner_duties.py
@@ -23,6 +23,8 @@
 _REPORT_TIMEOUT = 0.3
 _RETRY_SECONDS = 0.2
 _HANDOVER_ENTRIES = 500
+_RENEW_BYTES = 150
+_RENEW_BYTES_PER_SECOND = 6144
 
 
 @final
@@ -116,7 +118,9 @@
         handover = self._owner.transfer(transfers)
         for after, entries in handover.items():
             self._hand_over(after, entries)
-        self._admission.renew()
+        gained = {c.after for c in transfers if c.after is not None}
+        lost = {c.before for c in transfers if c.before is not None}
+        self._admission.renew(gained | lost)
 
     def _hand_over(
         self, after: _ids.DaemonId, entries: list[messages.Displaced]
@@ -130,10 +134,17 @@
                 return
 
     def renew_forever(self) -> None:
-        """Tell owners what this daemon holds, again and again."""
+        """Tell owners what this daemon holds, again and again.
+
+        The more owners there are, the longer the interval: with places at
+        some 500 owners a renewal each second would take 75 KB/s, and the
+        budget for all control is 28.
+        """
+        owners = 0
         while True:
-            self._clock.sleep(self._routing.renew_interval)
-            self._admission.renew()
+            spread = owners * _RENEW_BYTES / _RENEW_BYTES_PER_SECOND
+            self._clock.sleep(max(self._routing.renew_interval, spread))
+            owners = self._admission.renew()
 
     def report_forever(self) -> None:
         """Tell collectors the load of the owned replicas when it is due."""
--- a/src/topazlug/_targets.py
+++ b/src/topazlug/_targets.py
@@ -9,6 +9,7 @@
 from collections.abc import Iterable
 from collections.abc import Mapping
 import enum
+import math
 from typing import final
 
 import msgspec
@@ -50,6 +51,11 @@
     until: float
 
 
+class _Usable(msgspec.Struct):
+    replicas: list[_ids.ReplicaId]
+    until: float
+
+
 class _Health(msgspec.Struct):
     incarnation: int = 0
     state: messages.FactState = messages.FactState.live
@@ -93,6 +99,7 @@
         self._health_by_replica: dict[_ids.ReplicaId, _Health] = {}
         self.drains = Drains()
         self._callbacks: list[Callable[[], None]] = []
+        self._usable_by_group: dict[_ids.GroupName, _Usable] = {}
         self._listed_by_replica: dict[_ids.ReplicaId, Target] = {}
         self._told_by_replica: dict[_ids.ReplicaId, _Told] = {}
         self.target_by_replica: dict[_ids.ReplicaId, Target] = {}
@@ -178,6 +185,7 @@
         """Pass a target over for a moment, on this daemon only."""
         until = self._clock.monotonic() + _AVOID_SECONDS
         self._health(replica).avoid_until = until
+        self._usable_by_group.clear()
 
     def known(self, group: _ids.GroupName) -> list[_ids.ReplicaId]:
         """Give all listed replicas of a group."""
@@ -188,13 +196,30 @@
         return list(self._replicas_by_group)
 
     def usable(self, group: _ids.GroupName) -> list[_ids.ReplicaId]:
-        """Give the replicas of a group that may get new work."""
+        """Give the replicas of a group that may get new work.
+
+        The answer is kept until something changes: a group of 156 replicas
+        is looked through for each request otherwise.
+        """
         now = self._clock.monotonic()
-        return [
-            replica
-            for replica in self.known(group)
-            if self._is_usable(replica, now)
-        ]
+        kept = self._usable_by_group.get(group)
+        if kept is None or now >= kept.until:
+            kept = self._look_through(group, now)
+            self._usable_by_group[group] = kept
+        return kept.replicas
+
+    def _look_through(self, group: _ids.GroupName, now: float) -> _Usable:
+        until = math.inf
+        usable = []
+        for replica in self.known(group):
+            if self._is_usable(replica, now):
+                usable.append(replica)
+                continue
+            health = self._health_by_replica.get(replica, _Health())
+            for again in (health.held_until, health.avoid_until):
+                if again > now:
+                    until = min(until, again)
+        return _Usable(replicas=usable, until=until)
 
     def is_usable(self, replica: _ids.ReplicaId) -> bool:
         """Say whether a replica may get new work."""
@@ -226,6 +251,7 @@
         return self._health_by_replica.setdefault(replica, _Health())
 
     def _notify(self) -> None:
+        self._usable_by_group.clear()
         for callback in self._callbacks:
             callback()
 
