Split the daemon by what its parts are for

Now _fleet_parts holds the platform and the peers, _routing_parts what decides where a request goes, and _daemon the listeners and the stop. Nothing else changed.

--- /dev/null
+++ b/src/topazlug/_routing_parts.py
@@ -0,0 +1,210 @@
+"""A daemon's routing, put together: targets, owners, ceilings."""
+
+from collections.abc import Callable
+from typing import Any
+from typing import final
+
+from topazlug import _admission
+from topazlug import _clock
+from topazlug import _fleet_parts
+from topazlug import _ids
+from topazlug import _logs
+from topazlug import _owner
+from topazlug import _owner_duties
+from topazlug import _ownership
+from topazlug import _peers
+from topazlug import _place
+from topazlug import _policies
+from topazlug import _quota_owner
+from topazlug import _quotas
+from topazlug import _rules
+from topazlug import _target_client
+from topazlug import _target_watch
+from topazlug import _targets
+from topazlug._generated import messages
+from topazlug._generated import settings as _settings_types
+
+_log = _logs.logger("routing")
+_QUOTA_RENEW_SECONDS = 0.5
+
+
+@final
+class RoutingParts:
+    """Everything that decides where a request goes.
+
+    Parameters
+    ----------
+    settings : DaemonSettings
+        Checked settings.
+    fleet : FleetParts
+        The platform and the peers.
+    clock : Clock
+        Time.
+    """
+
+    def __init__(
+        self,
+        *,
+        settings: _settings_types.DaemonSettings,
+        fleet: _fleet_parts.FleetParts,
+        clock: _clock.Clock,
+    ) -> None:
+        self._settings = settings
+        self._fleet = fleet
+        self._clock = clock
+        self.rules = _rules.TableRules(
+            configuration=fleet.configuration, routing=settings.routing
+        )
+        self._build_owning()
+        self._build_watch()
+        self._build_quotas()
+
+    def _build_owning(self) -> None:
+        settings = self._settings
+        self.targets = _targets.TargetDirectory(
+            clock=self._clock, flap_window=settings.membership.flap_window
+        )
+        self.ownership = _ownership.Ownership()
+        self.owner = _owner.Owner(
+            daemon=self._fleet.daemon_id,
+            ownership=self.ownership,
+            targets=self.targets,
+            rules=self.rules,
+            routing=settings.routing,
+            clock=self._clock,
+        )
+        self.owners_admission = _admission.OwnersAdmission(
+            daemon=self._fleet.daemon_id,
+            owner=self.owner,
+            ownership=self.ownership,
+            targets=self.targets,
+            links=self._fleet.links,
+            routing=settings.routing,
+            clock=self._clock,
+            fleet_size=lambda: len(self._fleet.membership.usable()),
+        )
+        self.duties = _owner_duties.OwnerDuties(
+            daemon=self._fleet.daemon_id,
+            owner=self.owner,
+            admission=self.owners_admission,
+            links=self._fleet.links,
+            usable=self._fleet.membership.usable,
+            routing=settings.routing,
+            clock=self._clock,
+        )
+        self.duties.register()
+        self.ownership.on_transfer(self.duties.on_transfer)
+
+    def _build_watch(self) -> None:
+        settings = self._settings
+        self.connections = _target_client.TargetConnections(
+            connect_timeout=settings.limits.connect_timeout, clock=self._clock
+        )
+        self.watch = _target_watch.TargetWatch(
+            owned=self._watched,
+            targets=self.targets,
+            connections=self.connections,
+            signs=self._fleet.membership,
+            report=self._take_engine_report,
+            interval=settings.routing.poll_interval,
+            clock=self._clock,
+        )
+        self.admission: _place.Admission = _policies.admission_of(
+            settings.routing.policy, self
+        )
+
+    def _build_quotas(self) -> None:
+        self.quota_owner = _quota_owner.QuotaOwner(
+            team_of=self.rules.team_of,
+            reachable_part=self._fleet.reachable_part,
+            clock=self._clock,
+        )
+        self.quotas = _quotas.TeamQuotas(
+            daemon=self._fleet.daemon_id,
+            owner=self.quota_owner,
+            links=self._fleet.links,
+            daemons=self._fleet.membership.usable,
+            clock=self._clock,
+        )
+        self._fleet.links.handle(messages.SliceAsk, self._on_slice_ask)
+
+    def _on_slice_ask(
+        self, sender: _ids.DaemonId, ask: Any, reply: _peers.Reply
+    ) -> None:
+        reply(self.quota_owner.lend(sender, ask))
+
+    def _watched(self) -> list[_ids.ReplicaId]:
+        if self._settings.routing.policy is _policies.TWO_CHOICES:
+            return list(self.targets.target_by_replica)
+        return list(self.owner.ledger_by_replica)
+
+    def _take_engine_report(
+        self, replica: _ids.ReplicaId, running: int
+    ) -> None:
+        self.owner.take_engine_report(replica, running)
+        report = getattr(self.admission, "take_engine_report", None)
+        if report is not None:
+            report(replica, running)
+
+    def connect(self) -> None:
+        """Follow what the list, the members and the table say."""
+        self._fleet.instances.on_change(self._list_changed)
+        self._fleet.membership.on_change(self._members_changed)
+        self._fleet.membership.on_target_fact(self.targets.take_fact)
+        self._fleet.membership.on_pause(self._paused)
+        self._fleet.configuration.on_change(self._configuration_changed)
+        self.targets.on_change(self._update_ownership)
+
+    def tasks(self) -> list[Callable[[], None]]:
+        """Give what runs for as long as the daemon does."""
+        return [
+            self.duties.renew_forever,
+            self.duties.report_forever,
+            self.watch.run,
+            self._renew_quotas,
+        ]
+
+    def _renew_quotas(self) -> None:
+        while True:
+            self._clock.sleep(_QUOTA_RENEW_SECONDS)
+            self.quotas.renew()
+
+    def _list_changed(self) -> None:
+        listed = _targets.targets_of(self._fleet.instances.instances_by_id)
+        # A daemon that starts finds all of the list new; the fleet does not.
+        if self._fleet.instances.refreshed_at is not None:
+            known = self.targets.target_by_replica
+            for target in _targets.news(known, listed):
+                self._fleet.membership.publish_listed(
+                    _targets.listed_fact(target)
+                )
+        self.targets.take_list(listed)
+        self.owner.refresh_slots()
+
+    def _members_changed(self) -> None:
+        for daemon, member in self._fleet.membership.members_by_id.items():
+            if member.state is messages.FactState.dead:
+                self.owner.drop_daemon(daemon)
+                self.quota_owner.drop_daemon(daemon)
+        self.quota_owner.forget(self._lends)
+        self._update_ownership()
+
+    def _lends(self, team: _ids.TeamName) -> bool:
+        owner = _quotas.owner_of(team, self._fleet.membership.usable())
+        return owner == self._fleet.daemon_id
+
+    def _update_ownership(self) -> None:
+        self.ownership.update(
+            daemons=self._fleet.membership.usable(),
+            replicas=self.targets.target_by_replica,
+        )
+
+    def _paused(self, seconds: float) -> None:
+        _log.warning("this daemon was paused for {s:.1f} s", s=seconds)
+        self.owner.turn_careful()
+
+    def _configuration_changed(self) -> None:
+        drains = self.rules.drains()
+        if drains != self.targets.drains:
+            self.targets.take_drains(drains)
+        self.owner.refresh_slots()
