Reach small ceilings, keep returning chats home, show retries and skew

Retries, skew and queued work were defined as metrics and never fed; a daemon's death was in no log. Ruled out: a floor of two under the bound, which lets strangers past it too.

--- a/src/topazlug/_attempts.py
+++ b/src/topazlug/_attempts.py
@@ -56,6 +56,8 @@
         Gets to know of targets that are leaving.
     clock : Clock
         Time.
+    count_retry : callable
+        Gets each request that is tried again.
     """
 
     def __init__(
@@ -66,7 +68,9 @@
         budget: _retry_budget.RetryBudget,
         signs: TargetSigns,
         clock: _clock.Clock,
+        count_retry: Callable[[_place.PlaceRequest], None],
     ) -> None:
+        self._count_retry = count_retry
         self._admission = admission
         self._targets = targets
         self._budget = budget
@@ -121,6 +125,7 @@
             failure.outcome = outcome
             if not self._may_repeat(failure, number, repeatable):
                 raise failure
+            self._count_retry(request)
             excluded |= {place.target.replica}
         raise AssertionError("the last attempt returns or raises")
 
--- a/src/topazlug/_daemon.py
+++ b/src/topazlug/_daemon.py
@@ -21,11 +21,13 @@
 from topazlug import _logs
 from topazlug import _metrics
 from topazlug import _page
+from topazlug import _place
 from topazlug import _retry_budget
 from topazlug import _routing_parts
 from topazlug import _service_calls
 from topazlug import _table_edits
 from topazlug._generated import settings as _settings_types
+from topazlug._generated import table
 
 _log = _logs.logger("daemon")
 _QUIET_SECONDS = 1.0
@@ -77,6 +79,7 @@
             budget=self.budget,
             signs=self.fleet.membership,
             clock=self.clock,
+            count_retry=self._count_retry,
         )
         # Claims have connections of their own: a burst of them must not
         # keep the table's own reads waiting, nor the other way round.
@@ -183,8 +186,19 @@
             return False
         return self.fleet.instances.refreshed_at is not None
 
+    def _count_retry(self, request: _place.PlaceRequest) -> None:
+        request_class = table.RequestClass.interactive
+        if request.batch:
+            request_class = table.RequestClass.batch
+        self.metrics.count_retry(request.team, request_class)
+
     def _watch_metrics(self) -> None:
         watch = self.metrics.watch
+        owner = self.routing.owner
+        watch(_metrics.Gauge.QUEUED, owner.waiting)
+        by_group = self.metrics.watch_by_group
+        by_group(_metrics.Gauge.MEAN_LOAD, owner.mean_by_group)
+        by_group(_metrics.Gauge.SKEW, owner.skew_by_group)
         watch(_metrics.Gauge.IN_FLIGHT, lambda: self.app.in_progress)
         watch(_metrics.Gauge.CONNECTIONS, lambda: self.callers.connections)
         watch(
--- a/src/topazlug/_ledger.py
+++ b/src/topazlug/_ledger.py
@@ -36,6 +36,7 @@
     weight: int
     team: _ids.TeamName
     batch: bool
+    chat: _ids.ChatHash = _ids.ChatHash(0)
 
 
 class Waiting(msgspec.Struct):
@@ -181,6 +182,15 @@
         if held.batch:
             self.batch_load += held.weight
 
+    def holds_chat(self, chat: _ids.ChatHash) -> bool:
+        """Say whether exactly one place is this chat's.
+
+        Only one is overlooked: a caller that sends many turns of one chat
+        at once must not get past the bound with them.
+        """
+        same = [h for h in self.held_by_key.values() if h.chat == chat]
+        return len(same) == 1
+
     def release(self, key: PlaceKey, *, now: float) -> bool:
         """Free a place, or take its ask out of the queue.
 
--- a/src/topazlug/_membership.py
+++ b/src/topazlug/_membership.py
@@ -334,6 +334,9 @@
 
     def _take_member(self, fact: messages.Fact) -> None:
         daemon_id = _ids.DaemonId(fact.subject)
+        before = self.members_by_id.get(daemon_id)
+        if before is not None and before.state is not fact.state:
+            _log.info("daemon {} is {}", daemon_id, fact.state.value)
         self.members_by_id[daemon_id] = _members.member_of(fact)
         if fact.state is messages.FactState.suspected:
             self._suspected_ids.add(daemon_id)
--- a/src/topazlug/_owner.py
+++ b/src/topazlug/_owner.py
@@ -135,7 +135,10 @@
     ) -> None:
         key = _ledger.PlaceKey(sender, _ids.AskNumber(ask.ask))
         held = _ledger.Held(
-            weight=ask.weight, team=_ids.TeamName(ask.team), batch=ask.batch
+            weight=ask.weight,
+            team=_ids.TeamName(ask.team),
+            batch=ask.batch,
+            chat=_ids.ChatHash(ask.chat),
         )
         now = self._clock.monotonic()
         total, replicas = self._group_total(ledger.group, now)
@@ -147,6 +150,8 @@
             now=now,
             mean=total / max(1, replicas),
         )
+        if judgement is _ledger.Judgement.OVER_BOUND and ask.home:
+            judgement = self._judge_return(ledger, held, judgement)
         ahead = ledger.has_ahead(batch=ask.batch)
         if judgement is _ledger.Judgement.FREE and not ahead:
             ledger.hold(key, held)
@@ -160,6 +165,23 @@
             return
         self._enqueue(ledger, key, held, ask.wait, reply)
 
+    def _judge_return(
+        self,
+        ledger: _ledger.ReplicaLedger,
+        held: _ledger.Held,
+        judgement: _ledger.Judgement,
+    ) -> _ledger.Judgement:
+        """Let a chat back in whose last turn is still counted.
+
+        A chat that returns at once through another daemon overtakes the
+        release of its last turn. At low load that turn alone fills the
+        bound; the chat would be sent away from its own context. Its old
+        place is about to go, so it takes that one's room.
+        """
+        if ledger.load < ledger.slots and ledger.holds_chat(held.chat):
+            return _ledger.Judgement.FREE
+        return judgement
+
     def _enqueue(
         self,
         ledger: _ledger.ReplicaLedger,
@@ -355,6 +377,34 @@
         total, replicas = self._group_total(group, self._clock.monotonic())
         return self._limit(group, total, replicas)
 
+    def waiting(self) -> int:
+        """Give the asks that wait in this owner's queues."""
+        ledgers = self.ledger_by_replica.values()
+        return sum(len(ledger.waiting_by_key) for ledger in ledgers)
+
+    def mean_by_group(self) -> dict[_ids.GroupName, float]:
+        """Give the mean load of each group with a replica owned here."""
+        now = self._clock.monotonic()
+        means = {}
+        for group in {
+            ledger.group for ledger in self.ledger_by_replica.values()
+        }:
+            total, replicas = self._group_total(group, now)
+            means[group] = total / max(1, replicas)
+        return means
+
+    def skew_by_group(self) -> dict[_ids.GroupName, float]:
+        """Give the largest owned load of each group over its mean."""
+        skews = {}
+        for group, mean in self.mean_by_group().items():
+            loads = [
+                ledger.load
+                for ledger in self.ledger_by_replica.values()
+                if ledger.group == group
+            ]
+            skews[group] = max(loads) / mean if mean else 0.0
+        return skews
+
     def _pump(self, ledger: _ledger.ReplicaLedger) -> None:
         if not ledger.waiting_by_key:
             return
--- a/src/topazlug/_quota_owner.py
+++ b/src/topazlug/_quota_owner.py
@@ -18,7 +18,8 @@
 from topazlug._generated import table
 
 SLICE_SECONDS = 1.0
-BUCKET_SECONDS = 0.2
+BUCKET_SECONDS = 0.5
+MIN_BUCKET = 2.0
 ROOM_SECONDS = 60.0
 LEARN_SECONDS = 1.5
 
@@ -125,7 +126,7 @@
     ) -> None:
         now = self._clock.monotonic()
         gained = (now - bucket.filled_at) * rate + ask.unused
-        size = max(1.0, rate * BUCKET_SECONDS)
+        size = max(MIN_BUCKET, rate * BUCKET_SECONDS)
         bucket.level = min(size, bucket.level + gained)
         bucket.filled_at = now
         lent = min(ask.want, math.floor(bucket.level))
@@ -160,4 +161,4 @@
         rooms[sender] = _Room(lent=lent, until=now + ROOM_SECONDS)
         slice_.running_room = lent
         if lent <= ask.running:
-            slice_.retry_after = max(slice_.retry_after, 0.5)
+            slice_.retry_after = max(slice_.retry_after, 0.25)
--- a/src/topazlug/_quotas.py
+++ b/src/topazlug/_quotas.py
@@ -27,6 +27,9 @@
 _SILENT_SECONDS = 1.0
 _SMOOTHING_SECONDS = 1.0
 _MIN_RETRY_AFTER = 0.1
+_SLICE_DEMAND_SECONDS = 0.2
+_MAX_WAIT_SECONDS = 0.3
+_MAX_WAITING = 8
 _FORGET_SECONDS = 60.0
 
 
@@ -70,6 +73,8 @@
     room: int = 0
     room_until: float = 0.0
     lender: _ids.DaemonId | None = None
+    closed_until: float = 0.0
+    waiting: int = 0
     left: float = 0.0
     lapses: float = 0.0
     rate: float = 0.0
@@ -157,9 +162,7 @@
         if not team.ceiling_rate and not team.ceiling_running:
             return _Ticket(use)
         if not self._has(team, use):
-            with use.lock:
-                if not self._has(team, use):
-                    self._ask(team, use)
+            self._open(team, use, deadline)
         if team.ceiling_rate:
             use.left -= 1
         return _Ticket(use)
@@ -172,13 +175,60 @@
             return True
         return use.running < use.room and now <= use.room_until
 
-    def _ask(self, team: table.TeamRow, use: _Use) -> None:
-        """Get a slice that has room for one request, or raise."""
+    def _open(self, team: table.TeamRow, use: _Use, deadline: float) -> None:
+        """Get a slice, waiting a moment if that is all it takes.
+
+        Retry-After counts in whole seconds. Refused for want of a tenth of
+        one, callers come back late and a small ceiling is never reached.
+        Few may wait, or a surge would queue here unseen. While the owner's
+        refusal holds, others are refused without asking it again.
+
+        Raises
+        ------
+        TeamCeiling
+            There is no room, or none soon enough.
+        """
+        for is_last in (False, True):
+            wait = self._ask_once(team, use)
+            if wait <= 0:
+                return
+            now = self._clock.monotonic()
+            too_many = use.waiting >= _MAX_WAITING
+            too_late = wait > _MAX_WAIT_SECONDS or now + wait >= deadline
+            if is_last or too_many or too_late:
+                break
+            use.waiting += 1
+            self._clock.sleep(wait)
+            use.waiting -= 1
+        use.refused += 1
+        raise _errors.TeamCeiling(
+            f"team {team.name} uses all that its ceiling allows",
+            retry_after=max(wait, _MIN_RETRY_AFTER),
+        )
+
+    def _ask_once(self, team: table.TeamRow, use: _Use) -> float:
+        """Ask for a slice; give the seconds to wait, 0 with one at hand."""
+        with use.lock:
+            if self._has(team, use):
+                return 0.0
+            now = self._clock.monotonic()
+            if now < use.closed_until:
+                return use.closed_until - now
+            retry_after = self._ask(team, use)
+            if self._has(team, use):
+                return 0.0
+            retry_after = max(retry_after, _MIN_RETRY_AFTER)
+            closed = min(retry_after, _MAX_WAIT_SECONDS)
+            use.closed_until = self._clock.monotonic() + closed
+            return retry_after
+
+    def _ask(self, team: table.TeamRow, use: _Use) -> float:
+        """Ask the owner; give the seconds that it says to wait."""
         name = _ids.TeamName(team.name)
         owner = self._owner_of(name)
         now = self._clock.monotonic()
         unused = math.floor(use.left) if now <= use.lapses else 0
-        wanted = math.ceil(use.rate * _quota_owner.BUCKET_SECONDS)
+        wanted = math.ceil(use.rate * _SLICE_DEMAND_SECONDS)
         message = messages.SliceAsk(
             team=name,
             want=max(1, wanted),
@@ -189,16 +239,10 @@
         answer = self._exchange(owner, message)
         if answer is None:
             self._share_alone(team, use)
-        else:
-            use.lender = owner
-            self._note(team, use, answer)
-        if not self._has(team, use):
-            use.refused += 1
-            retry_after = answer.retry_after if answer else 1.0
-            raise _errors.TeamCeiling(
-                f"team {name} uses all that its ceiling allows",
-                retry_after=max(retry_after, _MIN_RETRY_AFTER),
-            )
+            return _SILENT_SECONDS
+        use.lender = owner
+        self._note(team, use, answer)
+        return answer.retry_after
 
     def _note(
         self, team: table.TeamRow, use: _Use, answer: messages.Slice
