--- /dev/null
+++ b/bench/stream_client.py
@@ -0,0 +1,231 @@
+"""A caller that costs little: raw sockets, one greenlet a connection."""
+
+from gevent import monkey
+
+monkey.patch_all()
+
+# flake8: noqa: E402
+import json
+import random
+import socket
+import time
+from typing import Any
+from typing import final
+
+import click
+import gevent
+import msgspec
+
+_TIMEOUT_SECONDS = 60.0
+_BLOCK = 65536
+_END_CHUNK = b"0\r\n\r\n"
+_HEAD_END = b"\r\n\r\n"
+
+
+@final
+class Address(msgspec.Struct, frozen=True, kw_only=True):
+    """Whom to call; an empty key where none is asked for."""
+
+    port: int
+    key: str
+
+
+@final
+class Heard(msgspec.Struct, frozen=True, kw_only=True):
+    """Seconds to the first event and to the end."""
+
+    first: float
+    total: float
+    whole: bool
+
+
+def chat_body(model: str, question: str, *, tokens: int) -> dict[str, Any]:
+    """Give a streamed chat request."""
+    return {
+        "model": model,
+        "messages": [{"role": "user", "content": question}],
+        "max_tokens": tokens,
+        "stream": True,
+    }
+
+
+def _request(address: Address, method: str, path: str, body: bytes) -> bytes:
+    head = (
+        f"{method} {path} HTTP/1.1\r\nHost: x\r\n"
+        f"Content-Type: application/json\r\nContent-Length: {len(body)}\r\n"
+        f"Authorization: Bearer {address.key}\r\n\r\n"
+    )
+    return head.encode() + body
+
+
+def connected(address: Address) -> socket.socket:
+    """Open a connection."""
+    made = socket.create_connection(
+        ("127.0.0.1", address.port), _TIMEOUT_SECONDS
+    )
+    made.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    return made
+
+
+def opened(address: Address, body: dict[str, Any]) -> socket.socket:
+    """Send a chat and give the connection, its answer unread."""
+    made = connected(address)
+    made.sendall(
+        _request(
+            address, "POST", "/v1/chat/completions", json.dumps(body).encode()
+        )
+    )
+    return made
+
+
+def drained(connection: socket.socket) -> None:
+    """Read until the answer or the connection ends."""
+    tail = b""
+    try:
+        while data := connection.recv(_BLOCK):
+            tail = (tail + data)[-len(_END_CHUNK) :]
+            if tail == _END_CHUNK:
+                return
+    except OSError:
+        return
+
+
+def stream(address: Address, body: dict[str, Any]) -> Heard:
+    """Make one chat call on a connection of its own."""
+    connection = connected(address)
+    try:
+        return _stream_on(connection, address, body)
+    finally:
+        connection.close()
+
+
+def _stream_on(
+    connection: socket.socket, address: Address, body: dict[str, Any]
+) -> Heard:
+    sent = json.dumps(body).encode()
+    began = time.monotonic()
+    connection.sendall(_request(address, "POST", "/v1/chat/completions", sent))
+    got = b""
+    first = 0.0
+    while not got.endswith(_END_CHUNK):
+        data = connection.recv(_BLOCK)
+        if not data:
+            break
+        got += data
+        if not first and b"data: " in got:
+            first = time.monotonic() - began
+    total = time.monotonic() - began
+    whole = b"data: [DONE]" in got and got.endswith(_END_CHUNK)
+    return Heard(first=first or total, total=total, whole=whole)
+
+
+def _get_on(connection: socket.socket, address: Address, service: str) -> bool:
+    path = f"/v1/services/{service}/visitors"
+    connection.sendall(_request(address, "GET", path, b""))
+    got = b""
+    while _HEAD_END not in got:
+        data = connection.recv(_BLOCK)
+        if not data:
+            return False
+        got += data
+    head, _, body = got.partition(_HEAD_END)
+    length = int(head.lower().partition(b"content-length: ")[2].split()[0])
+    while len(body) < length:
+        body += connection.recv(_BLOCK)
+    return head.startswith(b"HTTP/1.1 200")
+
+
+@final
+class Clients:
+    """Connections that each keep one request in progress.
+
+    Parameters
+    ----------
+    address : Address
+        Whom to call.
+    kind : str
+        ``chat`` or ``service``.
+    model, service : str
+        What is asked for.
+    tokens : int
+        Length of a chat's answer.
+    """
+
+    def __init__(
+        self,
+        *,
+        address: Address,
+        kind: str,
+        model: str,
+        service: str,
+        tokens: int,
+    ) -> None:
+        self._address = address
+        self._kind = kind
+        self._model = model
+        self._service = service
+        self._tokens = tokens
+        self.made = 0
+        self.failed = 0
+
+    def run(self, *, clients: int, seconds: float) -> None:
+        """Keep asking until the time is over."""
+        end = time.monotonic() + seconds
+        gevent.joinall([gevent.spawn(self._keep, end) for _ in range(clients)])
+
+    def _keep(self, end: float) -> None:
+        # Spread out, so that the answers don't end all at once.
+        gevent.sleep(random.random())
+        connection = connected(self._address)
+        while time.monotonic() < end:
+            if not self._is_well(connection):
+                self.failed += 1
+                connection.close()
+                connection = connected(self._address)
+            self.made += 1
+        connection.close()
+
+    def _is_well(self, connection: socket.socket) -> bool:
+        try:
+            if self._kind == "service":
+                return _get_on(connection, self._address, self._service)
+            question = f"question {random.random()}"
+            body = chat_body(self._model, question, tokens=self._tokens)
+            return _stream_on(connection, self._address, body).whole
+        except (OSError, ValueError, IndexError):
+            return False
+
+
+@click.command()
+@click.option("--port", type=int, required=True)
+@click.option("--key", default="")
+@click.option("--model", default="")
+@click.option("--service", default="")
+@click.option("--kind", type=click.Choice(["chat", "service"]))
+@click.option("--clients", default=10)
+@click.option("--tokens", default=20)
+@click.option("--seconds", type=click.FloatRange(0, 120), default=10.0)
+def main(
+    port: int,
+    key: str,
+    model: str,
+    service: str,
+    kind: str,
+    clients: int,
+    tokens: int,
+    seconds: float,
+) -> None:
+    """Keep a daemon busy and print how many calls were made."""
+    made = Clients(
+        address=Address(port=port, key=key),
+        kind=kind,
+        model=model,
+        service=service,
+        tokens=tokens,
+    )
+    made.run(clients=clients, seconds=seconds)
+    click.echo(json.dumps({"made": made.made, "failed": made.failed}))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/bench/stream_cost.py
@@ -0,0 +1,296 @@
+"""What one daemon adds to a call, and what it carries on one core.
+
+All of it runs against the same stand-in engines in the same run: the calls
+that go to an engine directly are the base that the daemon's calls are
+compared with.
+"""
+
+from gevent import monkey
+
+monkey.patch_all()
+
+# flake8: noqa: E402
+from collections.abc import Callable
+import json
+import os
+import pathlib
+import platform
+import random
+import sys
+import time
+from typing import Any
+from typing import final
+
+import click
+import gevent
+from gevent import subprocess
+import msgspec
+import psutil  # type: ignore[import-untyped]
+
+from bench import deployment as _deployment
+from bench import fleet as _fleet
+from bench import stream_client
+
+_TEAM = "bench"
+_KEY = "bench-key-of-one-team"
+_MODEL = "bench-model"
+_WARM_UP_SECONDS = 3.0
+_SETTLE_SECONDS = 2.0
+_SERVICE = "bench-service"
+
+
+@final
+class Sample(msgspec.Struct, kw_only=True):
+    """What a daemon spent over a time, in cores and bytes."""
+
+    seconds: float
+    cores: float
+    resident: int
+
+
+def _deployment_of(engines: int, *, interval: float) -> _deployment.Deployment:
+    """Make a deployment whose engines never are the limit."""
+    return _deployment.Deployment(
+        name="stream-cost",
+        region="bench",
+        zones=["bench-a"],
+        daemons=1,
+        pools=[
+            _deployment.Pool(
+                name="bench",
+                model=_MODEL,
+                replicas=engines,
+                slots=1000,
+                bound=10,
+            )
+        ],
+        services=[
+            _deployment.Service(name=_SERVICE, replicas=engines, slots=1000)
+        ],
+        teams=[_deployment.Team(name=_TEAM, key=_KEY)],
+        engine=_deployment.Engine(token_interval=interval),
+        settings={"logs": {"format": "json", "level": "warning"}},
+    )
+
+
+def _measured(pid: int, work: Callable[[], None]) -> Sample:
+    """Do work and give what a process spent meanwhile."""
+    process = psutil.Process(pid)
+    before = process.cpu_times()
+    began = time.monotonic()
+    work()
+    seconds = time.monotonic() - began
+    after = process.cpu_times()
+    spent = after.user + after.system - before.user - before.system
+    return Sample(
+        seconds=seconds,
+        cores=spent / seconds,
+        resident=process.memory_info().rss,
+    )
+
+
+def _percentile(values: list[float], share: float) -> float:
+    ordered = sorted(values)
+    return ordered[min(len(ordered) - 1, int(share * len(ordered)))]
+
+
+def _latency(fleet: _fleet.Fleet, calls: int) -> dict[str, Any]:
+    """Compare single calls through the daemon with direct ones."""
+    engine = stream_client.Address(port=fleet.engines[0].port, key="")
+    daemon = stream_client.Address(
+        port=fleet.daemons[0].callers_port, key=_KEY
+    )
+    found: dict[str, Any] = {}
+    heard: dict[str, list[stream_client.Heard]] = {"direct": [], "daemon": []}
+    for number in range(calls):
+        order = [("direct", engine), ("daemon", daemon)]
+        if number % 2:
+            order.reverse()
+        for name, address in order:
+            body = stream_client.chat_body(_MODEL, f"q {number}", tokens=2)
+            heard[name].append(stream_client.stream(address, body))
+    for name, answers in heard.items():
+        first = [answer.first for answer in answers]
+        total = [answer.total for answer in answers]
+        for share in (0.5, 0.95):
+            label = f"p{share * 100:.0f}"
+            found[f"{name} first {label} ms"] = 1e3 * _percentile(first, share)
+            found[f"{name} total {label} ms"] = 1e3 * _percentile(total, share)
+    for what in ("first", "total"):
+        for label in ("p50", "p95"):
+            key = f"{what} {label} ms"
+            found[f"added {key}"] = (
+                found[f"daemon {key}"] - found[f"direct {key}"]
+            )
+    return found
+
+
+def _load(
+    fleet: _fleet.Fleet,
+    *,
+    kind: str,
+    clients: int,
+    workers: int,
+    seconds: float,
+    tokens: int,
+) -> dict[str, Any]:
+    """Let clients in processes of their own keep the daemon busy."""
+    daemon = fleet.daemons[0]
+    command = [
+        sys.executable,
+        "-m",
+        "bench.stream_client",
+        *("--port", str(daemon.callers_port)),
+        *("--key", _KEY, "--model", _MODEL, "--service", _SERVICE),
+        *("--kind", kind, "--clients", str(clients // workers)),
+        *("--tokens", str(tokens)),
+        *("--seconds", str(seconds + 2 * _WARM_UP_SECONDS)),
+    ]
+    started = [
+        subprocess.Popen(command, stdout=subprocess.PIPE)
+        for _ in range(workers)
+    ]
+    time.sleep(_WARM_UP_SECONDS)
+    before = _counts(daemon)
+    sample = _measured(daemon.process.pid, lambda: gevent.sleep(seconds))
+    after = _counts(daemon)
+    outputs = [process.communicate()[0] for process in started]
+    answers = [json.loads(output) for output in outputs]
+    rates = [(b - a) / sample.seconds for a, b in zip(before, after)]
+    return {
+        "clients": clients,
+        "requests a second": rates[0],
+        "pieces relayed a second": rates[1],
+        "tokens a second": rates[0] * tokens,
+        "daemon's cores": sample.cores,
+        "requests a core-second": rates[0] / sample.cores,
+        "tokens a core-second": rates[0] * tokens / sample.cores,
+        "resident MB": sample.resident / 1e6,
+        "failed": sum(answer["failed"] for answer in answers),
+        "load average": os.getloadavg()[0],
+    }
+
+
+def _counts(daemon: _fleet.DaemonProcess) -> tuple[float, float]:
+    """Give the daemon's own counts: requests answered, gaps of tokens."""
+    text = _fleet.get(f"{daemon.administration_url}/metrics").decode()
+    requests = gaps = 0.0
+    for line in text.splitlines():
+        if line.startswith("topazlug_requests_total"):
+            requests += float(line.split()[-1])
+        if line.startswith("topazlug_between_tokens_duration_seconds_count"):
+            gaps += float(line.split()[-1])
+    return requests, gaps
+
+
+def _open_streams(fleet: _fleet.Fleet, count: int) -> dict[str, Any]:
+    """Hold streams open at once and give the memory of each."""
+    daemon = fleet.daemons[0]
+    pid = daemon.process.pid
+    at_rest = psutil.Process(pid).memory_info().rss
+    address = stream_client.Address(port=daemon.callers_port, key=_KEY)
+    kept = [
+        stream_client.opened(
+            address,
+            stream_client.chat_body(
+                _MODEL, f"open {number} {random.random()}", tokens=3000
+            ),
+        )
+        for number in range(count)
+    ]
+    readers = [gevent.spawn(stream_client.drained, one) for one in kept]
+    gevent.sleep(_SETTLE_SECONDS)
+    sample = _measured(pid, lambda: gevent.sleep(5.0))
+    open_now = sum(not reader.ready() for reader in readers)
+    for one in kept:
+        one.close()
+    gevent.joinall(readers, timeout=5.0)
+    gevent.sleep(_SETTLE_SECONDS)
+    return {
+        "streams open": open_now,
+        "resident at rest MB": at_rest / 1e6,
+        "resident with streams MB": sample.resident / 1e6,
+        "bytes a stream": (sample.resident - at_rest) / count,
+        "daemon's cores": sample.cores,
+        "resident afterwards MB": psutil.Process(pid).memory_info().rss / 1e6,
+    }
+
+
+def _show(title: str, found: dict[str, Any]) -> None:
+    click.echo(f"\n{title}")
+    for name, value in found.items():
+        click.echo(f"  {name:<28} {value:>12.3f}")
+
+
+@click.command()
+@click.option("--engines", default=6)
+@click.option("--workers", default=4, help="Processes of clients.")
+@click.option("--calls", default=300, help="Pairs of calls for latency.")
+@click.option("--seconds", default=8.0, help="Of each step of load.")
+@click.option("--streams", default=500, help="Streams held open at once.")
+@click.option("--output", type=click.Path(path_type=pathlib.Path))
+def main(
+    engines: int,
+    workers: int,
+    calls: int,
+    seconds: float,
+    streams: int,
+    output: pathlib.Path | None,
+) -> None:
+    """Measure one daemon and print the figures."""
+    figures: dict[str, Any] = {
+        "machine": {
+            "cores": float(os.cpu_count() or 0),
+            "load average before": os.getloadavg()[0],
+        }
+    }
+    click.echo(f"python {platform.python_version()}")
+    _show("machine", figures["machine"])
+    with _fleet.Fleet(_deployment_of(engines, interval=0.01)) as fleet:
+        steps: list[tuple[str, Callable[[], dict[str, Any]]]] = [
+            ("single calls", lambda: _latency(fleet, calls)),
+            ("open streams", lambda: _open_streams(fleet, streams)),
+        ]
+        for kind, clients, tokens in _STEPS:
+            title = f"{kind}, {clients} clients, {tokens} tokens"
+            steps.append(
+                (title, _step(fleet, kind, clients, tokens, workers, seconds))
+            )
+        for title, step in steps:
+            figures[title] = step()
+            _show(title, figures[title])
+    if output is not None:
+        output.write_text(json.dumps(figures, indent=1))
+
+
+_STEPS = (
+    ("service", 12, 0),
+    ("service", 48, 0),
+    ("chat", 24, 1),
+    ("chat", 96, 1),
+    ("chat", 60, 200),
+    ("chat", 120, 200),
+    ("chat", 240, 200),
+)
+
+
+def _step(
+    fleet: _fleet.Fleet,
+    kind: str,
+    clients: int,
+    tokens: int,
+    workers: int,
+    seconds: float,
+) -> Callable[[], dict[str, Any]]:
+    return lambda: _load(
+        fleet,
+        kind=kind,
+        clients=clients,
+        workers=workers,
+        seconds=seconds,
+        tokens=tokens,
+    )
+
+
+if __name__ == "__main__":
+    main()
