--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -248,11 +248,7 @@
     def start_daemon(
         self, number: int, settings: dict[str, Any] | None = None
     ) -> DaemonProcess:
-        """Start one daemon, with settings of its own where some are given.
-
-        Where the links between groups can be cut, settings are needed: the
-        relays lead to the peers' port that they name.
-        """
+        """Start one daemon, with settings of its own where some are given."""
         settings = settings or self.daemon_settings(number)
         name = settings["daemon"]["id"]
         path = self.folder / f"{name}.yaml"
--- /dev/null
+++ b/bench/proof_load.py
@@ -0,0 +1,117 @@
+"""The light load that proofs run under, and how its timings are spread."""
+
+from concurrent import futures
+import itertools
+import threading
+from typing import final
+
+import msgspec
+
+from bench import fleet as _fleet
+from bench import fleet_calls
+
+KEY = "demo-frontdesk"
+MODEL = "model-1"
+_numbers = itertools.count(1)
+
+
+def chat(daemon: _fleet.DaemonProcess, tokens: int) -> fleet_calls.Answer:
+    """Ask a question of its own, in a chat of its own."""
+    return fleet_calls.chat(
+        daemon.url,
+        key=KEY,
+        question=f"question {next(_numbers)}",
+        model=MODEL,
+        tokens=tokens,
+    )
+
+
+@final
+class Load:
+    """Callers that ask new chats, each at a steady pace.
+
+    Parameters
+    ----------
+    daemons : list of DaemonProcess
+        Asked in turn.
+    callers : int
+        How many ask at once.
+    pause : float
+        Seconds between an answer and the next question.
+    tokens : int
+        Length of an answer.
+    """
+
+    def __init__(
+        self,
+        daemons: list[_fleet.DaemonProcess],
+        *,
+        callers: int,
+        pause: float,
+        tokens: int = 4,
+    ) -> None:
+        self.answers: list[fleet_calls.Answer] = []
+        self._daemons = daemons
+        self._callers = callers
+        self._pause = pause
+        self._tokens = tokens
+        self._stopped = threading.Event()
+        self._executor = futures.ThreadPoolExecutor(callers)
+
+    def __enter__(self) -> "Load":
+        for number in range(self._callers):
+            self._executor.submit(self._ask_on, number)
+        return self
+
+    def __exit__(self, *error: object) -> None:
+        self._stopped.set()
+        self._executor.shutdown()
+
+    def _ask_on(self, number: int) -> None:
+        while not self._stopped.wait(self._pause):
+            daemon = self._daemons[number % len(self._daemons)]
+            number += 1
+            self.answers.append(chat(daemon, self._tokens))
+
+    def failures(self) -> dict[str, int]:
+        """Count the calls without a whole answer, by what came instead."""
+        counts: dict[str, int] = {}
+        for answer in self.answers:
+            if answer.ending is not fleet_calls.Ending.WHOLE:
+                name = f"{answer.ending.value} {answer.code}".strip()
+                counts[name] = counts.get(name, 0) + 1
+        return counts
+
+
+class Spread(msgspec.Struct, frozen=True):
+    """How a set of durations in seconds is spread."""
+
+    count: int
+    p50: float
+    p99: float
+    longest: float
+
+
+def spread(values: list[float]) -> Spread:
+    """Give the spread of durations in seconds."""
+    ordered = sorted(values)
+    last = len(ordered) - 1
+    return Spread(
+        count=len(ordered),
+        p50=round(ordered[last // 2], 4),
+        p99=round(ordered[round(last * 0.99)], 4),
+        longest=round(ordered[last], 4),
+    )
+
+
+def first_tokens(
+    answers: list[fleet_calls.Answer], begin: float, end: float
+) -> Spread:
+    """Give the spread of times to the first token, by when asked."""
+    return spread(
+        [
+            answer.first - answer.started
+            for answer in answers
+            if begin <= answer.started < end and answer.first
+        ]
+    )
--- a/src/topazlug/_admission.py
+++ b/src/topazlug/_admission.py
@@ -29,6 +29,11 @@
 _log = logbook.Logger("admission")
 
 _SILENT_SECONDS = 1.0
+_FIRST_SILENT_SECONDS = 0.1
+# A returning chat waits so long for the replica that holds its context.
+# Recomputing the context costs more, and where places come free often, as
+# each 70 ms at 15 requests/s, most such waits end with one.
+_CONTEXT_WAIT = 0.2
 _REDIRECTS = 1
 
 
@@ -125,6 +130,7 @@
         self._fleet_size = fleet_size
         self._numbers = itertools.count(1)
         self._silent_until: dict[_ids.DaemonId, float] = {}
+        self._silences: dict[_ids.DaemonId, int] = {}
         self._renewed: set[_ids.DaemonId] = set()
         self.place_by_ask: dict[_ids.AskNumber, _place.Place] = {}
         self.pending_by_ask: dict[_ids.AskNumber, _ids.DaemonId] = {}
@@ -190,7 +196,13 @@
         if replica in search.asked:
             return None
         is_home = replica == search.ranked[0]
-        answer = self._ask(request, replica, home=is_home and redirects > 0)
+        has_context = replica == (search.seat or search.ranked[0])
+        answer = self._ask(
+            request,
+            replica,
+            home=is_home and redirects > 0,
+            wait=_CONTEXT_WAIT if request.returning and has_context else 0.0,
+        )
         if answer is None:
             return None
         ask, owner, reply = answer
@@ -274,11 +286,17 @@
         self.pending_by_ask[ask] = owner
         try:
             reply = self._exchange(owner, message, wait)
+        except BaseException:
+            # The caller left while its ask waited: a turn that comes later
+            # would be granted to nobody and its slot lost.
+            self._send_release(owner, ask)
+            raise
         finally:
             del self.pending_by_ask[ask]
         if reply is None:
             self._pass_over(owner, ask, waited=wait > 0)
             return None
+        self._silences.pop(owner, None)
         return ask, owner, reply
 
     def _exchange(
@@ -288,7 +306,10 @@
         if owner == self._daemon:
             result = event.AsyncResult()
             self._owner.ask(self._daemon, message, result.set)
-            reply = result.get(timeout=timeout) if wait else result.get()
+            result.wait(timeout=timeout)
+            if not result.ready():
+                return None
+            reply: messages.AdmitReply = result.get()
             return reply
         try:
             answer = self._links.call(owner, message, timeout=timeout)
@@ -305,12 +326,17 @@
 
         A frozen owner takes bytes and says nothing. If each request waited
         for it in turn, every caller whose home it owns would lose the whole
-        timeout; after the first silence the others go straight on.
+        timeout; after a silence the others go straight on, for longer each
+        time. One slow answer alone must not send all chats of the owner's
+        replicas away from their context for a second.
         """
         self.passed_over += 1
         if not waited:
-            until = self._clock.monotonic() + _SILENT_SECONDS
-            self._silent_until[owner] = until
+            silences = self._silences.get(owner, 0)
+            self._silences[owner] = silences + 1
+            pause = _FIRST_SILENT_SECONDS * 2 ** min(silences, 8)
+            pause = min(pause, _SILENT_SECONDS)
+            self._silent_until[owner] = self._clock.monotonic() + pause
         self._send_release(owner, ask)
 
     def _decide_alone(
--- a/src/topazlug/_attempts.py
+++ b/src/topazlug/_attempts.py
@@ -144,6 +144,7 @@
             weight=request.weight,
             deadline=request.deadline,
             excluded=excluded,
+            returning=request.returning and not excluded,
         )
         try:
             return self._admission.admit(wanted)
--- a/src/topazlug/_caller_answer.py
+++ b/src/topazlug/_caller_answer.py
@@ -39,6 +39,15 @@
     return pieces
 
 
+def status_line(status: int) -> str:
+    """Give the status line; a target may use a status nobody knows."""
+    try:
+        phrase = HTTPStatus(status).phrase
+    except ValueError:
+        phrase = "Unknown"
+    return f"{status} {phrase}"
+
+
 class _ErrorBody(msgspec.Struct):
     message: str
     type: str
--- /dev/null
+++ b/src/topazlug/_chat_body.py
@@ -0,0 +1,115 @@
+"""What is read of a chat request and of an answer; the rest goes unread."""
+
+from typing import Any
+
+import msgspec
+
+from topazlug import _caller_request
+from topazlug import _errors
+from topazlug import _ranking
+from topazlug import _target_answer
+
+_MAX_ANSWER_BYTES = 16 << 20
+_MAX_MESSAGES = 10_000
+_MAX_CHAT_ID = 256
+
+
+class ChatMessage(msgspec.Struct):
+    """One message of a conversation; other fields go through unread."""
+
+    role: str
+    content: Any = None
+
+
+class ChatBody(msgspec.Struct):
+    """What is read of a chat request; other fields go through unread."""
+
+    model: str
+    messages: list[ChatMessage]
+    stream: bool | None = None
+
+
+def decode(body: bytes) -> ChatBody:
+    """Read a body.
+
+    Raises
+    ------
+    BadBody
+        It is no chat request.
+    """
+    try:
+        chat = msgspec.json.decode(body, type=ChatBody)
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+        raise _errors.BadBody(f"not a chat request: {error}") from error
+    if not chat.messages or len(chat.messages) > _MAX_MESSAGES:
+        raise _errors.BadBody(
+            f"messages has {len(chat.messages)} entries; give 1 to"
+            f" {_MAX_MESSAGES}"
+        )
+    return chat
+
+
+def chat_id(
+    request: _caller_request.CallerRequest,
+    caller: _caller_request.Caller,
+    chat: ChatBody,
+) -> str:
+    """Name the chat, by its header or by what stays the same in it."""
+    given = request.header("X-Chat-Id")
+    if len(given) > _MAX_CHAT_ID:
+        raise _errors.BadHeader(
+            f"X-Chat-Id is longer than {_MAX_CHAT_ID} characters"
+        )
+    if given:
+        return given
+    system = _first_text(chat, "system")
+    user = _first_text(chat, "user")
+    return f"{_ranking.chat_hash(caller.name, chat.model, system, user):x}"
+
+
+def _first_text(chat: ChatBody, role: str) -> str:
+    for message in chat.messages:
+        if message.role == role:
+            return str(message.content)
+    return ""
+
+
+def read_answer(
+    answer: _target_answer.TargetAnswer, *, silence: float, deadline: float
+) -> bytes:
+    """Read an engine's answer that is not streamed.
+
+    Raises
+    ------
+    RequestError
+        It did not come whole.
+    """
+    blocks: list[bytes] = []
+    size = 0
+    for block in answer.chunks(silence=silence, deadline=deadline):
+        size += len(block)
+        if size > _MAX_ANSWER_BYTES:
+            raise _errors.TargetFailed(
+                "the engine's answer is too long",
+                outcome=_errors.Outcome.UNKNOWN,
+            )
+        blocks.append(block)
+    body = b"".join(blocks)
+    if answer.status == 200:
+        _check_json(body)
+    return body
+
+
+def _check_json(body: bytes) -> None:
+    """Refuse an answer that is not whole.
+
+    Without a length, the end of the connection ends the answer, and that of
+    an engine that died looks the same.
+    """
+    try:
+        msgspec.json.decode(body, type=msgspec.Raw)
+    except msgspec.DecodeError as error:
+        raise _errors.TargetTruncated(
+            f"the engine's answer is not whole: {error}",
+            outcome=_errors.Outcome.UNKNOWN,
+        ) from error
--- a/src/topazlug/_chat_calls.py
+++ b/src/topazlug/_chat_calls.py
@@ -5,7 +5,6 @@
 
 from collections.abc import Callable
 from collections.abc import Iterator
-from typing import Any
 from typing import final
 from urllib import parse
 
@@ -15,6 +14,7 @@
 from topazlug import _caller_answer
 from topazlug import _caller_request
 from topazlug import _caller_watch
+from topazlug import _chat_body
 from topazlug import _chat_stream
 from topazlug import _clock
 from topazlug import _configuration
@@ -25,30 +25,13 @@
 from topazlug import _place
 from topazlug import _quotas
 from topazlug import _ranking
+from topazlug import _target_answer
 from topazlug import _target_client
 from topazlug._generated import settings as _settings_types
 from topazlug._generated import table
 
 _log = _logs.logger("chat")
 _PATH = "/v1/chat/completions"
-_MAX_ANSWER_BYTES = 16 << 20
-_MAX_MESSAGES = 10_000
-_MAX_CHAT_ID = 256
-
-
-class ChatMessage(msgspec.Struct):
-    """One message of a conversation; other fields go through unread."""
-
-    role: str
-    content: Any = None
-
-
-class ChatBody(msgspec.Struct):
-    """What is read of a chat request; other fields go through unread."""
-
-    model: str
-    messages: list[ChatMessage]
-    stream: bool | None = None
 
 
 class _Call(msgspec.Struct):
@@ -128,13 +111,13 @@
         """
         request.read_deadline()
         body = request.read_body()
-        chat = _decode(body)
+        chat = _chat_body.decode(body)
         pool = _pool_of(chat, caller, snapshot)
         call = _Call(
             request=request,
             caller=caller,
             body=body,
-            chat_id=_chat_id(request, caller, chat),
+            chat_id=_chat_body.chat_id(request, caller, chat),
             streamed=bool(chat.stream),
             returning=any(m.role == "assistant" for m in chat.messages),
         )
@@ -145,6 +128,7 @@
             batch=caller.batch,
             weight=1,
             deadline=request.deadline,
+            returning=call.returning,
         )
         with _caller_watch.watched(request.socket):
             return self._run(call, wanted)
@@ -199,12 +183,16 @@
         self,
         call: _Call,
         place: _place.Place,
-        answer: _target_client.TargetAnswer,
+        answer: _target_answer.TargetAnswer,
         ticket: _quotas.Ticket,
     ) -> _caller_answer.CallerAnswer:
         """Read an answer that is not streamed, and give it whole."""
         try:
-            body = _read_whole(call, answer, self._limits.target_silence)
+            body = _chat_body.read_answer(
+                answer,
+                silence=self._limits.target_silence,
+                deadline=call.request.deadline,
+            )
         finally:
             answer.close()
         self._admission.release(place)
@@ -221,7 +209,7 @@
         self,
         call: _Call,
         place: _place.Place,
-        answer: _target_client.TargetAnswer,
+        answer: _target_answer.TargetAnswer,
         ticket: _quotas.Ticket,
     ) -> _caller_answer.CallerAnswer:
         """Wait for the first event, then hand the rest over as it comes.
@@ -320,7 +308,7 @@
         answer.close()
 
     def _note_first(
-        self, call: _Call, answer: _target_client.TargetAnswer
+        self, call: _Call, answer: _target_answer.TargetAnswer
     ) -> None:
         now = self._clock.monotonic()
         self._metrics.observe_first_token(
@@ -351,21 +339,8 @@
         )
 
 
-def _decode(body: bytes) -> ChatBody:
-    try:
-        chat = msgspec.json.decode(body, type=ChatBody)
-    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
-        raise _errors.BadBody(f"not a chat request: {error}") from error
-    if not chat.messages or len(chat.messages) > _MAX_MESSAGES:
-        raise _errors.BadBody(
-            f"messages has {len(chat.messages)} entries; give 1 to"
-            f" {_MAX_MESSAGES}"
-        )
-    return chat
-
-
 def _pool_of(
-    chat: ChatBody,
+    chat: _chat_body.ChatBody,
     caller: _caller_request.Caller,
     snapshot: _configuration.TableSnapshot,
 ) -> table.PoolRow:
@@ -378,31 +353,6 @@
     return pool
 
 
-def _chat_id(
-    request: _caller_request.CallerRequest,
-    caller: _caller_request.Caller,
-    chat: ChatBody,
-) -> str:
-    """Name the chat, by its header or by what stays the same in it."""
-    given = request.header("X-Chat-Id")
-    if len(given) > _MAX_CHAT_ID:
-        raise _errors.BadHeader(
-            f"X-Chat-Id is longer than {_MAX_CHAT_ID} characters"
-        )
-    if given:
-        return given
-    system = _first_text(chat, "system")
-    user = _first_text(chat, "user")
-    return f"{_ranking.chat_hash(caller.name, chat.model, system, user):x}"
-
-
-def _first_text(chat: ChatBody, role: str) -> str:
-    for message in chat.messages:
-        if message.role == role:
-            return str(message.content)
-    return ""
-
-
 def _host(place: _place.Place) -> tuple[str, str]:
     return "Host", f"{place.target.host}:{place.target.port}"
 
@@ -426,7 +376,7 @@
 
 
 def _caller_headers(
-    call: _Call, place: _place.Place, answer: _target_client.TargetAnswer
+    call: _Call, place: _place.Place, answer: _target_answer.TargetAnswer
 ) -> list[tuple[str, str]]:
     kind = answer.header("Content-Type") or "application/json"
     headers = [
@@ -443,40 +393,5 @@
     return headers
 
 
-def _read_whole(
-    call: _Call, answer: _target_client.TargetAnswer, silence: float
-) -> bytes:
-    blocks: list[bytes] = []
-    size = 0
-    deadline = call.request.deadline
-    for block in answer.chunks(silence=silence, deadline=deadline):
-        size += len(block)
-        if size > _MAX_ANSWER_BYTES:
-            raise _errors.TargetFailed(
-                "the engine's answer is too long",
-                outcome=_errors.Outcome.UNKNOWN,
-            )
-        blocks.append(block)
-    body = b"".join(blocks)
-    if answer.status == 200:
-        _check_json(body)
-    return body
-
-
-def _check_json(body: bytes) -> None:
-    """Refuse an answer that is not whole.
-
-    Without a length, the end of the connection ends the answer, and that of
-    an engine that died looks the same.
-    """
-    try:
-        msgspec.json.decode(body, type=msgspec.Raw)
-    except msgspec.DecodeError as error:
-        raise _errors.TargetTruncated(
-            f"the engine's answer is not whole: {error}",
-            outcome=_errors.Outcome.UNKNOWN,
-        ) from error
-
-
 def _number(text: str) -> int | None:
     return int(text) if text.isdigit() else None
--- a/src/topazlug/_chat_stream.py
+++ b/src/topazlug/_chat_stream.py
@@ -14,6 +14,7 @@
 from topazlug import _errors
 from topazlug import _ids
 from topazlug import _sse
+from topazlug import _target_answer
 from topazlug import _target_client
 from topazlug import _targets
 
@@ -48,7 +49,7 @@
         connections: _target_client.TargetConnections,
         target: _targets.Target,
         request_id: _ids.RequestId,
-        answer: _target_client.TargetAnswer,
+        answer: _target_answer.TargetAnswer,
         silence: float,
         deadline: float,
     ) -> None:
--- a/src/topazlug/_group_load.py
+++ b/src/topazlug/_group_load.py
@@ -18,6 +18,9 @@
 from topazlug._generated import messages
 
 _STALE_SECONDS = 3.0
+# The total lags by one report. While load falls, the true mean is below the
+# one that owners go by, and what they admit at the limit is over the bound.
+_MARGIN = 1
 # A load counts for this many of the intervals that its reporter was given:
 # in a group of 143 owners the interval alone is longer than three seconds.
 _STALE_INTERVALS = 2.5
@@ -136,10 +139,14 @@
     """Give the load that one replica may reach, in load units.
 
     Consistent hashing with bounded loads [1]_: the ceiling of the bound
-    times the mean, the arriving unit counted in.
+    times the mean, the arriving unit counted in, less a margin for the lag
+    of the total.
 
     .. [1] Mirrokni, Thorup, Zadimoghaddam, "Consistent hashing with bounded
        loads", SODA 2018.
     """
     mean = (total + 1) / max(1, replicas)
-    return max(1, math.ceil(bound * mean))
+    limit = math.ceil(bound * mean) - _MARGIN
+    # Some replica is always at the mean or below it, so this floor leaves
+    # a place for every call; without it a fleet at low load admits nothing.
+    return max(1, math.ceil(mean), limit)
--- a/src/topazlug/_ledger.py
+++ b/src/topazlug/_ledger.py
@@ -150,6 +150,10 @@
         if now < self.careful_until:
             guess = self._reports[-1] if self._reports else math.ceil(mean)
             return max(self.load, guess)
+        return self.seen_load()
+
+    def seen_load(self) -> int:
+        """Give the load, with what another owner admits here counted in."""
         return self.load + self._foreign_load()
 
     def _foreign_load(self) -> int:
@@ -218,6 +222,13 @@
             self._release_interval += _INTERVAL_SMOOTHING * change
         self._last_release = now
 
+    def lapse(self, waiting: Waiting) -> bool:
+        """Take an ask out of the queue, if it still waits there."""
+        if self.waiting_by_key.get(waiting.key) is not waiting:
+            return False
+        del self.waiting_by_key[waiting.key]
+        return self._queue_of(waiting).remove(waiting)
+
     def expected_wait(self, *, batch: bool) -> float:
         """Give the seconds that an ask queued now would wait."""
         ahead = len(self._interactive)
--- a/src/topazlug/_owner.py
+++ b/src/topazlug/_owner.py
@@ -11,6 +11,7 @@
 from typing import Protocol
 from typing import final
 
+import gevent
 import logbook
 
 from topazlug import _clock
@@ -26,6 +27,7 @@
 _log = logbook.Logger("owner")
 
 CAREFUL_SECONDS = 2.5
+_SHORT_WAIT = 1.0
 
 Reply = Callable[[messages.AdmitReply], None]
 
@@ -206,6 +208,23 @@
         weight = self._rules.weight_of(held.team)
         ledger.enqueue(waiting, team_weight=weight)
         self._pump(ledger)
+        if wait <= _SHORT_WAIT and key in ledger.waiting_by_key:
+            gevent.spawn(self._lapse, ledger, waiting, wait)
+
+    def _lapse(
+        self,
+        ledger: _ledger.ReplicaLedger,
+        waiting: _ledger.Waiting,
+        wait: float,
+    ) -> None:
+        """Answer a short wait when it is over.
+
+        The entry daemon goes on to the next replica; without an answer it
+        would wait for the owner's timeout on top, and blame the owner.
+        """
+        self._clock.sleep(wait)
+        if ledger.lapse(waiting):
+            waiting.refuse()
 
     def _refuse_full(
         self, ledger: _ledger.ReplicaLedger, expected: float, reply: Reply
@@ -351,7 +370,9 @@
             if now < view.next_report:
                 continue
             loads.setdefault(ledger.group, []).append(
-                messages.ReplicaLoad(replica=ledger.replica, load=ledger.load)
+                messages.ReplicaLoad(
+                    replica=ledger.replica, load=ledger.seen_load()
+                )
             )
         return [
             messages.LoadReport(group=group, loads=entries)
@@ -429,8 +450,11 @@
     def _group_total(
         self, group: _ids.GroupName, now: float
     ) -> tuple[float, int]:
+        # What another owner admits raises the mean too. Counted on the
+        # replica alone, every one looks over the bound while links are cut
+        # and all calls wait.
         own = [
-            ledger.load
+            ledger.seen_load()
             for ledger in self.ledger_by_replica.values()
             if ledger.group == group
         ]
--- a/src/topazlug/_place.py
+++ b/src/topazlug/_place.py
@@ -28,6 +28,8 @@
         Monotonic seconds at which the caller gives up.
     excluded : frozenset of ReplicaId
         Replicas that failed this request already.
+    returning : bool
+        Whether the chat has context on the replica it was on last.
     """
 
     group: _ids.GroupName
@@ -37,6 +39,7 @@
     weight: int
     deadline: float
     excluded: frozenset[_ids.ReplicaId] = frozenset()
+    returning: bool = False
 
 
 @final
--- a/src/topazlug/_service_calls.py
+++ b/src/topazlug/_service_calls.py
@@ -21,6 +21,8 @@
 from topazlug import _place
 from topazlug import _quotas
 from topazlug import _ranking
+from topazlug import _service_wire
+from topazlug import _target_answer
 from topazlug import _target_client
 from topazlug._generated import settings as _settings_types
 from topazlug._generated import table
@@ -30,29 +32,6 @@
 IDEMPOTENCY_KEY = "Idempotency-Key"
 _MAX_KEY = 256
 _BUFFERED = 1 << 20
-_MAX_KEPT_WHOLE = 16 << 20
-_BODYLESS = (204, 304)
-# Fields that describe one connection (RFC 9110, 7.6.1), the caller's own
-# credentials, and the names that only this daemon may set.
-_NOT_PASSED_ON = frozenset(
-    {
-        "connection",
-        "keep-alive",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-        "proxy-authorization",
-        "proxy-authenticate",
-        "authorization",
-        "content-length",
-        "host",
-        "expect",
-        "x-request-id",
-        "x-fencing-number",
-        "x-priority",
-    }
-)
 
 
 class Claims(Protocol):
@@ -237,16 +216,16 @@
         self,
         call: _Call,
         place: _place.Place,
-        answer: _target_client.TargetAnswer,
+        answer: _target_answer.TargetAnswer,
         chunks: Iterator[bytes],
         ticket: _quotas.Ticket,
     ) -> _caller_answer.CallerAnswer:
         """Read a claimed call's answer whole, so that a repeat gets it."""
         try:
-            body = _read_whole(chunks)
+            body = _service_wire.read_whole(chunks)
         finally:
             answer.close()
-        headers = _passed_back(answer)
+        headers = _service_wire.passed_back(answer)
         if call.claim is not None:
             call.claim.finish(answer.status, headers, body)
         self._end(call, place, answer.status, ticket)
@@ -254,7 +233,7 @@
             status=answer.status,
             headers=headers
             + _own_headers(call, place.target.replica)
-            + _length(answer.status, len(body)),
+            + _service_wire.length(answer.status, len(body)),
             body=iter([body]),
         )
 
@@ -262,7 +241,7 @@
         self,
         call: _Call,
         place: _place.Place,
-        answer: _target_client.TargetAnswer,
+        answer: _target_answer.TargetAnswer,
         chunks: Iterator[bytes],
         ticket: _quotas.Ticket,
     ) -> _caller_answer.CallerAnswer:
@@ -280,7 +259,7 @@
             if size > _BUFFERED:
                 whole = False
                 break
-        headers = _passed_back(answer) + _own_headers(
+        headers = _service_wire.passed_back(answer) + _own_headers(
             call, place.target.replica
         )
         if whole:
@@ -288,7 +267,7 @@
             if call.request.method == "HEAD":
                 stated = answer.header("Content-Length")
                 size = int(stated) if stated.isdigit() else 0
-            headers += _length(answer.status, size)
+            headers += _service_wire.length(answer.status, size)
             body: Iterator[bytes] = iter(head)
         else:
             body = _caller_answer.started(
@@ -302,7 +281,7 @@
         self,
         call: _Call,
         place: _place.Place,
-        answer: _target_client.TargetAnswer,
+        answer: _target_answer.TargetAnswer,
         head: list[bytes],
         chunks: Iterator[bytes],
         ticket: _quotas.Ticket,
@@ -375,7 +354,8 @@
     headers = [
         (name, value)
         for name, value in call.request.headers()
-        if name.lower() not in _NOT_PASSED_ON and "\n" not in value
+        if name.lower() not in _service_wire.NOT_PASSED_ON
+        and "\n" not in value
     ]
     headers.append(("Host", call.row.name))
     return _target_client.TargetRequest(
@@ -388,35 +368,6 @@
     )
 
 
-def _passed_back(
-    answer: _target_client.TargetAnswer,
-) -> list[tuple[str, str]]:
-    return [
-        (name, value)
-        for name, value in answer.headers
-        if name.lower() not in _NOT_PASSED_ON
-        and not name.lower().startswith(("x-target-", "topazlug-"))
-    ]
-
-
-def _length(status: int, size: int) -> list[tuple[str, str]]:
-    return [] if status in _BODYLESS else [("Content-Length", str(size))]
-
-
-def _read_whole(chunks: Iterator[bytes]) -> bytes:
-    blocks: list[bytes] = []
-    size = 0
-    for block in chunks:
-        size += len(block)
-        if size > _MAX_KEPT_WHOLE:
-            raise _errors.TargetFailed(
-                "the answer of a claimed request is too long",
-                outcome=_errors.Outcome.UNKNOWN,
-            )
-        blocks.append(block)
-    return b"".join(blocks)
-
-
 def _own_headers(call: _Call, replica: str) -> list[tuple[str, str]]:
     return [
         (_caller_answer.OUTCOME, _errors.Outcome.RAN.value),
@@ -433,7 +384,7 @@
         (_caller_answer.OUTCOME, _errors.Outcome.RAN.value),
         ("X-Request-Id", call.request.request_id),
         ("Idempotency-Replayed", "true"),
-        *_length(kept.status, len(kept.body)),
+        *_service_wire.length(kept.status, len(kept.body)),
     ]
     return _caller_answer.CallerAnswer(
         status=kept.status, headers=headers, body=iter([kept.body])
--- /dev/null
+++ b/src/topazlug/_target_answer.py
@@ -0,0 +1,231 @@
+"""An answer of a target, and the connection that it comes on."""
+
+import collections
+from collections.abc import Iterator
+import math
+import socket as _plain_socket
+from typing import final
+
+from gevent import socket
+from geventhttpclient import response as _response
+
+from topazlug import _clock
+from topazlug import _errors
+
+BLOCK = 16384
+FINAL = 200
+_IDLE_PER_TARGET = 32
+
+
+class AnswerParser(_response.HTTPResponse):
+    """The library's parser; it hands over the body as it comes.
+
+    The library goes on with whatever follows a whole answer, and adds the
+    body of a second answer to that of the first: a caller would read what
+    belongs to another. Here the answer ends where its framing says; more
+    bytes only show that the connection must not be used again.
+    """
+
+    def __init__(self, *, method: str) -> None:
+        super().__init__(method=method)
+        self.final_status = 0
+        self.has_more = False
+
+    def _on_headers_complete(self) -> int | bool | None:
+        self.final_status = self.get_code()
+        return super()._on_headers_complete()
+
+    def _on_message_begin(self) -> None:
+        if self.message_complete and self.final_status >= FINAL:
+            self.has_more = True
+            raise _response.HTTPParseError("bytes after the whole answer")
+        super()._on_message_begin()
+
+    def feed(self, data: str | bytes) -> None:
+        try:
+            super().feed(data)
+        except _response.HTTPParseError:
+            if not self.has_more:
+                raise
+
+    def should_close(self) -> bool:
+        return self.has_more or super().should_close()
+
+    def take_body(self) -> bytes:
+        body = bytes(self._body_buffer)
+        del self._body_buffer[:]
+        return body
+
+
+@final
+class TargetAnswer:
+    """An answer whose head has arrived.
+
+    Attributes
+    ----------
+    status : int
+        HTTP status.
+    headers : list of tuple
+        Header fields in order.
+    """
+
+    def __init__(
+        self,
+        *,
+        connection: socket.socket,
+        parser: AnswerParser,
+        pool: "IdleConnections",
+        clock: _clock.Clock,
+    ) -> None:
+        self._connection = connection
+        self._clock = clock
+        self._parser = parser
+        self._pool = pool
+        self._closed = False
+        self.aborted = False
+        self.status = parser.final_status
+        self.headers = list(parser.items())
+
+    def header(self, name: str) -> str:
+        """Give a header's value, empty when absent or repeated."""
+        value = self._parser.get(name)
+        return value if isinstance(value, str) else ""
+
+    def header_values(self, name: str) -> list[str]:
+        """Give all values of a header."""
+        wanted = name.lower()
+        return [value for key, value in self.headers if key.lower() == wanted]
+
+    def chunks(
+        self, *, silence: float, deadline: float = math.inf
+    ) -> Iterator[bytes]:
+        """Give the body as it comes.
+
+        Parameters
+        ----------
+        silence : float
+            Seconds without a byte after which the target counts as silent.
+        deadline : float
+            Monotonic seconds at which the request ends, also when bytes
+            trickle in.
+
+        Raises
+        ------
+        TargetTruncated
+            The connection ended before the answer was whole.
+        TargetSilent
+            Nothing came for too long.
+        DeadlineExceeded
+            The answer was not whole at the deadline.
+        """
+        while True:
+            body = self._parser.take_body()
+            if body:
+                yield body
+            if self._parser.message_complete:
+                self._finish()
+                return
+            self._receive(silence, deadline)
+
+    def _receive(self, silence: float, deadline: float) -> None:
+        left = deadline - self._clock.monotonic()
+        try:
+            self._connection.settimeout(max(0.0, min(silence, left)))
+            data = self._connection.recv(BLOCK)
+            self._parser.feed(data)
+        except (TimeoutError, BlockingIOError) as error:
+            self.close()
+            if left <= silence:
+                raise too_late() from error
+            raise _errors.TargetSilent(
+                "the target fell silent in the middle of its answer",
+                outcome=_errors.Outcome.UNKNOWN,
+            ) from error
+        except (OSError, _response.HTTPParseError) as error:
+            self.close()
+            raise _truncated() from error
+        if not data and not self._parser.message_complete:
+            self.close()
+            raise _truncated()
+
+    def _finish(self) -> None:
+        if self._closed:
+            return
+        self._closed = True
+        if self._parser.should_close():
+            self._connection.close()
+        else:
+            self._pool.keep(self._connection)
+
+    def abort(self) -> None:
+        """Break the connection, from any greenlet."""
+        self.aborted = True
+        if self._closed:
+            return
+        try:
+            self._connection.shutdown(_plain_socket.SHUT_RDWR)
+        except OSError:
+            return
+
+    def close(self) -> None:
+        """Close the connection; an answer read whole has kept it."""
+        if self._closed:
+            return
+        self._closed = True
+        self._connection.close()
+
+
+def too_late() -> _errors.DeadlineExceeded:
+    return _errors.DeadlineExceeded(
+        "the request's deadline passed before the target's answer was whole",
+        outcome=_errors.Outcome.UNKNOWN,
+    )
+
+
+def _truncated() -> _errors.TargetTruncated:
+    return _errors.TargetTruncated(
+        "the target's answer ended before it was whole",
+        outcome=_errors.Outcome.UNKNOWN,
+    )
+
+
+@final
+class IdleConnections:
+    """Connections to one address that wait for their next request."""
+
+    def __init__(self) -> None:
+        self._idle: collections.deque[socket.socket] = collections.deque()
+
+    def keep(self, connection: socket.socket) -> None:
+        if len(self._idle) >= _IDLE_PER_TARGET:
+            connection.close()
+            return
+        self._idle.append(connection)
+
+    def take(self) -> socket.socket | None:
+        while self._idle:
+            connection = self._idle.pop()
+            if _is_quiet(connection):
+                return connection
+            connection.close()
+        return None
+
+    def close(self) -> None:
+        while self._idle:
+            self._idle.pop().close()
+
+
+def _is_quiet(connection: socket.socket) -> bool:
+    """Say whether an idle connection has neither ended nor spoken.
+
+    Bytes on an idle connection belong to an answer nobody asked for; the
+    next caller must not get them.
+    """
+    flags = _plain_socket.MSG_PEEK | _plain_socket.MSG_DONTWAIT
+    try:
+        connection._sock.recv(1, flags)
+    except BlockingIOError:
+        return True
+    except OSError:
+        return False
+    return False
--- a/src/topazlug/_target_watch.py
+++ b/src/topazlug/_target_watch.py
@@ -25,6 +25,7 @@
 _REFUSALS_UNTIL_DEAD = 2
 _SILENCES_UNTIL_DEAD = 4
 _MAX_BYTES = 65536
+_HEARD_SECONDS = 5.0
 
 
 class LoadDocument(msgspec.Struct):
@@ -116,7 +117,10 @@
             self._take(target, document)
             return
         gone = record.refusals >= _REFUSALS_UNTIL_DEAD
-        if gone or record.silences >= _SILENCES_UNTIL_DEAD:
+        silent = record.silences >= _SILENCES_UNTIL_DEAD
+        # An engine may serve and yet say nothing of its load.
+        heard = self._connections.heard_within(target, _HEARD_SECONDS)
+        if gone or (silent and not heard):
             self._tell(target, messages.FactState.dead)
 
     def _ask(self, target: _targets.Target) -> LoadDocument:
@@ -126,6 +130,7 @@
             headers=[("Host", f"{target.host}:{target.port}")],
             body=b"",
             request_id=_ids.RequestId("load"),
+            is_probe=True,
         )
         answer = self._connections.exchange(
             target, request, head_timeout=_TIMEOUT
--- a/src/topazlug/_targets.py
+++ b/src/topazlug/_targets.py
@@ -62,6 +62,7 @@
     returns: list[float] = msgspec.field(default_factory=list)
     held_until: float = 0.0
     avoid_until: float = 0.0
+    gone_at: float | None = None
 
 
 class Drains(msgspec.Struct, frozen=True):
@@ -135,15 +136,34 @@
                 fresh[replica] = told.target
         if fresh == self.target_by_replica:
             return
+        for replica in self.target_by_replica:
+            self._health(replica)
         self.target_by_replica = fresh
-        for replica in set(self._health_by_replica) - set(fresh):
-            del self._health_by_replica[replica]
+        self._note_gone_and_back(fresh, now)
         groups: dict[_ids.GroupName, list[_ids.ReplicaId]] = {}
         for replica in sorted(fresh):
             groups.setdefault(fresh[replica].group, []).append(replica)
         self._replicas_by_group = groups
         self._notify()
 
+    def _note_gone_and_back(
+        self, fresh: Mapping[_ids.ReplicaId, Target], now: float
+    ) -> None:
+        """Count a target that fell off the list and came back as flapping.
+
+        Its record is kept for a while after it went: forgotten at once, a
+        target that comes and goes on the list would be new each time.
+        """
+        for replica, health in list(self._health_by_replica.items()):
+            if replica in fresh:
+                if health.gone_at is not None:
+                    health.gone_at = None
+                    self._note_return(health)
+            elif health.gone_at is None:
+                health.gone_at = now
+            elif now - health.gone_at > self._flap_window:
+                del self._health_by_replica[replica]
+
     def take_drains(self, drains: Drains) -> None:
         """Take over what operators drained."""
         self.drains = drains
--- /dev/null
+++ b/tests/topazlug/routing_fixtures.py
@@ -0,0 +1,633 @@
+"""The request path of one daemon in this process, and targets for it.
+
+The listener, the calls, the attempts, the admission with its owner and the
+connections are the daemon's own; only membership and the platform are
+fakes. Engines and services are the stand-ins, in this process too, so a
+test sets their faults and reads their journals directly.
+"""
+
+import collections
+from collections.abc import Callable
+import json
+import socket
+from typing import Any
+from typing import final
+
+import gevent
+from gevent import server as gevent_server
+import msgspec
+
+from standins import _engine
+from standins import _generation
+from standins import _http
+from standins import _registration
+from standins import _service
+from tests.topazlug import claim_fakes
+from topazlug import _admission
+from topazlug import _attempts
+from topazlug import _callers
+from topazlug import _chat_calls
+from topazlug import _clock
+from topazlug import _configuration
+from topazlug import _errors
+from topazlug import _ids
+from topazlug import _metrics
+from topazlug import _owner
+from topazlug import _ownership
+from topazlug import _place
+from topazlug import _ranking
+from topazlug import _retry_budget
+from topazlug import _rules
+from topazlug import _service_calls
+from topazlug import _target_client
+from topazlug import _targets
+from topazlug import _tokens
+from topazlug._generated import messages
+from topazlug._generated import settings as _settings_types
+
+HOST = "127.0.0.1"
+KEY = "tzk_test"
+ME = _ids.DaemonId("d1")
+POOL = _ids.GroupName("pool")
+SERVICE = _ids.GroupName("letters")
+CHAT = "/v1/chat/completions"
+ROWS = {
+    "teams": [
+        {"name": "acme", "keys": [{"hash": _tokens.hash_of(KEY)}]},
+        {
+            "name": "narrow",
+            "keys": [{"hash": _tokens.hash_of("tzk_narrow")}],
+            "pools": ["other"],
+            "services": ["other"],
+        },
+    ],
+    "pools": [{"name": POOL, "model": "standin", "bound": 10.0}],
+    "services": [{"name": SERVICE, "bound": 10.0}],
+}
+
+
+def wait_until(condition: Callable[[], bool], what: str = "condition") -> None:
+    """Wait until something holds; far beyond any load of the machine."""
+    with gevent.Timeout(20, AssertionError(f"never came: {what}")):
+        while not condition():
+            gevent.sleep(0.002)
+
+
+class QuickClock:
+    """The machine's clock, but pauses between repeats are short."""
+
+    def __init__(self) -> None:
+        self.now = _clock.SystemClock().now
+        self.monotonic = _clock.SystemClock().monotonic
+
+    def sleep(self, seconds: float) -> None:
+        gevent.sleep(min(seconds, 0.002))
+
+
+class Signs:
+    """Keeps what was told of targets."""
+
+    def __init__(self) -> None:
+        self.told: list[tuple[str, messages.FactState]] = []
+
+    def publish_target(self, replica, *, incarnation, state):
+        self.told.append((replica, state))
+
+
+class Tickets:
+    """Grants every ticket and counts those that are out."""
+
+    def __init__(self) -> None:
+        self.out = 0
+
+    def take(self, team, *, deadline):
+        self.out += 1
+        return _Ticket(self)
+
+
+class _Ticket:
+    def __init__(self, tickets: Tickets) -> None:
+        self._tickets = [tickets]
+
+    def give_back(self) -> None:
+        while self._tickets:
+            self._tickets.pop().out -= 1
+
+
+class NoLinks:
+    """A fleet of one: there is no peer to talk to."""
+
+    def send(self, to, message):
+        raise _errors.PeerUnreachable(to)
+
+    def call(self, to, message, *, timeout):
+        raise _errors.PeerUnreachable(to)
+
+
+def table_holder(rows: Any = None) -> _configuration.ConfigurationHolder:
+    """Make a holder with a table in force."""
+    holder = _configuration.ConfigurationHolder()
+    changes = [
+        messages.RowChange(
+            revision=1, table=name, key=row["name"], row_version=1, value=row
+        )
+        for name, table in (rows or ROWS).items()
+        for row in table
+    ]
+    result = holder.apply_whole(revision=1, rows=changes)
+    assert result is _configuration.ApplyResult.APPLIED
+    return holder
+
+
+def target(
+    replica: str,
+    *,
+    port: int = 1,
+    group: _ids.GroupName = POOL,
+    slots: int = 16,
+    zone: str = "z1",
+    incarnation: int = 1,
+    leaving: bool = False,
+) -> _targets.Target:
+    """Make a target as the platform lists it."""
+    return _targets.Target(
+        replica=_ids.ReplicaId(replica),
+        kind=_targets.TargetKind.ENGINE,
+        group=group,
+        host=HOST,
+        port=port,
+        zone=zone,
+        incarnation=incarnation,
+        slots=slots,
+        leaving=leaving,
+    )
+
+
+def place_request(**changes: Any) -> _place.PlaceRequest:
+    """Make a request for a place, with the values most tests share."""
+    request = _place.PlaceRequest(
+        group=POOL,
+        chat=_ranking.chat_hash("c"),
+        team=_ids.TeamName("acme"),
+        batch=False,
+        weight=1,
+        deadline=100.0,
+    )
+    return msgspec.structs.replace(request, **changes)
+
+
+@final
+class Entry:
+    """One daemon's entry and owner roles over fake links."""
+
+    def __init__(
+        self,
+        name: str,
+        *,
+        targets: list[_targets.Target],
+        daemons: list[str],
+        clock: Any,
+        links: Any,
+        routing: Any = None,
+        rules: Any = None,
+    ) -> None:
+        self.daemon = _ids.DaemonId(name)
+        routing = routing or _settings_types.RoutingSettings()
+        self.targets = _targets.TargetDirectory(clock=clock, flap_window=60)
+        self.targets.take_list(targets)
+        self.ownership = _ownership.Ownership()
+        self.owner = _owner.Owner(
+            daemon=self.daemon,
+            ownership=self.ownership,
+            targets=self.targets,
+            rules=rules
+            or _rules.TableRules(
+                configuration=table_holder(), routing=routing
+            ),
+            routing=routing,
+            clock=clock,
+        )
+        self.ownership.on_transfer(self.owner.transfer)
+        self.ownership.update(
+            daemons=daemons, replicas=self.targets.target_by_replica
+        )
+        self.admission = _admission.OwnersAdmission(
+            daemon=self.daemon,
+            owner=self.owner,
+            ownership=self.ownership,
+            targets=self.targets,
+            links=links,
+            routing=routing,
+            clock=clock,
+            fleet_size=lambda: len(daemons),
+        )
+
+
+@final
+class Rig:
+    """One daemon's request path, its listener and its targets."""
+
+    def __init__(self, **limits: Any) -> None:
+        self.engines: dict[str, _engine.Engine] = {}
+        self.services: dict[str, _service.Service] = {}
+        self.listed: list[_targets.Target] = []
+        self.servers: list[Any] = []
+        self.store = claim_fakes.FakeStore()
+        self.budget = _retry_budget.RetryBudget(ratio=1.0)
+        self.signs = Signs()
+        self.retried: list[_place.PlaceRequest] = []
+        self.quotas = Tickets()
+        self.clock = _clock.SystemClock()
+        self.entry = Entry(
+            ME, targets=[], daemons=[ME], clock=self.clock, links=NoLinks()
+        )
+        self.limits = _settings_types.LimitSettings(**limits)
+        self.connections = _target_client.TargetConnections(
+            connect_timeout=1.0, clock=self.clock
+        )
+        self.app = self._app()
+        self.server = _callers.CallersServer(
+            address=_settings_types.AddressSettings(host=HOST, port=0),
+            app=self.app,
+            max_connections=64,
+        )
+        self.server.start()
+        self.servers.append(self.server)
+
+    def _app(self) -> _callers.CallersApp:
+        admission = self.entry.admission
+        attempts = _attempts.Attempts(
+            admission=admission,
+            targets=self.entry.targets,
+            budget=self.budget,
+            signs=self.signs,
+            clock=self.clock,
+            count_retry=self.retried.append,
+        )
+        metrics = _metrics.Metrics(_settings_types.MetricsSettings(), ME, "z1")
+        shared: dict[str, Any] = {
+            "attempts": attempts,
+            "admission": admission,
+            "connections": self.connections,
+            "quotas": self.quotas,
+            "limits": self.limits,
+            "metrics": metrics,
+            "clock": self.clock,
+        }
+        claims = claim_fakes.make_keeper(self.store, clock=QuickClock())
+        return _callers.CallersApp(
+            chats=_chat_calls.ChatCalls(**shared, spawn=gevent.spawn),
+            services=_service_calls.ServiceCalls(**shared, claims=claims),
+            configuration=table_holder(),
+            limits=self.limits,
+            metrics=metrics,
+            clock=self.clock,
+        )
+
+    @property
+    def port(self) -> int:
+        """Give the port that callers use."""
+        return self.server.server_port
+
+    def list_target(self, replica: str, port: int, **changes: Any) -> None:
+        """Put a target on the list."""
+        self.listed.append(target(replica, port=port, **changes))
+        self.entry.targets.take_list(self.listed)
+        self.entry.ownership.update(
+            daemons=[ME], replicas=self.entry.targets.target_by_replica
+        )
+
+    def engine(self, name: str, **changes: Any) -> _engine.Engine:
+        """Start a stand-in engine."""
+        options: dict[str, Any] = {
+            "slots": 16,
+            "prefix_cache_tokens": 100000,
+            "prefill_tokens_per_second": 0,
+            "token_interval": 0.002,
+            "token_interval_per_running": 0.0,
+            "load_lag": 0.0,
+            "resume_grace": 30.0,
+        }
+        made = _engine.Engine(
+            settings=_generation.Settings(**{**options, **changes}),
+            registration=_registration.Registration(
+                platform="", instance={"id": name}
+            ),
+        )
+        self.engines[name] = made
+        server = _http.server(made.answer, 0)
+        self.servers.append(server)
+        slots = changes.get("slots", 16)
+        self.list_target(name, server.server_port, slots=slots)
+        return made
+
+    def service(self, name: str) -> _service.Service:
+        """Start a stand-in service."""
+        made = _service.Service(
+            name=SERVICE,
+            replica=name,
+            work_time=0.0,
+            registration=_registration.Registration(
+                platform="", instance={"id": name}
+            ),
+        )
+        self.services[name] = made
+        server = _http.server(made.answer, 0)
+        self.servers.append(server)
+        self.list_target(name, server.server_port, group=SERVICE)
+        return made
+
+    def scripted(
+        self, name: str, script: Callable[[Any], None], **changes: Any
+    ) -> None:
+        """Start a target that does what a function does with a socket."""
+        server = scripted_server(script)
+        self.servers.append(server)
+        self.list_target(name, server.server_port, **changes)
+
+    def held(self) -> int:
+        """Give the places that the owner counts."""
+        ledgers = self.entry.owner.ledger_by_replica.values()
+        return sum(ledger.load for ledger in ledgers)
+
+    def wait_idle(self) -> None:
+        """Wait until no request runs and no place is in use."""
+        wait_until(lambda: not self.app.in_progress, "all requests ended")
+        wait_until(lambda: not self.held(), "all places given back")
+        assert not self.entry.admission.place_by_ask
+        assert not self.quotas.out
+
+    def connect(self) -> socket.socket:
+        """Open a connection as a caller."""
+        return socket.create_connection((HOST, self.port), 20)
+
+    def send(
+        self,
+        method: str,
+        path: str,
+        *,
+        headers: Any = (),
+        body: bytes = b"",
+        key: str = KEY,
+    ) -> "Answer":
+        """Send a request on a connection of its own; give the answer."""
+        with self.connect() as sock:
+            sock.sendall(
+                raw_request(method, path, headers=headers, body=body, key=key)
+            )
+            return read_answer(sock, method=method)
+
+    def chat(
+        self, question: str, *, stream: bool = False, **options: Any
+    ) -> "Answer":
+        """Send one chat request."""
+        headers = options.pop("headers", ())
+        body = chat_body(question, stream=stream, **options)
+        return self.send("POST", CHAT, headers=headers, body=body)
+
+    def stop(self) -> None:
+        """End the listener and all targets."""
+        for server in self.servers:
+            server.stop(timeout=0)
+        self.connections.close()
+
+
+def scripted_server(script: Callable[[Any], None]) -> Any:
+    """Start a TCP server that runs a function for each connection."""
+
+    def handle(sock: Any, _: Any) -> None:
+        try:
+            script(sock)
+        except OSError:
+            pass
+        finally:
+            sock.close()
+
+    server = gevent_server.StreamServer((HOST, 0), handle)
+    server.start()
+    return server
+
+
+def read_request(sock: Any) -> bytes:
+    """Read one whole request of the daemon's; empty when it hung up."""
+    data = b""
+    while b"\r\n\r\n" not in data:
+        more = sock.recv(65536)
+        if not more:
+            return b""
+        data += more
+    head, _, body = data.partition(b"\r\n\r\n")
+    length = 0
+    for line in head.split(b"\r\n"):
+        name, _, value = line.partition(b":")
+        if name.lower() == b"content-length":
+            length = int(value)
+    while len(body) < length:
+        body += sock.recv(65536)
+    return head + b"\r\n\r\n" + body
+
+
+def http_answer(body: bytes, *fields: str, status: str = "200 OK") -> bytes:
+    """Give the bytes of an answer of known length."""
+    lines = [f"HTTP/1.1 {status}", f"Content-Length: {len(body)}", *fields]
+    return "\r\n".join([*lines, "", ""]).encode() + body
+
+
+def chat_body(question: str, *, stream: bool = False, **options: Any) -> bytes:
+    """Give the body of a chat request."""
+    message = {"role": "user", "content": question}
+    document = {
+        "model": "standin",
+        "messages": [message],
+        "stream": stream,
+        **options,
+    }
+    return json.dumps(document).encode()
+
+
+def raw_request(
+    method: str,
+    path: str,
+    *,
+    headers: Any = (),
+    body: bytes = b"",
+    key: str = KEY,
+) -> bytes:
+    """Give the bytes of a request."""
+    lines = [f"{method} {path} HTTP/1.1", "Host: topazlug"]
+    lines.append(f"Authorization: Bearer {key}")
+    lines += [f"{name}: {value}" for name, value in headers]
+    if body:
+        lines.append(f"Content-Length: {len(body)}")
+    return "\r\n".join([*lines, "", ""]).encode("latin-1") + body
+
+
+@final
+class Answer(msgspec.Struct):
+    """What a caller read; `whole` is false when the end was cut."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+    whole: bool
+
+    @property
+    def code(self) -> str:
+        """Give the error's code, also that of a stream's last event."""
+        text = self.body
+        if text.startswith((b"data: ", b"id: ")):
+            last = text.strip().rpartition(b"\n\n")[2]
+            text = last.partition(b"data: ")[2]
+        try:
+            return json.loads(text)["error"]["code"]
+        except (ValueError, KeyError):
+            return ""
+
+    @property
+    def outcome(self) -> str:
+        """Give what is said of the request's fate."""
+        return self.headers.get("topazlug-outcome", "")
+
+    @property
+    def done(self) -> bool:
+        """Whether a stream has its closing event, and nothing after it."""
+        return self.body.endswith(b"data: [DONE]\n\n")
+
+    @property
+    def text(self) -> str:
+        """Give the tokens of a JSON or a streamed answer."""
+        if not self.headers.get("content-type", "").startswith("text/event"):
+            choice = json.loads(self.body)["choices"][0]
+            return choice["message"]["content"]
+        parts = []
+        for event in self.body.split(b"\n\n"):
+            data = event.partition(b"data: ")[2]
+            if data and data != b"[DONE]":
+                choices = json.loads(data).get("choices", [])
+                parts += [c["delta"].get("content", "") for c in choices]
+        return "".join(parts)
+
+
+def read_answer(sock: Any, *, method: str = "GET") -> Answer:
+    """Read one answer; a cut one is given as far as it came."""
+    buffer = _Buffer(sock)
+    head = buffer.until(b"\r\n\r\n")
+    lines = head.decode("latin-1").split("\r\n")
+    assert lines[0].startswith("HTTP/1.1 "), lines
+    pairs = [line.split(": ", 1) for line in lines[1:] if line]
+    headers = {name.lower(): value for name, value in pairs}
+    answer = Answer(int(lines[0].split()[1]), headers, b"", True)
+    try:
+        if method == "HEAD" or answer.status == 204:
+            return answer
+        if headers.get("transfer-encoding") == "chunked":
+            while size := int(buffer.until(b"\r\n"), 16):
+                answer.body += buffer.exactly(size + 2)[:-2]
+            buffer.exactly(2)
+        else:
+            answer.body = buffer.exactly(int(headers["content-length"]))
+    except EOFError:
+        answer.whole = False
+    return answer
+
+
+class _Buffer:
+    def __init__(self, sock: Any) -> None:
+        self._sock = sock
+        self._data = b""
+
+    def until(self, end: bytes) -> bytes:
+        while end not in self._data:
+            self._more()
+        found, _, self._data = self._data.partition(end)
+        return found
+
+    def exactly(self, size: int) -> bytes:
+        while len(self._data) < size:
+            self._more()
+        found, self._data = self._data[:size], self._data[size:]
+        return found
+
+    def _more(self) -> None:
+        try:
+            data = self._sock.recv(65536)
+        except ConnectionResetError:
+            data = b""
+        if not data:
+            raise EOFError(self._data)
+        self._data += data
+
+
+def journal_events(engine: _engine.Engine) -> collections.Counter[str]:
+    """Count an engine's journal by event."""
+    return collections.Counter(entry.event for entry in engine.journal)
+
+
+@final
+class FakeFleet:
+    """Entry and owner roles of some daemons, with messages as plain calls.
+
+    Attributes
+    ----------
+    silent : set
+        Daemons that take bytes and never answer.
+    lost : set
+        Types of one-way messages that get lost.
+    """
+
+    def __init__(
+        self,
+        *names: str,
+        targets: list[_targets.Target],
+        owners: Any = None,
+        **routing: Any,
+    ) -> None:
+        self.clock = claim_fakes.FakeClock()
+        self.silent: set[str] = set()
+        self.lost: set[type] = set()
+        self.entry_by_name = {
+            name: Entry(
+                name,
+                targets=targets,
+                daemons=list(owners or names),
+                clock=self.clock,
+                links=_FleetLinks(self, name),
+                routing=_settings_types.RoutingSettings(**routing),
+            )
+            for name in names
+        }
+
+    def owned_load(self) -> int:
+        """Give the load that all owners count."""
+        return sum(
+            ledger.load
+            for entry in self.entry_by_name.values()
+            for ledger in entry.owner.ledger_by_replica.values()
+        )
+
+
+class _FleetLinks:
+    def __init__(self, fleet: FakeFleet, sender: str) -> None:
+        self._fleet = fleet
+        self._sender = _ids.DaemonId(sender)
+
+    def call(self, to, message, *, timeout):
+        replies: list[Any] = []
+        if to not in self._fleet.silent:
+            owner = self._fleet.entry_by_name[to].owner
+            owner.ask(self._sender, message, replies.append)
+        if not replies:
+            self._fleet.clock.advance(timeout)
+            raise _errors.PeerUnreachable(to)
+        return replies[0]
+
+    def send(self, to, message):
+        if to in self._fleet.silent or type(message) in self._fleet.lost:
+            return
+        owner = self._fleet.entry_by_name[to].owner
+        if isinstance(message, messages.Release):
+            owner.release(self._sender, message.asks)
+        elif isinstance(message, messages.Renew):
+            owner.renew(self._sender, message)
+        else:
+            owner.displaced.note(message)
--- /dev/null
+++ b/tests/topazlug/test_caller_request.py
@@ -0,0 +1,89 @@
+"""Who calls, until when, and how urgent it is."""
+
+import pytest
+
+from tests.topazlug import claim_fakes
+from tests.topazlug import routing_fixtures as fixtures
+from topazlug import _caller_request
+from topazlug import _errors
+from topazlug._generated import settings
+
+
+@pytest.fixture
+def make():
+    def request(**fields):
+        environ = {"REQUEST_METHOD": "GET", "PATH_INFO": "/"}
+        for name, value in fields.items():
+            environ["HTTP_" + name.upper()] = value
+        return _caller_request.CallerRequest(
+            environ=environ,
+            limits=settings.LimitSettings(
+                default_deadline=60.0, max_deadline=100.0
+            ),
+            clock=claim_fakes.FakeClock(),
+        )
+
+    return request
+
+
+class TestDeadline:
+    @pytest.mark.parametrize(
+        "named, longest, seconds",
+        [
+            ("", None, 60.0),
+            ("5", None, 5.0),
+            ("0.25", None, 0.25),
+            ("1e6", None, 100.0),
+            ("50", 20.0, 20.0),
+            ("", 20.0, 20.0),
+        ],
+    )
+    def test_shortest_holds(self, make, named, longest, seconds):
+        request = make(x_request_timeout=named)
+        request.read_deadline(longest=longest)
+        assert request.remaining() == seconds
+
+    @pytest.mark.parametrize("named", ["0", "-1", "nan", "inf", "x", "1e9"])
+    def test_no_number_of_seconds(self, make, named):
+        with pytest.raises(_errors.BadHeader):
+            make(x_request_timeout=named).read_deadline()
+
+
+class TestIdentify:
+    @pytest.fixture
+    def snapshot(self):
+        rows = {
+            "teams": [
+                {
+                    "name": "acme",
+                    "keys": [
+                        fixtures.ROWS["teams"][0]["keys"][0],
+                        {
+                            "hash": fixtures._tokens.hash_of("old"),
+                            "expires": "2020-01-01T00:00:00Z",
+                        },
+                    ],
+                }
+            ]
+        }
+        return fixtures.table_holder(rows).current
+
+    @pytest.mark.parametrize("scheme", ["Bearer", "bearer", "BEARER"])
+    def test_team_of_its_key(self, make, snapshot, scheme):
+        request = make(authorization=f"{scheme} {fixtures.KEY}")
+        assert request.identify(snapshot).name == "acme"
+
+    @pytest.mark.parametrize(
+        "given",
+        ["", "Bearer", "Bearer  ", "Basic x", "Bearer no", "Bearer old"],
+    )
+    def test_without_a_valid_key(self, make, snapshot, given):
+        with pytest.raises(_errors.BadKey):
+            make(authorization=given).identify(snapshot)
+
+    def test_class_of_a_request(self, make, snapshot):
+        for named, batch in [("", False), ("batch", True)]:
+            request = make(
+                authorization=f"Bearer {fixtures.KEY}", x_request_class=named
+            )
+            assert request.identify(snapshot).batch is batch
--- /dev/null
+++ b/tests/topazlug/test_policies.py
@@ -0,0 +1,82 @@
+"""The baselines, which routing is measured against."""
+
+import types
+
+import pytest
+
+from tests.topazlug import claim_fakes
+from tests.topazlug import routing_fixtures as fixtures
+from topazlug import _errors
+from topazlug import _policies
+from topazlug import _ranking
+from topazlug import _rules
+from topazlug._generated import settings
+
+POLICY = settings.RoutingPolicy
+ROWS = {"pools": [{"name": "pool", "model": "m", "bound": 1.25}]}
+
+
+@pytest.fixture
+def make():
+    entry = fixtures.Entry(
+        "d1",
+        targets=[fixtures.target(f"r{n}") for n in range(4)],
+        daemons=["d1"],
+        clock=claim_fakes.FakeClock(),
+        links=fixtures.NoLinks(),
+    )
+    parts = types.SimpleNamespace(
+        owners_admission=entry.admission,
+        targets=entry.targets,
+        rules=_rules.TableRules(
+            configuration=fixtures.table_holder(ROWS),
+            routing=settings.RoutingSettings(),
+        ),
+    )
+    return lambda name: _policies.admission_of(name, parts)
+
+
+def replicas(admission, count, **changes):
+    request = fixtures.place_request(**changes)
+    return [admission.admit(request).target.replica for _ in range(count)]
+
+
+class TestAdmissionOf:
+    def test_owners(self, make):
+        assert replicas(make(POLICY.owners), 1)
+
+    def test_hash_sticks_to_the_home(self, make):
+        home = _ranking.first(
+            ["r0", "r1", "r2", "r3"], _ranking.chat_hash("c")
+        )
+        assert replicas(make(POLICY.hash), 20) == [home] * 20
+
+    def test_sliver_spreads_its_own(self, make):
+        rows = replicas(make(POLICY.sliver), 40)
+        assert len(set(rows)) == 4
+
+    def test_two_choices_take_the_less_loaded(self, make):
+        admission = make(POLICY.two_choices)
+        for replica in ("r0", "r1", "r2"):
+            admission.take_engine_report(replica, 10)
+        rows = replicas(admission, 100)
+        assert rows.count("r3") > 25
+
+    def test_random_uses_all(self, make):
+        assert len(set(replicas(make(POLICY.random), 200))) == 4
+
+    @pytest.mark.parametrize("name", list(POLICY))
+    def test_excluded_replicas_are_left_out(self, make, name):
+        with pytest.raises(_errors.NoTarget):
+            replicas(
+                make(name), 1, excluded=frozenset({"r0", "r1", "r2", "r3"})
+            )
+
+    @pytest.mark.parametrize("name", list(POLICY))
+    def test_second_release_does_nothing(self, make, name):
+        admission = make(name)
+        place = admission.admit(fixtures.place_request())
+        for _ in range(2):
+            admission.release(place)
+        if isinstance(admission, _policies.BaselineAdmission):
+            assert set(admission._own_load.values()) == {0}
--- /dev/null
+++ b/tests/topazlug/test_retry_budget.py
@@ -0,0 +1,25 @@
+"""Retries add at most their ratio to a failing pool's load."""
+
+from hypothesis import given
+from hypothesis import strategies
+
+from topazlug import _retry_budget
+
+
+class TestRetryBudget:
+    @given(
+        strategies.floats(0.0, 1.0),
+        strategies.lists(strategies.booleans(), max_size=300),
+    )
+    def test_retries_are_a_part_of_first_attempts(self, ratio, steps):
+        budget = _retry_budget.RetryBudget(ratio=ratio)
+        for first in steps:
+            budget.earn() if first else budget.spend()
+        assert budget.spent <= 3 + ratio * sum(steps) + 1e-6
+        assert budget.spent + budget.refused == len(steps) - sum(steps)
+
+    def test_quiet_times_save_up_no_storm(self):
+        budget = _retry_budget.RetryBudget(ratio=1.0)
+        for _ in range(10_000):
+            budget.earn()
+        assert sum(budget.spend() for _ in range(10_000)) == 100
--- /dev/null
+++ b/tests/topazlug/test_target_client.py
@@ -0,0 +1,282 @@
+"""One request, its own answer, or a failure that shows."""
+
+import gevent
+import pytest
+
+from tests.topazlug import routing_fixtures as fixtures
+from topazlug import _clock
+from topazlug import _errors
+from topazlug import _ids
+from topazlug import _target_client
+
+CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+UNKNOWN = _errors.Outcome.UNKNOWN
+
+
+@pytest.fixture
+def connections():
+    made = _target_client.TargetConnections(
+        connect_timeout=1.0, clock=_clock.SystemClock()
+    )
+    yield made
+    made.close()
+
+
+@pytest.fixture
+def serve():
+    servers = []
+
+    def start(script):
+        servers.append(fixtures.scripted_server(script))
+        return fixtures.target("t", port=servers[-1].server_port)
+
+    yield start
+    for server in servers:
+        server.stop(timeout=0)
+
+
+def request(request_id="r1", *, fresh=False, method="GET"):
+    return _target_client.TargetRequest(
+        method=method,
+        path="/",
+        headers=[("Host", "t")],
+        body=b"",
+        request_id=_ids.RequestId(request_id),
+        fresh=fresh,
+    )
+
+
+def body_of(answer, *, silence=5.0, **options):
+    return b"".join(answer.chunks(silence=silence, **options))
+
+
+def answering(*answers):
+    """Give one answer for each request, on one connection."""
+
+    def script(sock):
+        for answer in answers:
+            if not fixtures.read_request(sock):
+                return
+            sock.sendall(answer)
+        fixtures.read_request(sock)
+
+    return script
+
+
+class TestExchange:
+    def test_connection_is_reused_after_a_whole_answer(
+        self, connections, serve
+    ):
+        accepted = []
+
+        def script(sock):
+            accepted.append(sock)
+            answering(*[fixtures.http_answer(b"x")] * 2)(sock)
+
+        target = serve(script)
+        for _ in range(2):
+            answer = connections.exchange(target, request(), head_timeout=5)
+            assert body_of(answer) == b"x"
+        assert len(accepted) == 1
+
+    @pytest.mark.parametrize("echoed", [True, False])
+    def test_second_answer_in_the_same_bytes(self, connections, serve, echoed):
+        """Symptom: a caller reads another caller's words after its own.
+
+        Sequence: a target sends a late answer right behind this one, and
+        both arrive at once. Cause: the library's parser goes on with the
+        second answer and adds its body to the first one's.
+        """
+        ids = ["X-Request-Id: r1", "X-Request-Id: r0"] if echoed else ["", ""]
+        mine, other = [
+            fixtures.http_answer(body, *([field] if field else []))
+            for body, field in zip([b"mine", b"other"], ids)
+        ]
+        target = serve(answering(mine + other, mine))
+        for _ in range(2):
+            answer = connections.exchange(target, request(), head_timeout=5)
+            assert body_of(answer) == b"mine"
+
+    @pytest.mark.parametrize("garbage", [b"\x00\x17 no HTTP", b"HTTP/1.1 2"])
+    def test_garbage_behind_a_whole_answer(self, connections, serve, garbage):
+        """Symptom: an answer that came whole is reported as broken.
+
+        Cause: bytes behind the answer were read with its last ones.
+        """
+        answers = [fixtures.http_answer(b"one") + garbage]
+        target = serve(answering(*answers))
+        for _ in range(2):
+            answer = connections.exchange(target, request(), head_timeout=5)
+            assert body_of(answer) == b"one"
+
+    def test_bytes_on_an_idle_connection(self, connections, serve):
+        """Symptom: a caller gets an answer to a question it never asked.
+
+        Sequence: an answer is read whole, its connection kept; then the
+        target sends another answer nobody asked for; the next request takes
+        the connection. Cause: those bytes wait on it.
+        """
+        speak = gevent.event.Event()
+
+        def script(sock):
+            fixtures.read_request(sock)
+            sock.sendall(fixtures.http_answer(b"one"))
+            if not speak.is_set():
+                speak.wait()
+                sock.sendall(fixtures.http_answer(b"stray"))
+            fixtures.read_request(sock)
+
+        target = serve(script)
+        answer = connections.exchange(target, request(), head_timeout=5)
+        assert body_of(answer) == b"one"
+        (idle,) = connections._idle_by_address.values()
+        (kept,) = idle._idle
+        speak.set()
+        gevent.socket.wait_read(kept.fileno())
+        answer = connections.exchange(target, request(), head_timeout=5)
+        assert body_of(answer) == b"one"
+
+    def test_idle_connection_that_the_target_closed(self, connections, serve):
+        """Symptom: the first request after a quiet spell fails.
+
+        Cause: the target closed the kept connection meanwhile.
+        """
+        target = serve(answering(fixtures.http_answer(b"one")))
+        connections.exchange(target, request(), head_timeout=5)
+        answer = connections.exchange(target, request(), head_timeout=5)
+        assert body_of(answer) == b"one"
+
+    @pytest.mark.parametrize(
+        "echo",
+        [("X-Request-Id: other",), ("X-Request-Id: r1", "X-Request-Id: r2")],
+    )
+    def test_answer_to_another_request_is_dropped(
+        self, connections, serve, echo
+    ):
+        target = serve(answering(fixtures.http_answer(b"x", *echo)))
+        with pytest.raises(_errors.TargetFailed) as caught:
+            connections.exchange(target, request(), head_timeout=5)
+        assert caught.value.outcome is UNKNOWN
+
+    def test_refusal_is_certain(self, connections, serve):
+        refusal = fixtures.http_answer(
+            b"", "X-Not-Run: true", status="503 Busy"
+        )
+        target = serve(answering(refusal))
+        with pytest.raises(_errors.TargetRefused) as caught:
+            connections.exchange(target, request(), head_timeout=5)
+        assert caught.value.outcome is _errors.Outcome.NOT_RUN
+
+    def test_fresh_request_takes_no_kept_connection(self, connections, serve):
+        accepted = []
+
+        def script(sock):
+            accepted.append(sock)
+            answering(fixtures.http_answer(b"x"))(sock)
+
+        target = serve(script)
+        for _ in range(2):
+            answer = connections.exchange(
+                target, request(fresh=True), head_timeout=5
+            )
+            body_of(answer)
+        assert len(accepted) == 2
+
+    def test_nothing_is_sent_after_the_deadline(self, connections, serve):
+        """Symptom: a slip is printed long after the deadline.
+
+        Sequence: the daemon is frozen while it connects and thawed later.
+        Cause: the deadline was looked at before the connection was there.
+        """
+        heard = []
+        target = serve(lambda sock: heard.append(sock.recv(1)))
+        with pytest.raises(_errors.DeadlineExceeded) as caught:
+            connections.exchange(
+                target, request(), head_timeout=5, deadline=0.0
+            )
+        assert caught.value.outcome is _errors.Outcome.NOT_RUN
+        fixtures.wait_until(lambda: bool(heard))
+        assert heard == [b""]
+
+    def test_no_listener_means_nothing_sent(self, connections):
+        with pytest.raises(_target_client.ConnectFailed):
+            connections.exchange(
+                fixtures.target("t", port=1), request(), head_timeout=5
+            )
+
+
+def trickle(first, byte):
+    """Send something, then a byte now and then for ever."""
+
+    def script(sock):
+        fixtures.read_request(sock)
+        sock.sendall(first)
+        while True:
+            sock.sendall(byte)
+            gevent.sleep(0.005)
+
+    return script
+
+
+class TestDeadline:
+    """Symptom: a caller hears nothing long after its deadline.
+
+    Cause: each byte that trickles in begins the wait for silence anew.
+    """
+
+    def test_head_that_trickles(self, connections, serve):
+        target = serve(trickle(b"HTTP/1.1 200 OK\r\nX-A: ", b"a"))
+        deadline = _clock.SystemClock().monotonic() + 0.05
+        with pytest.raises(_errors.DeadlineExceeded) as caught:
+            connections.exchange(
+                target, request(), head_timeout=5, deadline=deadline
+            )
+        assert caught.value.outcome is UNKNOWN
+
+    def test_body_that_trickles(self, connections, serve):
+        target = serve(trickle(CHUNKED, b"1\r\na\r\n"))
+        answer = connections.exchange(target, request(), head_timeout=5)
+        deadline = _clock.SystemClock().monotonic() + 0.05
+        with pytest.raises(_errors.DeadlineExceeded):
+            body_of(answer, deadline=deadline)
+
+    def test_silent_target(self, connections, serve):
+        target = serve(lambda sock: sock.recv(65536) and sock.recv(1))
+        with pytest.raises(_errors.TargetSilent) as caught:
+            connections.exchange(target, request(), head_timeout=0.02)
+        assert caught.value.outcome is UNKNOWN
+
+
+class TestTruncation:
+    @pytest.mark.parametrize(
+        "part",
+        [
+            b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf",
+            CHUNKED + b"4\r\nhalf\r\n",
+            CHUNKED + b"9\r\nhalf",
+            CHUNKED + b"4\r\nhalf\r\nzz\r\n",
+        ],
+    )
+    def test_cut_body_is_an_error(self, connections, serve, part):
+        def script(sock):
+            fixtures.read_request(sock)
+            sock.sendall(part)
+
+        target = serve(script)
+        broken = (_errors.TargetTruncated, _errors.TargetFailed)
+        with pytest.raises(broken) as caught:
+            body_of(connections.exchange(target, request(), head_timeout=5))
+        assert caught.value.outcome is UNKNOWN
+
+    @pytest.mark.parametrize(
+        "part", [b"", b"HTTP/1.1 200", b"\x00\xff no HTTP\r\n\r\n"]
+    )
+    def test_no_head_is_a_failure(self, connections, serve, part):
+        def script(sock):
+            fixtures.read_request(sock)
+            sock.sendall(part)
+
+        target = serve(script)
+        with pytest.raises(_errors.TargetFailed) as caught:
+            connections.exchange(target, request(), head_timeout=5)
+        assert caught.value.outcome is UNKNOWN
--- /dev/null
+++ b/tests/topazlug/test_targets.py
@@ -0,0 +1,121 @@
+"""Which targets may get new work, by whichever sign comes first."""
+
+import pytest
+
+from tests.topazlug import claim_fakes
+from tests.topazlug import routing_fixtures as fixtures
+from topazlug import _targets
+from topazlug._generated import messages
+
+STATE = messages.FactState
+
+
+@pytest.fixture
+def clock():
+    return claim_fakes.FakeClock()
+
+
+@pytest.fixture
+def directory(clock):
+    made = _targets.TargetDirectory(clock=clock, flap_window=60)
+    made.take_list(
+        [fixtures.target("r1", zone="z1"), fixtures.target("r2", zone="z2")]
+    )
+    return made
+
+
+def fact(state, *, replica="r1", incarnation=1):
+    return messages.Fact(
+        kind=messages.FactKind.target,
+        subject=replica,
+        incarnation=incarnation,
+        sequence=1,
+        state=state,
+    )
+
+
+def usable(directory):
+    return directory.usable(fixtures.POOL)
+
+
+class TestSigns:
+    def test_listed_targets_are_usable(self, directory):
+        assert usable(directory) == ["r1", "r2"]
+        assert directory.usable("none") == []
+
+    def test_list_says_leaving(self, directory):
+        directory.take_list([fixtures.target("r1", leaving=True)])
+        assert usable(directory) == []
+
+    @pytest.mark.parametrize("state", [STATE.leaving, STATE.dead])
+    def test_fact_goes_before_the_lagging_list(self, directory, state):
+        """Symptom: a leaving target gets new work for half a minute.
+
+        Sequence: it says that it leaves; the list still shows it live.
+        Cause: the list lags.
+        """
+        assert usable(directory) == ["r1", "r2"]
+        directory.take_fact(fact(state))
+        assert usable(directory) == ["r2"]
+        directory.take_list(
+            [fixtures.target("r1", slots=9), fixtures.target("r2")]
+        )
+        assert usable(directory) == ["r2"]
+
+    def test_new_incarnation_ends_the_leaving(self, directory):
+        directory.take_fact(fact(STATE.leaving))
+        directory.take_list([fixtures.target("r1", incarnation=2)])
+        assert usable(directory) == ["r1"]
+
+    @pytest.mark.parametrize(
+        "drains",
+        [
+            _targets.Drains(replicas=frozenset({"r1"})),
+            _targets.Drains(zones=frozenset({"z1"})),
+        ],
+    )
+    def test_operators_drain(self, directory, drains):
+        directory.take_drains(drains)
+        assert usable(directory) == ["r2"]
+        directory.take_drains(_targets.Drains())
+        assert usable(directory) == ["r1", "r2"]
+
+    def test_unreachable_target_is_avoided_for_a_moment(
+        self, directory, clock
+    ):
+        directory.avoid("r1")
+        assert usable(directory) == ["r2"]
+        clock.advance(1.01)
+        assert usable(directory) == ["r1", "r2"]
+
+    def test_change_is_told_once(self, directory):
+        told = []
+        directory.on_change(lambda: told.append(1))
+        for _ in range(2):
+            directory.take_list([fixtures.target("r1")])
+        assert told == [1]
+
+
+class TestFlapping:
+    def test_is_held_out_for_longer_each_time(self, directory, clock):
+        """Symptom: chats swing back and forth and lose their context.
+
+        Sequence: a target dies and returns, again and again. Cause: each
+        return takes its chats back at once.
+        """
+        held = []
+        for _ in range(5):
+            directory.take_fact(fact(STATE.dead))
+            directory.take_fact(fact(STATE.live))
+            start = clock.seconds
+            while "r1" not in usable(directory):
+                clock.advance(0.5)
+            held.append(clock.seconds - start)
+        assert held == [0, 2, 4, 8, 16]
+
+    def test_is_forgiven_after_the_window(self, directory, clock):
+        for _ in range(2):
+            directory.take_fact(fact(STATE.dead))
+            directory.take_fact(fact(STATE.live))
+            clock.advance(61)
+        assert usable(directory) == ["r1", "r2"]
