Look for another place when an owner goes, and settle lost answers

(2) The mean was taken over what runs, so in a burst onto an idle group the bound rose by a place a report. (3) An idle spell counted as the time between releases. (5) Asks in a frozen owner's queue waited until their deadline. Ruled out: telling an owner once without an answer; a swallowed message looks sent (the blackhole case still failed).

--- a/src/topazlug/_admission.py
+++ b/src/topazlug/_admission.py
@@ -11,6 +11,7 @@
 from typing import Protocol
 from typing import final
 
+import gevent
 from gevent import event
 import logbook
 import msgspec
@@ -35,6 +36,10 @@
 # each 70 ms at 15 requests/s, most such waits end with one.
 _CONTEXT_WAIT = 0.2
 _REDIRECTS = 1
+_OWED_SECONDS = 300.0
+_SETTLE_TIMEOUT = 1.0
+_SEARCHES = 4
+_MOVED = (messages.Verdict.not_owner, messages.Verdict.expired)
 
 
 class Links(Protocol):
@@ -58,6 +63,8 @@
         self.load_by_replica: dict[_ids.ReplicaId, int] = {}
         self.seat: _ids.ReplicaId | None = None
         self.retry_after = 0.0
+        self.place: _place.Place | None = None
+        self.is_worth_repeating = False
 
     def note(
         self, replica: _ids.ReplicaId, reply: messages.AdmitReply
@@ -131,7 +138,7 @@
         self._numbers = itertools.count(1)
         self._silent_until: dict[_ids.DaemonId, float] = {}
         self._silences: dict[_ids.DaemonId, int] = {}
-        self._renewed: set[_ids.DaemonId] = set()
+        self._owed_until: dict[_ids.DaemonId, float] = {}
         self.place_by_ask: dict[_ids.AskNumber, _place.Place] = {}
         self.pending_by_ask: dict[_ids.AskNumber, _ids.DaemonId] = {}
         self.decided_alone = 0
@@ -147,25 +154,33 @@
         NoTarget
             The group has no usable replica.
         """
+        for _ in range(_SEARCHES):
+            search = self._search(request)
+            if search.place is not None:
+                self.place_by_ask[search.place.ask] = search.place
+                self._note_displacement(search.place, search)
+                return search.place
+            if not search.is_worth_repeating:
+                break
+        raise _errors.Overloaded(
+            f"no place is free on {request.group}",
+            retry_after=max(0.5, search.retry_after),
+        )
+
+    def _search(self, request: _place.PlaceRequest) -> _Round:
+        """Ask for a place once, in the order of the ranks of now."""
         ranked = self._rank(request)
         if not ranked:
             raise _errors.NoTarget(
                 f"no usable replica of {request.group}", retry_after=1.0
             )
         search = _Round(ranked)
-        place = self._try_ranked(request, search)
-        if place is None:
-            place = self._wait(request, search)
-        if place is None and search.least is None:
-            place = self._decide_alone(request, ranked)
-        if place is None:
-            raise _errors.Overloaded(
-                f"no place is free on {request.group}",
-                retry_after=max(0.5, search.retry_after),
-            )
-        self.place_by_ask[place.ask] = place
-        self._note_displacement(place, search)
-        return place
+        search.place = self._try_ranked(request, search)
+        if search.place is None:
+            search.place = self._wait(request, search)
+        if search.place is None and search.least is None:
+            search.place = self._decide_alone(request, ranked)
+        return search
 
     def _rank(self, request: _place.PlaceRequest) -> list[_ids.ReplicaId]:
         usable = self._targets.usable(request.group)
@@ -246,11 +261,15 @@
             total=search.total(replicas),
         )
         if answer is None:
+            # The owner died or fell silent while the ask waited there; the
+            # call has time left and another owner may have a place.
+            search.is_worth_repeating = True
             return None
         ask, owner, reply = answer
         if reply.verdict is messages.Verdict.granted:
             is_home = replica == search.ranked[0]
             return self._new_place(request, replica, ask, owner, home=is_home)
+        search.is_worth_repeating = reply.verdict in _MOVED
         search.note(replica, reply)
         return None
 
@@ -421,8 +440,19 @@
         if owner == self._daemon:
             self._owner.release(self._daemon, [ask])
             return
+        self._owe(owner)
         self._send(owner, messages.Release(asks=[ask]))
 
+    def _owe(self, owner: _ids.DaemonId) -> None:
+        """Have the next renewals tell an owner what this daemon holds.
+
+        A release may be lost with its stream, and so may the answer to an
+        ask that was granted. The owner then counts a place that nobody has,
+        and the replica looks fuller than it is for good. It is told until
+        it was reached, or has been gone for a while.
+        """
+        self._owed_until[owner] = self._clock.monotonic() + _OWED_SECONDS
+
     def _send(self, owner: _ids.DaemonId, message: msgspec.Struct) -> None:
         try:
             self._links.send(owner, message)
@@ -433,8 +463,8 @@
     def renew(self, only: set[_ids.DaemonId] | None = None) -> int:
         """Tell each owner all that this daemon holds of it.
 
-        Owners that held something at the last renewal hear an empty list
-        once, so a place whose release was lost does not stay counted.
+        Owners that were sent a release since their last renewal hear of it
+        even if nothing is held of them any more.
 
         Parameters
         ----------
@@ -455,7 +485,8 @@
         for ask, owner in self.pending_by_ask.items():
             pending.setdefault(owner, []).append(ask)
         current = set(held) | set(pending)
-        told = current | self._renewed
+        self._forget_debts()
+        told = current | set(self._owed_until)
         if only is not None:
             told &= only
         for owner in told:
@@ -464,16 +495,41 @@
             )
             if owner == self._daemon:
                 self._owner.renew(self._daemon, message)
-            else:
+            elif owner in current:
                 self._send(owner, message)
-        self._renewed = current | (self._renewed - told)
+            else:
+                gevent.spawn(self._settle, owner)
         return len(told)
 
+    def _settle(self, owner: _ids.DaemonId) -> None:
+        """Tell an owner that nothing is held of it, until it confirms.
+
+        A message that was sent may still be lost with its stream, so only
+        the owner's answer ends the debt.
+        """
+        if owner in self.pending_by_ask.values():
+            return
+        places = self.place_by_ask.values()
+        if any(place.owner == owner for place in places):
+            return
+        message = messages.Renew(held=[], pending=[])
+        try:
+            self._links.call(owner, message, timeout=_SETTLE_TIMEOUT)
+        except _errors.PeerUnreachable:
+            return
+        self._owed_until.pop(owner, None)
+
+    def _forget_debts(self) -> None:
+        now = self._clock.monotonic()
+        for owner, until in list(self._owed_until.items()):
+            if now > until:
+                del self._owed_until[owner]
+
     def _reassign(self, place: _place.Place) -> None:
         owner = self._ownership.owner_of(place.target.replica)
         if owner is not None and owner != place.owner:
             if place.owner is not None:
-                self._renewed.add(place.owner)
+                self._owe(place.owner)
             place.owner = owner
 
 
--- a/src/topazlug/_ledger.py
+++ b/src/topazlug/_ledger.py
@@ -46,7 +46,7 @@
     held: Held
     deadline: float
     grant: Callable[[], None]
-    refuse: Callable[[], None]
+    refuse: Callable[[messages.Verdict], None]
 
 
 class Judgement(enum.Enum):
@@ -156,6 +156,15 @@
         """Give the load, with what another owner admits here counted in."""
         return self.load + self._foreign_load()
 
+    def demand(self) -> int:
+        """Give the load with what waits counted in.
+
+        The group's mean is taken over this. In a burst onto an idle group
+        all asks are over a bound taken from what runs, and it would rise by
+        one place a report; what waits is about to run somewhere.
+        """
+        return self.seen_load() + len(self.waiting_by_key)
+
     def _foreign_load(self) -> int:
         """Load that the engine keeps reporting beyond what is counted.
 
@@ -216,11 +225,16 @@
         return True
 
     def _note_release(self, now: float) -> None:
+        """Keep a smoothed time between two releases.
+
+        An idle spell is left out: counted, it would make the first call
+        after it look as if it had to wait for minutes.
+        """
         if self._last_release is not None:
             gap = now - self._last_release
             change = gap - self._release_interval
             self._release_interval += _INTERVAL_SMOOTHING * change
-        self._last_release = now
+        self._last_release = now if self.load else None
 
     def lapse(self, waiting: Waiting) -> bool:
         """Take an ask out of the queue, if it still waits there."""
@@ -253,7 +267,7 @@
         if evicted is None:
             return
         del self.waiting_by_key[evicted.key]
-        evicted.refuse()
+        evicted.refuse(messages.Verdict.full)
 
     def pump(self, *, limit: int, now: float, mean: float) -> None:
         """Grant queued asks while there is room."""
@@ -266,7 +280,7 @@
                 return
             del self.waiting_by_key[waiting.key]
             if waiting.deadline < now:
-                waiting.refuse()
+                waiting.refuse(messages.Verdict.full)
                 continue
             self.hold(waiting.key, waiting.held)
             waiting.grant()
@@ -304,11 +318,11 @@
     def _queue_of(self, waiting: Waiting) -> _fair_queue.FairQueue[Waiting]:
         return self._batch if waiting.held.batch else self._interactive
 
-    def refuse_all(self) -> None:
-        """Send everybody in the queue away, when ownership goes."""
+    def refuse_all(self, verdict: messages.Verdict) -> None:
+        """Send everybody in the queue away, to look for another place."""
         for queue in (self._interactive, self._batch):
             for waiting in queue.drain():
-                waiting.refuse()
+                waiting.refuse(verdict)
         self.waiting_by_key.clear()
 
     def keep_only(
--- a/src/topazlug/_owner.py
+++ b/src/topazlug/_owner.py
@@ -165,6 +165,13 @@
                 verdict = messages.Verdict.over_bound
             self._answer(reply, verdict, load=ledger.load)
             return
+        # What waits for the bound does not wait for a release: the bound
+        # rises with the group's load.
+        is_full = judgement is _ledger.Judgement.FULL
+        expected = ledger.expected_wait(batch=held.batch)
+        if expected > ask.wait and (is_full or ask.wait <= _SHORT_WAIT):
+            self._refuse(ledger, expected, reply, messages.Verdict.full)
+            return
         self._enqueue(ledger, key, held, ask.wait, reply)
 
     def _judge_return(
@@ -193,9 +200,6 @@
         reply: Reply,
     ) -> None:
         expected = ledger.expected_wait(batch=held.batch)
-        if expected > wait:
-            self._refuse_full(ledger, expected, reply)
-            return
         waiting = _ledger.Waiting(
             key=key,
             held=held,
@@ -203,7 +207,9 @@
             grant=lambda: self._answer(
                 reply, messages.Verdict.granted, load=ledger.load
             ),
-            refuse=lambda: self._refuse_full(ledger, expected, reply),
+            refuse=lambda verdict: self._refuse(
+                ledger, expected, reply, verdict
+            ),
         )
         weight = self._rules.weight_of(held.team)
         ledger.enqueue(waiting, team_weight=weight)
@@ -224,14 +230,18 @@
         """
         self._clock.sleep(wait)
         if ledger.lapse(waiting):
-            waiting.refuse()
+            waiting.refuse(messages.Verdict.full)
 
-    def _refuse_full(
-        self, ledger: _ledger.ReplicaLedger, expected: float, reply: Reply
+    def _refuse(
+        self,
+        ledger: _ledger.ReplicaLedger,
+        expected: float,
+        reply: Reply,
+        verdict: messages.Verdict,
     ) -> None:
         self._answer(
             reply,
-            messages.Verdict.full,
+            verdict,
             load=ledger.load,
             retry_after=max(expected, 0.1),
         )
@@ -338,7 +348,7 @@
         for replica in lost:
             ledger = self.ledger_by_replica.pop(replica, None)
             if ledger is not None:
-                ledger.refuse_all()
+                ledger.refuse_all(messages.Verdict.not_owner)
         handover: dict[_ids.DaemonId, list[messages.Displaced]] = {}
         for home, entries in self.displaced.take_out(set(lost)).items():
             after = lost[home]
@@ -371,7 +381,7 @@
                 continue
             loads.setdefault(ledger.group, []).append(
                 messages.ReplicaLoad(
-                    replica=ledger.replica, load=ledger.seen_load()
+                    replica=ledger.replica, load=ledger.demand()
                 )
             )
         return [
@@ -430,7 +440,7 @@
         if not ledger.waiting_by_key:
             return
         if not self._targets.is_usable(ledger.replica):
-            ledger.refuse_all()
+            ledger.refuse_all(messages.Verdict.expired)
             return
         now = self._clock.monotonic()
         total, replicas = self._group_total(ledger.group, now)
@@ -454,7 +464,7 @@
         # replica alone, every one looks over the bound while links are cut
         # and all calls wait.
         own = [
-            ledger.seen_load()
+            ledger.demand()
             for ledger in self.ledger_by_replica.values()
             if ledger.group == group
         ]
--- a/src/topazlug/_owner_duties.py
+++ b/src/topazlug/_owner_duties.py
@@ -96,6 +96,7 @@
         self, sender: _ids.DaemonId, message: Any, reply: _peers.Reply
     ) -> None:
         self._owner.renew(sender, message)
+        reply(messages.Ack())
 
     def _on_displaced(
         self, sender: _ids.DaemonId, message: Any, reply: _peers.Reply
--- a/src/topazlug/_routing_parts.py
+++ b/src/topazlug/_routing_parts.py
@@ -193,6 +193,9 @@
         for daemon, _ in dead - self._dropped:
             self.owner.drop_daemon(daemon)
             self.quota_owner.drop_daemon(daemon)
+            # Asks that wait in a frozen owner's queue would wait until
+            # their deadline: its connection stays open.
+            self._fleet.links.disconnect(daemon)
         self._dropped = dead
         self.quota_owner.forget(self._lends)
         self._update_ownership()
--- a/src/topazlug/_service_calls.py
+++ b/src/topazlug/_service_calls.py
@@ -1,7 +1,6 @@
 """Calls to plain services, some of which may run only once."""
 
 from collections.abc import Iterator
-import hashlib
 from typing import Protocol
 from typing import final
 from urllib import parse
@@ -11,6 +10,7 @@
 from topazlug import _attempts
 from topazlug import _caller_answer
 from topazlug import _caller_request
+from topazlug import _claim_rows
 from topazlug import _claims
 from topazlug import _clock
 from topazlug import _configuration
@@ -132,7 +132,13 @@
         kept = self._claim(call)
         if kept is not None:
             return _of_kept(kept, call)
-        return self._run(call)
+        if call.claim is None:
+            return self._run(call)
+        # Whatever ends the call, its claim ends with it: a caller that is
+        # gone before anything was sent must not leave its key unknown for a
+        # day.
+        with call.claim:
+            return self._run(call)
 
     def _claim(self, call: _Call) -> _claims.KeptAnswer | None:
         """Claim a call that may not be repeated, before anything is sent."""
@@ -154,7 +160,9 @@
             team=call.caller.name,
             service=_ids.GroupName(call.row.name),
             key=key,
-            fingerprint=_fingerprint(call),
+            fingerprint=_claim_rows.fingerprint(
+                method=call.request.method, path=call.path, body=call.body
+            ),
             deadline=call.request.deadline,
         )
         if isinstance(found, _claims.KeptAnswer):
@@ -332,14 +340,6 @@
     return row, path
 
 
-def _fingerprint(call: _Call) -> str:
-    digest = hashlib.sha256()
-    for part in (call.request.method.encode(), call.path.encode(), call.body):
-        digest.update(len(part).to_bytes(8, "big"))
-        digest.update(part)
-    return digest.hexdigest()
-
-
 def _end_claim(call: _Call, error: _errors.RequestError) -> None:
     """Free the key if certainly nothing ran, else leave it unknown."""
     if call.claim is None:
--- a/tests/topazlug/routing_fixtures.py
+++ b/tests/topazlug/routing_fixtures.py
@@ -615,6 +615,9 @@
         replies: list[Any] = []
         if to not in self._fleet.silent:
             owner = self._fleet.entry_by_name[to].owner
+            if isinstance(message, messages.Renew):
+                owner.renew(self._sender, message)
+                return messages.Ack()
             owner.ask(self._sender, message, replies.append)
         if not replies:
             self._fleet.clock.advance(timeout)
