Prove the promises with whole fleets, and refute old doubts again

Cause: after swallowed packets two groups did not see each other again for 10 s and more (test_groups_join_again[blackhole] failed 3 of 4 runs): a daemon refuted a doubt while the doubter was cut off, and the refutation was no news any more when the link was whole. A daemon that hears an older doubt of itself now repeats its refutation. Ruled out: the links' back-off (handshakes succeed within a second of the heal), ever more frequent whole syncs.

--- a/src/topazlug/_fact_exchange.py
+++ b/src/topazlug/_fact_exchange.py
@@ -128,6 +128,11 @@
         self._outbox_by_subject[_facts.subject_of(fact)] = fact
         self._wake_pusher()
 
+    def remind(self, fact: messages.Fact) -> None:
+        """Repeat a fact in the next heartbeats and answers."""
+        fleet_size = len(self._candidates()) + 1
+        self._book.freshen(fact, fleet_size=fleet_size)
+
     def _ask_forever(self) -> None:
         while True:
             for peer in self._next_peers():
--- a/src/topazlug/_membership.py
+++ b/src/topazlug/_membership.py
@@ -316,7 +316,14 @@
 
     def _refuted(self, fact: messages.Fact) -> bool:
         own = self._book.get(messages.FactKind.daemon, self._daemon_id)
-        if own is None or _facts.order(fact) <= _facts.order(own):
+        if own is None:
+            return False
+        if _facts.order(fact) <= _facts.order(own):
+            if fact.state in _DOUBTS:
+                # Somebody still doubts what was refuted while it was cut
+                # off. The refutation is no news any more and would reach it
+                # only by a whole sync; until then it sends us nothing.
+                self._exchange.remind(own)
             return False
         if fact.incarnation > own.incarnation:
             _log.error(
--- /dev/null
+++ b/tests/fleet/conftest.py
@@ -0,0 +1,23 @@
+"""Fleets that several tests share; no test of a module may spoil its own."""
+
+from typing import Iterator
+
+import pytest
+
+from bench import fleet as _fleet
+from tests.fleet import fleet_fixtures
+
+
+@pytest.fixture(scope="module")
+def fleet() -> Iterator[_fleet.Fleet]:
+    """Give a fleet of three daemons."""
+    with _fleet.Fleet(fleet_fixtures.deployment(daemons=3)) as started:
+        yield started
+
+
+@pytest.fixture(scope="module")
+def nine() -> Iterator[_fleet.Fleet]:
+    """Give a fleet of nine daemons, where the list lags for long."""
+    described = fleet_fixtures.deployment(daemons=9, engines=6)
+    with _fleet.Fleet(described) as started:
+        yield started
--- /dev/null
+++ b/tests/fleet/fleet_load.py
@@ -0,0 +1,75 @@
+"""A light load on a fleet, that goes on until it is told to stop."""
+
+from concurrent import futures
+import threading
+from typing import final
+
+from bench import fleet as _fleet
+from bench import fleet_calls
+from tests.fleet import fleet_fixtures
+
+
+@final
+class Load:
+    """Callers that ask one question after the other.
+
+    Parameters
+    ----------
+    fleet : Fleet
+        Its daemons are asked in turn, those that take its place too.
+    callers : int
+        How many ask at once.
+    tokens : int
+        Length of an answer.
+    """
+
+    def __init__(
+        self, fleet: _fleet.Fleet, *, callers: int = 8, tokens: int = 8
+    ) -> None:
+        self.answers: list[fleet_calls.Answer] = []
+        self._fleet = fleet
+        self._callers = callers
+        self._tokens = tokens
+        self._stopped = threading.Event()
+        self._executor = futures.ThreadPoolExecutor(callers)
+
+    def __enter__(self) -> "Load":
+        for number in range(self._callers):
+            self._executor.submit(self._ask_on, number)
+        return self
+
+    def __exit__(self, *error: object) -> None:
+        self.stop()
+
+    def stop(self) -> None:
+        """Ask no more, and wait for the answers."""
+        self._stopped.set()
+        self._executor.shutdown()
+
+    def failures(self) -> list[str]:
+        """Give how calls ended that got no whole answer.
+
+        A connection refused before any byte was sent is none: the caller's
+        library goes to the next address.
+        """
+        good = (fleet_calls.Ending.WHOLE, fleet_calls.Ending.REFUSED)
+        return [
+            f"{answer.ending.value} {answer.status} {answer.body[-200:]!r}"
+            for answer in self.answers
+            if answer.ending not in good
+        ]
+
+    def wait_for_more(self, count: int) -> None:
+        """Wait until so many more answers have come."""
+        wanted = len(self.answers) + count
+        fleet_fixtures.eventually(lambda: len(self.answers) >= wanted)
+
+    def _ask_on(self, number: int) -> None:
+        while not self._stopped.is_set():
+            daemons = self._fleet.daemons
+            daemon = daemons[number % len(daemons)]
+            number += 1
+            answer = fleet_fixtures.chat(daemon, tokens=self._tokens)
+            self.answers.append(answer)
+            if answer.ending is fleet_calls.Ending.REFUSED:
+                self._stopped.wait(0.01)
--- /dev/null
+++ b/tests/fleet/test_intruders.py
@@ -0,0 +1,148 @@
+"""Nobody gets in without the secret, a key or a token."""
+
+import socket
+import struct
+from typing import Iterator
+
+import msgpack
+import pytest
+
+from bench import fleet as _fleet
+from bench import fleet_calls
+from tests.fleet import fleet_fixtures
+
+pytestmark = pytest.mark.processes
+GARBAGE = [
+    pytest.param(b"\x00" * 4096, id="zeros"),
+    pytest.param(b"GET / HTTP/1.1\r\nHost: x\r\n\r\n", id="http"),
+    pytest.param(b"\xc1" * 64, id="never-used-byte"),
+    pytest.param(b"\xdd\xff\xff\xff\xff" + b"\x90" * 512, id="huge-array"),
+    pytest.param(b"\xc6\x7f\xff\xff\xff" + b"x" * 65536, id="huge-binary"),
+    pytest.param(b"\x91" * 60000, id="deep-nesting"),
+    pytest.param(struct.pack(">I", 2**31) + b"x" * 64, id="huge-length"),
+]
+NO_KEYS = ["", "wrong", "demo-frontdes", "x" * 10000]
+
+
+def peer_port_answer(daemon: _fleet.DaemonProcess, data: bytes) -> bytes:
+    """Send bytes to the peers' port, and give all until it is closed."""
+    address = (_fleet.HOST, daemon.peers_port)
+    received = b""
+    with socket.create_connection(address, timeout=10.0) as sock:
+        try:
+            sock.sendall(data)
+            while block := sock.recv(65536):
+                received += block
+        except ConnectionError:
+            pass
+    return received
+
+
+def expect_healthy(fleet: _fleet.Fleet, daemon: _fleet.DaemonProcess) -> None:
+    """Check that a daemon serves and counts exactly."""
+    assert fleet_fixtures.chat(daemon).ending is fleet_calls.Ending.WHOLE
+    fleet_fixtures.eventually(lambda: fleet_fixtures.is_empty(daemon))
+    assert fleet_fixtures.agree_on_owners(fleet.daemons)
+
+
+class TestPeerPort:
+    @pytest.mark.parametrize("data", GARBAGE)
+    def test_garbage(self, fleet: _fleet.Fleet, data: bytes) -> None:
+        daemon = fleet.daemons[0]
+        before = refusals(daemon)
+        peer_port_answer(daemon, data)
+        fleet_fixtures.eventually(lambda: refusals(daemon) > before)
+        expect_healthy(fleet, daemon)
+
+    def test_hello_without_proof(self, fleet: _fleet.Fleet) -> None:
+        """Symptom: a stranger's words count as a daemon's.
+
+        Sequence: somebody says hello under a daemon's name and goes on
+        with messages at once. Cause: the hello is taken for the proof.
+        """
+        daemon = fleet.daemons[0]
+        hello = {
+            "version": 1,
+            "daemon": fleet.daemons[1].name,
+            "incarnation": 2**50,
+            "nonce": "0" * 32,
+        }
+        release = {"asks": list(range(100))}
+        data = msgpack.packb(["Hello", 0, hello])
+        data += msgpack.packb(["Proof", 0, {"mac": "0" * 64}])
+        data += msgpack.packb(["Release", 0, release])
+        before = refusals(daemon)
+        received = peer_port_answer(daemon, data)
+        fleet_fixtures.eventually(lambda: refusals(daemon) > before)
+        assert b"Proof" not in received
+        expect_healthy(fleet, daemon)
+
+    @pytest.fixture
+    def stranger(self, fleet: _fleet.Fleet) -> Iterator[_fleet.DaemonProcess]:
+        """Start a daemon with another secret, on the same platform."""
+        settings = fleet.daemon_settings(90)
+        settings["peers"]["secret"] = "not-the-secret-of-this-fleet"
+        daemon = fleet.start_daemon(90, settings)
+        yield daemon
+        daemon.process.kill()
+        path = f"/instances/{daemon.name}"
+        fleet_calls.send(fleet.platform_url, "DELETE", path)
+
+    def test_daemon_with_the_wrong_secret(
+        self, fleet: _fleet.Fleet, stranger: _fleet.DaemonProcess
+    ) -> None:
+        """Symptom: a stranger on the list owns replicas.
+
+        Sequence: a daemon with another secret enters itself on the list.
+        Cause: whom the list shows is taken for a peer for good.
+        """
+        wrong = "wrong proof"
+        fleet_fixtures.eventually(
+            lambda: any(wrong in d.process.log for d in fleet.daemons)
+        )
+        fleet_fixtures.eventually(
+            lambda: all(
+                stranger.name not in owners(daemon) for daemon in fleet.daemons
+            )
+        )
+        expect_healthy(fleet, fleet.daemons[0])
+
+
+class TestCallers:
+    @pytest.mark.parametrize("key", NO_KEYS)
+    def test_no_key_that_counts(self, fleet: _fleet.Fleet, key: str) -> None:
+        before = [len(fleet_calls.journal(e)) for e in fleet.engines]
+        answer = fleet_fixtures.chat(fleet.daemons[0], key=key)
+        assert (answer.status, answer.outcome) == (401, "not-run")
+        after = [len(fleet_calls.journal(e)) for e in fleet.engines]
+        assert before == after
+
+
+class TestOperators:
+    @pytest.mark.parametrize("token", ["", "wrong", fleet_fixtures.KEY])
+    @pytest.mark.parametrize(
+        ("method", "path"),
+        [
+            ("GET", "/v1/teams"),
+            ("PUT", "/v1/teams/intruders"),
+            ("DELETE", f"/v1/teams/{fleet_fixtures.TEAM}"),
+            ("GET", "/v1/export?keys=true"),
+            ("GET", "/v1/status"),
+        ],
+    )
+    def test_no_token_that_counts(
+        self, fleet: _fleet.Fleet, method: str, path: str, token: str
+    ) -> None:
+        daemon = fleet.daemons[0]
+        answer = fleet_calls.operate(daemon, method, path, {}, token=token)
+        assert answer.status == 401
+
+
+def refusals(daemon: _fleet.DaemonProcess) -> int:
+    """Count the logged refusals of connections from peers."""
+    return daemon.process.log.count("warning topazlug.peers connection from")
+
+
+def owners(daemon: _fleet.DaemonProcess) -> set[str]:
+    found = fleet_calls.replicas(daemon).values()
+    return {entry["owner"] for entry in found}
--- /dev/null
+++ b/tests/fleet/test_leaving_targets.py
@@ -0,0 +1,245 @@
+"""A target that is leaving gets no new work on any daemon."""
+
+import json
+from typing import Iterator
+
+import pytest
+
+from bench import fleet as _fleet
+from bench import fleet_calls
+from bench import processes
+from tests.fleet import fleet_fixtures
+
+pytestmark = pytest.mark.processes
+CHATS_PER_DAEMON = 4
+FLAPS = 4
+CHATS_WHILE_UP = 5
+
+
+class ListedEngine:
+    """An engine that is on the list only as the test says."""
+
+    def __init__(self, fleet: _fleet.Fleet, name: str) -> None:
+        self.name = name
+        self._fleet = fleet
+        self._incarnation = 0
+        self.process = self._started(0)
+        self.target = _fleet.TargetProcess(name=name, process=self.process)
+
+    def _started(self, port: int) -> processes.Process:
+        process = processes.Process(
+            name=self.name,
+            arguments=[
+                *("-m", "standins", "engine", "--id", self.name),
+                *("--pool", fleet_fixtures.POOL, "--slots", "64"),
+                *("--port", str(port), "--incarnation", "1"),
+            ],
+            folder=self._fleet.folder,
+        )
+        process.start()
+        return process
+
+    def start_again(self) -> None:
+        """Start it anew where it was, after it has ended."""
+        self.process = self._started(self.target.port)
+
+    def list_as(self, state: str) -> None:
+        """Put it on the list; each time it is live it is a new one."""
+        self._incarnation += state == "live"
+        instance = {
+            "id": self.name,
+            "kind": "engine",
+            "group": fleet_fixtures.POOL,
+            "host": _fleet.HOST,
+            "port": self.target.port,
+            "zone": "zone-a",
+            "region": "region-1",
+            "state": state,
+            "incarnation": self._incarnation,
+            "slots": 64,
+        }
+        body = json.dumps(instance).encode()
+        self._send("PUT", body)
+
+    def take_off_list(self) -> None:
+        """Take it off the list."""
+        self._send("DELETE", b"")
+
+    def _send(self, method: str, body: bytes) -> None:
+        fleet_calls.send(
+            self._fleet.platform_url,
+            method,
+            f"/instances/{self.name}",
+            body=body,
+        )
+
+
+@pytest.fixture
+def listed(nine: _fleet.Fleet) -> Iterator[ListedEngine]:
+    """Give an engine beside the fleet's own, used by all daemons."""
+    name = fleet_fixtures.new_key()
+    engine = ListedEngine(nine, name)
+    engine.list_as("live")
+    fleet_fixtures.eventually(lambda: is_used_by_all(nine, name))
+    yield engine
+    engine.take_off_list()
+    engine.process.kill()
+    fleet_fixtures.eventually(lambda: "live" not in states(nine, name))
+
+
+def states(fleet: _fleet.Fleet, replica: str) -> set[str]:
+    """Give what the daemons say of a replica."""
+    known = [fleet_calls.replicas(daemon) for daemon in fleet.daemons]
+    return {found[replica]["state"] for found in known if replica in found}
+
+
+def is_used_by_all(fleet: _fleet.Fleet, replica: str) -> bool:
+    """Tell whether all daemons give a replica new work."""
+    known = [fleet_calls.replicas(daemon) for daemon in fleet.daemons]
+    return all(
+        replica in found and found[replica]["state"] == "live"
+        for found in known
+    )
+
+
+def started(target: _fleet.TargetProcess) -> int:
+    """Count the chats that an engine started or refused."""
+    events = ("start", "refused")
+    return sum(e["event"] in events for e in fleet_calls.journal(target))
+
+
+def ask_all(fleet: _fleet.Fleet) -> list[fleet_calls.Answer]:
+    """Ask new chats through each daemon."""
+    return fleet_fixtures.at_once(
+        [
+            lambda daemon=daemon: fleet_fixtures.chat(daemon, tokens=1)
+            for daemon in fleet.daemons * CHATS_PER_DAEMON
+        ]
+    )
+
+
+def expect_no_new_work(
+    fleet: _fleet.Fleet, target: _fleet.TargetProcess
+) -> None:
+    """Wait until all daemons know; then nothing may come."""
+    fleet_fixtures.eventually(
+        lambda: not states(fleet, target.name) & {"live", "suspected"}
+    )
+    before = started(target)
+    answers = ask_all(fleet)
+    assert {a.ending for a in answers} == {fleet_calls.Ending.WHOLE}
+    assert started(target) == before
+
+
+class TestSign:
+    @pytest.fixture(autouse=True)
+    def gets_work_at_first(
+        self, nine: _fleet.Fleet, listed: ListedEngine
+    ) -> None:
+        ask_all(nine)
+        assert started(listed.target) > 0
+
+    def test_from_the_engine_itself(
+        self, nine: _fleet.Fleet, listed: ListedEngine
+    ) -> None:
+        """Symptom: chats are cut off when an engine goes.
+
+        Sequence: an engine says that it leaves while the list shows
+        nothing new for long. Cause: only the list is believed, or only
+        the daemon that asked the engine knows.
+        """
+        with fleet_fixtures.faults(nine.platform_url, down_list=True):
+            _fleet.post(f"{listed.target.url}/admin/leave", {})
+            expect_no_new_work(nine, listed.target)
+
+    def test_from_operators(
+        self, nine: _fleet.Fleet, listed: ListedEngine
+    ) -> None:
+        path = f"/v1/drains/{listed.name}"
+        daemon = nine.daemons[0]
+        answer = fleet_calls.operate(daemon, "PUT", path, {"kind": "replica"})
+        assert answer.status == 201
+        expect_no_new_work(nine, listed.target)
+        answer = fleet_calls.operate(daemon, "DELETE", path + "?force=true")
+        assert answer.status == 200
+        fleet_fixtures.eventually(lambda: is_used_by_all(nine, listed.name))
+
+    def test_from_the_list(
+        self, nine: _fleet.Fleet, listed: ListedEngine
+    ) -> None:
+        listed.list_as("leaving")
+        expect_no_new_work(nine, listed.target)
+
+    def test_from_its_silence(
+        self, nine: _fleet.Fleet, listed: ListedEngine
+    ) -> None:
+        """Symptom: some chats wait in vain for an engine that is gone.
+
+        Sequence: an engine is killed, and the list goes on showing it.
+        Cause: each daemon has to find out by itself, with a caller's chat.
+        """
+        with fleet_fixtures.faults(nine.platform_url, down_list=True):
+            listed.process.kill()
+            fleet_fixtures.eventually(
+                lambda: states(nine, listed.name) == {"dead"}
+            )
+            answers = ask_all(nine)
+        assert {a.ending for a in answers} == {fleet_calls.Ending.WHOLE}
+
+
+class TestFlapping:
+    def test_chats_are_not_pulled_back_and_forth(
+        self, nine: _fleet.Fleet, listed: ListedEngine
+    ) -> None:
+        """Symptom: chats lose their context again and again.
+
+        Sequence: an engine dies and comes back, several times over; its
+        chats go away and return with it each time. Cause: a return counts
+        at once, however often the engine went before.
+        """
+        chat_id = homed_chat(nine, listed.name)
+        seen = [listed.name]
+        for _ in range(FLAPS):
+            listed.process.kill()
+            ask_until(nine, chat_id, seen, listed.name, is_dead=True)
+            listed.start_again()
+            ask_until(nine, chat_id, seen, listed.name, is_dead=False)
+            seen += [replica_of(nine, chat_id) for _ in range(CHATS_WHILE_UP)]
+        moves = sum(one != other for one, other in zip(seen, seen[1:]))
+        # Away, back after the first return, and away for good: from the
+        # second return on it must stay up for longer than it does here.
+        assert moves <= 3
+
+
+def ask_until(
+    fleet: _fleet.Fleet,
+    chat_id: str,
+    seen: list[str],
+    replica: str,
+    *,
+    is_dead: bool,
+) -> None:
+    """Go on asking a chat until its daemon knows how a replica does."""
+
+    def knows() -> bool:
+        seen.append(replica_of(fleet, chat_id))
+        found = fleet_calls.replicas(fleet.daemons[0])
+        return (found[replica]["state"] == "dead") is is_dead
+
+    fleet_fixtures.eventually(knows)
+
+
+def replica_of(fleet: _fleet.Fleet, chat_id: str) -> str:
+    """Ask a chat through one daemon, and tell where it went."""
+    answer = fleet_fixtures.chat(fleet.daemons[0], chat_id=chat_id, tokens=1)
+    assert answer.ending is fleet_calls.Ending.WHOLE
+    return answer.headers["topazlug-replica"]
+
+
+def homed_chat(fleet: _fleet.Fleet, replica: str) -> str:
+    """Find a chat whose home is a replica."""
+    for _ in range(200):
+        chat_id = fleet_fixtures.question()
+        if replica_of(fleet, chat_id) == replica:
+            return chat_id
+    raise AssertionError(f"no chat has its home on {replica}")
--- /dev/null
+++ b/tests/fleet/test_owner_loss.py
@@ -0,0 +1,155 @@
+"""An owner that dies, freezes or is cut off loses no request."""
+
+from collections import Counter
+import time
+from typing import Iterator
+
+import pytest
+
+from bench import fleet as _fleet
+from bench import fleet_calls
+from tests.fleet import fleet_fixtures
+from tests.fleet import fleet_load
+
+pytestmark = pytest.mark.processes
+FROZEN_SECONDS = 3.0
+CUT_SECONDS = 5.0
+
+
+@pytest.fixture
+def spoiled() -> Iterator[_fleet.Fleet]:
+    """Give a fleet of its own to a test that ends or freezes daemons."""
+    described = fleet_fixtures.deployment(daemons=4, engines=4, services=1)
+    with _fleet.Fleet(described) as started:
+        yield started
+
+
+def busiest_owner(fleet: _fleet.Fleet) -> _fleet.DaemonProcess:
+    """Give the daemon that owns the most engines."""
+    found = fleet_calls.replicas(fleet.daemons[0]).values()
+    owners = Counter(e["owner"] for e in found if e["group"] == "pool")
+    name = owners.most_common(1)[0][0]
+    return next(d for d in fleet.daemons if d.name == name)
+
+
+def expect_calm(daemons: list[_fleet.DaemonProcess]) -> None:
+    """Wait until all agree on the owners, and no place is counted."""
+    fleet_fixtures.eventually(
+        lambda: fleet_fixtures.agree_on_owners(daemons)
+        and all(fleet_fixtures.is_empty(daemon) for daemon in daemons)
+    )
+
+
+class TestOwnerKilled:
+    def test_no_request_is_lost_and_no_place_leaks(
+        self, spoiled: _fleet.Fleet
+    ) -> None:
+        """Symptom: calls fail, and a replica looks full for ever.
+
+        Sequence: the owner of replicas dies under load, through which
+        nobody calls just then. Cause: entry daemons wait for it, or its
+        successor never learns that places were given back.
+        """
+        owner = busiest_owner(spoiled)
+        spoiled.daemons.remove(owner)
+        with fleet_load.Load(spoiled) as load:
+            load.wait_for_more(20)
+            owner.process.kill()
+            load.wait_for_more(200)
+        assert load.failures() == []
+        expect_calm(spoiled.daemons)
+
+
+class TestEntryKilled:
+    def test_what_it_held_is_given_back(self, spoiled: _fleet.Fleet) -> None:
+        """Symptom: replicas look fuller with each instance that dies.
+
+        Sequence: a daemon dies with streams open. Cause: nobody is left
+        to give back its places.
+        """
+        killed = spoiled.daemons.pop()
+        streams = [
+            lambda: fleet_fixtures.chat(killed, tokens=2000) for _ in range(20)
+        ]
+        streams.append(lambda: kill_when_busy(killed, len(streams) - 1))
+        fleet_fixtures.at_once(streams)
+        expect_calm(spoiled.daemons)
+
+
+class TestOwnerFrozen:
+    def test_no_request_is_lost_and_no_place_leaks(
+        self, spoiled: _fleet.Fleet
+    ) -> None:
+        """Symptom: calls stall, then a replica is swamped.
+
+        Sequence: an owner stops running for seconds, is passed over, and
+        wakes. Cause: its silence is waited for again and again, or it
+        goes on admitting what another has taken over.
+        """
+        owner = busiest_owner(spoiled)
+        everybody = list(spoiled.daemons)
+        spoiled.daemons.remove(owner)
+        with fleet_load.Load(spoiled) as load:
+            load.wait_for_more(20)
+            owner.process.freeze()
+            thaw_at = time.monotonic() + FROZEN_SECONDS
+            fleet_fixtures.eventually(lambda: time.monotonic() > thaw_at)
+            owner.process.thaw()
+            load.wait_for_more(200)
+        assert load.failures() == []
+        expect_calm(everybody)
+
+
+class TestLinksCut:
+    @pytest.fixture
+    def split(self) -> Iterator[_fleet.Fleet]:
+        """Give a fleet of two groups whose links can be cut."""
+        described = fleet_fixtures.deployment(daemons=4)
+        groups = ((0, 1), (2, 3))
+        with _fleet.Fleet(described, groups=groups) as started:
+            yield started
+
+    @pytest.mark.parametrize("fault", ["cut", "blackhole"])
+    def test_groups_join_again(self, split: _fleet.Fleet, fault: str) -> None:
+        """Symptom: after a cut, two daemons admit onto one replica.
+
+        Sequence: two groups of daemons can't reach each other, each takes
+        the other for dead, and both serve; then the links are whole again.
+        Cause: nobody asks the dead whether they live.
+        """
+        with fleet_load.Load(split) as load:
+            load.wait_for_more(20)
+            split.switch_links(**{fault: True})
+            fleet_fixtures.eventually(lambda: sees(split, 0) == {0, 1})
+            fleet_fixtures.eventually(lambda: sees(split, 3) == {2, 3})
+            load.wait_for_more(100)
+            split.switch_links(**{fault: False})
+            everybody = set(range(4))
+            fleet_fixtures.eventually(
+                lambda: all(sees(split, n) == everybody for n in everybody)
+            )
+            load.wait_for_more(50)
+        assert load.failures() == []
+        expect_calm(split.daemons)
+
+
+def sees(fleet: _fleet.Fleet, number: int) -> set[int]:
+    """Give the numbers of the daemons that one takes for live."""
+    daemon = fleet.daemons[number]
+    answer = fleet_calls.operate(daemon, "GET", "/v1/status")
+    return {
+        int(entry["id"].rpartition("-")[2])
+        for entry in answer.document["daemons"]
+        if entry["state"] == "live"
+    }
+
+
+def kill_when_busy(
+    daemon: _fleet.DaemonProcess, count: int
+) -> fleet_calls.Answer:
+    """Kill a daemon once so many requests are in progress."""
+    fleet_fixtures.eventually(
+        lambda: fleet_fixtures.in_flight(daemon) == count
+    )
+    daemon.process.kill()
+    return fleet_calls.Answer(ending=fleet_calls.Ending.BROKEN)
