--- a/src/topazlug/_admission.py
+++ b/src/topazlug/_admission.py
@@ -8,16 +8,14 @@
 from collections.abc import Callable
 import itertools
 import math
-from typing import Protocol
 from typing import final
 
-import gevent
 from gevent import event
 import logbook
-import msgspec
 
 from topazlug import _clock
 from topazlug import _errors
+from topazlug import _holdings
 from topazlug import _ids
 from topazlug import _owner
 from topazlug import _ownership
@@ -36,24 +34,10 @@
 # each 70 ms at 15 requests/s, most such waits end with one.
 _CONTEXT_WAIT = 0.2
 _REDIRECTS = 1
-_OWED_SECONDS = 300.0
-_SETTLE_TIMEOUT = 1.0
 _SEARCHES = 4
 _MOVED = (messages.Verdict.not_owner, messages.Verdict.expired)
 
 
-class Links(Protocol):
-    """What the entry role needs of the peers' streams."""
-
-    def send(self, to: _ids.DaemonId, message: msgspec.Struct) -> None:
-        """Send one way; raises PeerUnreachable."""
-
-    def call(
-        self, to: _ids.DaemonId, message: msgspec.Struct, *, timeout: float
-    ) -> msgspec.Struct:
-        """Ask and wait; raises PeerUnreachable."""
-
-
 class _Round:
     """What one request has learned while it looks for a place."""
 
@@ -122,7 +106,7 @@
         owner: _owner.Owner,
         ownership: _ownership.Ownership,
         targets: _targets.TargetDirectory,
-        links: Links,
+        links: _holdings.Links,
         routing: _settings_types.RoutingSettings,
         clock: _clock.Clock,
         fleet_size: Callable[[], int],
@@ -138,9 +122,13 @@
         self._numbers = itertools.count(1)
         self._silent_until: dict[_ids.DaemonId, float] = {}
         self._silences: dict[_ids.DaemonId, int] = {}
-        self._owed_until: dict[_ids.DaemonId, float] = {}
-        self.place_by_ask: dict[_ids.AskNumber, _place.Place] = {}
-        self.pending_by_ask: dict[_ids.AskNumber, _ids.DaemonId] = {}
+        self.holdings = _holdings.Holdings(
+            daemon=daemon,
+            owner=owner,
+            ownership=ownership,
+            links=links,
+            clock=clock,
+        )
         self.decided_alone = 0
         self.passed_over = 0
 
@@ -157,7 +145,7 @@
         for _ in range(_SEARCHES):
             search = self._search(request)
             if search.place is not None:
-                self.place_by_ask[search.place.ask] = search.place
+                self.holdings.place_by_ask[search.place.ask] = search.place
                 self._note_displacement(search.place, search)
                 return search.place
             if not search.is_worth_repeating:
@@ -302,16 +290,16 @@
             wait=wait,
             total=total,
         )
-        self.pending_by_ask[ask] = owner
+        self.holdings.pending_by_ask[ask] = owner
         try:
             reply = self._exchange(owner, message, wait)
         except BaseException:
             # The caller left while its ask waited: a turn that comes later
             # would be granted to nobody and its slot lost.
-            self._send_release(owner, ask)
+            self.holdings.send_release(owner, ask)
             raise
         finally:
-            del self.pending_by_ask[ask]
+            del self.holdings.pending_by_ask[ask]
         if reply is None:
             self._pass_over(owner, ask, waited=wait > 0)
             return None
@@ -356,7 +344,7 @@
             pause = _FIRST_SILENT_SECONDS * 2 ** min(silences, 8)
             pause = min(pause, _SILENT_SECONDS)
             self._silent_until[owner] = self._clock.monotonic() + pause
-        self._send_release(owner, ask)
+        self.holdings.send_release(owner, ask)
 
     def _decide_alone(
         self, request: _place.PlaceRequest, ranked: list[_ids.ReplicaId]
@@ -367,7 +355,7 @@
         would be silence. Shares of the slots add up to no more than all of
         them, so the engines still aren't swamped.
         """
-        held = self._held_by_replica()
+        held = self.holdings.load_by_replica()
         for replica in ranked:
             target = self._targets.target_by_replica.get(replica)
             if target is None:
@@ -381,13 +369,6 @@
             return self._new_place(request, replica, ask, None, home=home)
         return None
 
-    def _held_by_replica(self) -> dict[_ids.ReplicaId, int]:
-        held: dict[_ids.ReplicaId, int] = {}
-        for place in self.place_by_ask.values():
-            replica = place.target.replica
-            held[replica] = held.get(replica, 0) + place.request.weight
-        return held
-
     def _new_place(
         self,
         request: _place.PlaceRequest,
@@ -400,7 +381,7 @@
         target = self._targets.target_by_replica.get(replica)
         if target is None:
             if owner is not None:
-                self._send_release(owner, ask)
+                self.holdings.send_release(owner, ask)
             return None
         return _place.Place(
             target=target, ask=ask, owner=owner, request=request, home=home
@@ -427,117 +408,8 @@
         if owner == self._daemon:
             self._owner.displaced.note(note)
         elif owner is not None:
-            self._send(owner, note)
+            self.holdings.send(owner, note)
 
     def release(self, place: _place.Place) -> None:
         """Give a place back; a second time does nothing."""
-        if self.place_by_ask.pop(place.ask, None) is None:
-            return
-        if place.owner is not None:
-            self._send_release(place.owner, place.ask)
-
-    def _send_release(self, owner: _ids.DaemonId, ask: _ids.AskNumber) -> None:
-        if owner == self._daemon:
-            self._owner.release(self._daemon, [ask])
-            return
-        self._owe(owner)
-        self._send(owner, messages.Release(asks=[ask]))
-
-    def _owe(self, owner: _ids.DaemonId) -> None:
-        """Have the next renewals tell an owner what this daemon holds.
-
-        A release may be lost with its stream, and so may the answer to an
-        ask that was granted. The owner then counts a place that nobody has,
-        and the replica looks fuller than it is for good. It is told until
-        it was reached, or has been gone for a while.
-        """
-        self._owed_until[owner] = self._clock.monotonic() + _OWED_SECONDS
-
-    def _send(self, owner: _ids.DaemonId, message: msgspec.Struct) -> None:
-        try:
-            self._links.send(owner, message)
-        except _errors.PeerUnreachable:
-            # The next renewal carries the whole truth.
-            return
-
-    def renew(self, only: set[_ids.DaemonId] | None = None) -> int:
-        """Tell each owner all that this daemon holds of it.
-
-        Owners that were sent a release since their last renewal hear of it
-        even if nothing is held of them any more.
-
-        Parameters
-        ----------
-        only : set of DaemonId or None
-            Owners to tell; None for all.
-
-        Returns
-        -------
-        int
-            Owners told.
-        """
-        held: dict[_ids.DaemonId, list[messages.HeldPlace]] = {}
-        pending: dict[_ids.DaemonId, list[int]] = {}
-        for place in self.place_by_ask.values():
-            self._reassign(place)
-            if place.owner is not None:
-                held.setdefault(place.owner, []).append(_held_place(place))
-        for ask, owner in self.pending_by_ask.items():
-            pending.setdefault(owner, []).append(ask)
-        current = set(held) | set(pending)
-        self._forget_debts()
-        told = current | set(self._owed_until)
-        if only is not None:
-            told &= only
-        for owner in told:
-            message = messages.Renew(
-                held=held.get(owner, []), pending=pending.get(owner, [])
-            )
-            if owner == self._daemon:
-                self._owner.renew(self._daemon, message)
-            elif owner in current:
-                self._send(owner, message)
-            else:
-                gevent.spawn(self._settle, owner)
-        return len(told)
-
-    def _settle(self, owner: _ids.DaemonId) -> None:
-        """Tell an owner that nothing is held of it, until it confirms.
-
-        A message that was sent may still be lost with its stream, so only
-        the owner's answer ends the debt.
-        """
-        if owner in self.pending_by_ask.values():
-            return
-        places = self.place_by_ask.values()
-        if any(place.owner == owner for place in places):
-            return
-        message = messages.Renew(held=[], pending=[])
-        try:
-            self._links.call(owner, message, timeout=_SETTLE_TIMEOUT)
-        except _errors.PeerUnreachable:
-            return
-        self._owed_until.pop(owner, None)
-
-    def _forget_debts(self) -> None:
-        now = self._clock.monotonic()
-        for owner, until in list(self._owed_until.items()):
-            if now > until:
-                del self._owed_until[owner]
-
-    def _reassign(self, place: _place.Place) -> None:
-        owner = self._ownership.owner_of(place.target.replica)
-        if owner is not None and owner != place.owner:
-            if place.owner is not None:
-                self._owe(place.owner)
-            place.owner = owner
-
-
-def _held_place(place: _place.Place) -> messages.HeldPlace:
-    return messages.HeldPlace(
-        ask=place.ask,
-        replica=place.target.replica,
-        weight=place.request.weight,
-        team=place.request.team,
-        batch=place.request.batch,
-    )
+        self.holdings.release(place)
--- /dev/null
+++ b/src/topazlug/_holdings.py
@@ -0,0 +1,204 @@
+"""What this daemon holds of owners, and how they keep knowing it.
+
+Owners count places as soft state. The entry daemon tells them what it holds:
+at intervals, at once when a replica changes its owner, and until an answer
+comes after anything that may have been lost.
+"""
+
+from typing import Protocol
+from typing import final
+
+import gevent
+import msgspec
+
+from topazlug import _clock
+from topazlug import _errors
+from topazlug import _ids
+from topazlug import _owner
+from topazlug import _ownership
+from topazlug import _place
+from topazlug._generated import messages
+
+_OWED_SECONDS = 300.0
+_SETTLE_TIMEOUT = 1.0
+
+
+class Links(Protocol):
+    """What the entry role needs of the peers' streams."""
+
+    def send(self, to: _ids.DaemonId, message: msgspec.Struct) -> None:
+        """Send one way; raises PeerUnreachable."""
+
+    def call(
+        self, to: _ids.DaemonId, message: msgspec.Struct, *, timeout: float
+    ) -> msgspec.Struct:
+        """Ask and wait; raises PeerUnreachable."""
+
+
+@final
+class Holdings:
+    """Places that this daemon holds, and asks without an answer.
+
+    Parameters
+    ----------
+    daemon : DaemonId
+        This daemon.
+    owner : Owner
+        This daemon's own ledgers.
+    ownership : Ownership
+        Who owns what.
+    links : Links
+        Streams to peers.
+    clock : Clock
+        Time.
+
+    Attributes
+    ----------
+    place_by_ask : dict
+        Places in use.
+    pending_by_ask : dict
+        Owners that were asked and have not answered yet.
+    """
+
+    def __init__(
+        self,
+        *,
+        daemon: _ids.DaemonId,
+        owner: _owner.Owner,
+        ownership: _ownership.Ownership,
+        links: Links,
+        clock: _clock.Clock,
+    ) -> None:
+        self._daemon = daemon
+        self._owner = owner
+        self._ownership = ownership
+        self._links = links
+        self._clock = clock
+        self._owed_until: dict[_ids.DaemonId, float] = {}
+        self.place_by_ask: dict[_ids.AskNumber, _place.Place] = {}
+        self.pending_by_ask: dict[_ids.AskNumber, _ids.DaemonId] = {}
+
+    def load_by_replica(self) -> dict[_ids.ReplicaId, int]:
+        """Give the load units held on each replica."""
+        held: dict[_ids.ReplicaId, int] = {}
+        for place in self.place_by_ask.values():
+            replica = place.target.replica
+            held[replica] = held.get(replica, 0) + place.request.weight
+        return held
+
+    def release(self, place: _place.Place) -> None:
+        """Give a place back; a second time does nothing."""
+        if self.place_by_ask.pop(place.ask, None) is None:
+            return
+        if place.owner is not None:
+            self.send_release(place.owner, place.ask)
+
+    def send_release(self, owner: _ids.DaemonId, ask: _ids.AskNumber) -> None:
+        """Tell an owner that an ask's place, or its turn, is free."""
+        if owner == self._daemon:
+            self._owner.release(self._daemon, [ask])
+            return
+        self._owe(owner)
+        self.send(owner, messages.Release(asks=[ask]))
+
+    def _owe(self, owner: _ids.DaemonId) -> None:
+        """Have the next renewals tell an owner what this daemon holds.
+
+        A release may be lost with its stream, and so may the answer to an
+        ask that was granted. The owner then counts a place that nobody has,
+        and the replica looks fuller than it is for good. It is told until
+        it was reached, or has been gone for a while.
+        """
+        self._owed_until[owner] = self._clock.monotonic() + _OWED_SECONDS
+
+    def send(self, owner: _ids.DaemonId, message: msgspec.Struct) -> None:
+        """Send one way, if the owner can be reached."""
+        try:
+            self._links.send(owner, message)
+        except _errors.PeerUnreachable:
+            # The next renewal carries the whole truth.
+            return
+
+    def renew(self, only: set[_ids.DaemonId] | None = None) -> int:
+        """Tell each owner all that this daemon holds of it.
+
+        Owners that were sent a release since their last renewal hear of it
+        even if nothing is held of them any more.
+
+        Parameters
+        ----------
+        only : set of DaemonId or None
+            Owners to tell; None for all.
+
+        Returns
+        -------
+        int
+            Owners told.
+        """
+        held: dict[_ids.DaemonId, list[messages.HeldPlace]] = {}
+        pending: dict[_ids.DaemonId, list[int]] = {}
+        for place in self.place_by_ask.values():
+            self._reassign(place)
+            if place.owner is not None:
+                held.setdefault(place.owner, []).append(_held_place(place))
+        for ask, owner in self.pending_by_ask.items():
+            pending.setdefault(owner, []).append(ask)
+        current = set(held) | set(pending)
+        self._forget_debts()
+        told = current | set(self._owed_until)
+        if only is not None:
+            told &= only
+        for owner in told:
+            message = messages.Renew(
+                held=held.get(owner, []), pending=pending.get(owner, [])
+            )
+            if owner == self._daemon:
+                self._owner.renew(self._daemon, message)
+            elif owner in current:
+                self.send(owner, message)
+            else:
+                gevent.spawn(self._settle, owner)
+        return len(told)
+
+    def _settle(self, owner: _ids.DaemonId) -> None:
+        """Tell an owner that nothing is held of it, until it confirms.
+
+        A message that was sent may still be lost with its stream, so only
+        the owner's answer ends the debt.
+        """
+        if owner in self.pending_by_ask.values():
+            return
+        places = self.place_by_ask.values()
+        if any(place.owner == owner for place in places):
+            return
+        message = messages.Renew(held=[], pending=[])
+        owed_until = self._owed_until.get(owner)
+        try:
+            self._links.call(owner, message, timeout=_SETTLE_TIMEOUT)
+        except _errors.PeerUnreachable:
+            return
+        if self._owed_until.get(owner) == owed_until:
+            self._owed_until.pop(owner, None)
+
+    def _forget_debts(self) -> None:
+        now = self._clock.monotonic()
+        for owner, until in list(self._owed_until.items()):
+            if now > until:
+                del self._owed_until[owner]
+
+    def _reassign(self, place: _place.Place) -> None:
+        owner = self._ownership.owner_of(place.target.replica)
+        if owner is not None and owner != place.owner:
+            if place.owner is not None:
+                self._owe(place.owner)
+            place.owner = owner
+
+
+def _held_place(place: _place.Place) -> messages.HeldPlace:
+    return messages.HeldPlace(
+        ask=place.ask,
+        replica=place.target.replica,
+        weight=place.request.weight,
+        team=place.request.team,
+        batch=place.request.batch,
+    )
--- a/src/topazlug/_owner_duties.py
+++ b/src/topazlug/_owner_duties.py
@@ -7,10 +7,10 @@
 
 import gevent
 
-from topazlug import _admission
 from topazlug import _clock
 from topazlug import _errors
 from topazlug import _group_load
+from topazlug import _holdings
 from topazlug import _ids
 from topazlug import _logs
 from topazlug import _owner
@@ -37,8 +37,8 @@
         This daemon.
     owner : Owner
         Ledgers.
-    admission : OwnersAdmission
-        This daemon's entry role, which renews.
+    holdings : Holdings
+        What this daemon itself holds of owners.
     links : PeerLinks
         Streams.
     usable : callable
@@ -54,7 +54,7 @@
         *,
         daemon: _ids.DaemonId,
         owner: _owner.Owner,
-        admission: _admission.OwnersAdmission,
+        holdings: _holdings.Holdings,
         links: _peers.PeerLinks,
         usable: Callable[[], Mapping[_ids.DaemonId, Any]],
         routing: _settings_types.RoutingSettings,
@@ -62,7 +62,7 @@
     ) -> None:
         self._daemon = daemon
         self._owner = owner
-        self._admission = admission
+        self._holdings = holdings
         self._links = links
         self._usable = usable
         self._routing = routing
@@ -121,7 +121,7 @@
             self._hand_over(after, entries)
         gained = {c.after for c in transfers if c.after is not None}
         lost = {c.before for c in transfers if c.before is not None}
-        self._admission.renew(gained | lost)
+        self._holdings.renew(gained | lost)
 
     def _hand_over(
         self, after: _ids.DaemonId, entries: list[messages.Displaced]
@@ -145,7 +145,7 @@
         while True:
             spread = owners * _RENEW_BYTES / _RENEW_BYTES_PER_SECOND
             self._clock.sleep(max(self._routing.renew_interval, spread))
-            owners = self._admission.renew()
+            owners = self._holdings.renew()
 
     def report_forever(self) -> None:
         """Tell collectors the load of the owned replicas when it is due."""
--- a/src/topazlug/_routing_parts.py
+++ b/src/topazlug/_routing_parts.py
@@ -88,7 +88,7 @@
         self.duties = _owner_duties.OwnerDuties(
             daemon=self._fleet.daemon_id,
             owner=self.owner,
-            admission=self.owners_admission,
+            holdings=self.owners_admission.holdings,
             links=self._fleet.links,
             usable=self._fleet.membership.usable,
             routing=settings.routing,
--- a/tests/topazlug/routing_fixtures.py
+++ b/tests/topazlug/routing_fixtures.py
@@ -354,7 +354,7 @@
         """Wait until no request runs and no place is in use."""
         wait_until(lambda: not self.app.in_progress, "all requests ended")
         wait_until(lambda: not self.held(), "all places given back")
-        assert not self.entry.admission.place_by_ask
+        assert not self.entry.admission.holdings.place_by_ask
         assert not self.quotas.out
 
     def connect(self) -> socket.socket:
--- a/tests/topazlug/test_admission.py
+++ b/tests/topazlug/test_admission.py
@@ -162,7 +162,7 @@
         entry = fleet.entry_by_name["d1"]
         admit(entry, 1)
         fleet.silent.clear()
-        entry.admission.renew()
+        entry.admission.holdings.renew()
         assert fleet.owned_load() == 1
 
 
@@ -215,11 +215,11 @@
         """
         entry = fleet.entry_by_name["d1"]
         place = admit(entry, chat_owned_by(entry, "d2"))
-        entry.admission.renew()
+        entry.admission.holdings.renew()
         fleet.lost.add(messages.Release)
         entry.admission.release(place)
         assert fleet.owned_load() == 1
-        entry.admission.renew()
+        entry.admission.holdings.renew()
         fixtures.wait_until(lambda: fleet.owned_load() == 0)
 
     def test_settles_an_answer_that_was_lost(self, fleet):
@@ -235,12 +235,12 @@
         fleet.lost.add(messages.Release)
         entry.admission.release(place)
         fleet.silent.add("d2")
-        entry.admission.renew()
+        entry.admission.holdings.renew()
         assert fleet.owned_load() == 1
         fleet.silent.clear()
-        entry.admission.renew()
+        entry.admission.holdings.renew()
         fixtures.wait_until(lambda: fleet.owned_load() == 0)
-        assert entry.admission.renew() == 0
+        assert entry.admission.holdings.renew() == 0
 
     def test_tells_a_new_owner(self, fleet):
         entry = fleet.entry_by_name["d1"]
@@ -251,7 +251,7 @@
                 daemons=["d1", "d3"],
                 replicas=other.targets.target_by_replica,
             )
-        entry.admission.renew()
+        entry.admission.holdings.renew()
         assert fleet.owned_load() == 1
         assert not fleet.entry_by_name["d2"].owner.ledger_by_replica
 
@@ -293,7 +293,7 @@
 
     @staticmethod
     def free(entry):
-        (place,) = entry.admission.place_by_ask.values()
+        (place,) = entry.admission.holdings.place_by_ask.values()
         entry.admission.release(place)
 
     def test_freed_slot_goes_to_the_first(self, entry):
@@ -348,4 +348,4 @@
             [_ownership.Transfer(_ids.ReplicaId("r0"), entry.daemon, None)]
         )
         place = task.get(timeout=20)
-        assert place.ask in entry.admission.place_by_ask
+        assert place.ask in entry.admission.holdings.place_by_ask
--- a/tests/topazlug/test_attempts.py
+++ b/tests/topazlug/test_attempts.py
@@ -63,7 +63,7 @@
         try:
             return attempts.run(request, attempt, repeatable=repeatable)
         finally:
-            assert not self.entry.admission.place_by_ask
+            assert not self.entry.admission.holdings.place_by_ask
             assert len(set(self.tried)) == len(self.tried)
 
 
