Start a task again that ended

Cause (by reading): an exception nobody expected ended the greenlet of a renewal, a heartbeat or a read of the table, and the daemon went on without it; nothing but wrong counts would have shown it. Now it is logged with its trace and the task starts again. The test fails with gevent.spawn in place of _tasks.spawn by construction: the task runs once.

--- a/src/topazlug/_configuration_follower.py
+++ b/src/topazlug/_configuration_follower.py
@@ -30,6 +30,7 @@
 from topazlug import _table_errors
 from topazlug import _table_snapshot
 from topazlug import _table_storage
+from topazlug import _tasks
 from topazlug._generated import messages
 from topazlug._generated import settings as settings_types
 
@@ -135,7 +136,7 @@
 
     def start(self) -> None:
         """Begin to follow."""
-        self._greenlet = gevent.spawn(self._run)
+        self._greenlet = _tasks.spawn(self._run, clock=self._clock)
 
     def stop(self) -> None:
         """Stop polling; peers are still answered."""
--- a/src/topazlug/_daemon.py
+++ b/src/topazlug/_daemon.py
@@ -26,6 +26,7 @@
 from topazlug import _routing_parts
 from topazlug import _service_calls
 from topazlug import _table_edits
+from topazlug import _tasks
 from topazlug._generated import settings as _settings_types
 from topazlug._generated import table
 
@@ -178,7 +179,7 @@
         )
 
     def _spawn(self, function: Callable[[], None]) -> None:
-        self._greenlets.append(gevent.spawn(function))
+        self._greenlets.append(_tasks.spawn(function, clock=self.clock))
 
     def is_ready(self) -> bool:
         """Say whether the balancer may send callers here."""
--- a/src/topazlug/_fact_exchange.py
+++ b/src/topazlug/_fact_exchange.py
@@ -18,6 +18,7 @@
 from topazlug import _facts
 from topazlug import _ids
 from topazlug import _peers
+from topazlug import _tasks
 from topazlug._generated import messages
 from topazlug._generated import settings as _settings
 
@@ -111,8 +112,8 @@
         self._running = True
         self._links.handle(messages.Exchange, self._answer)
         self._greenlets = [
-            gevent.spawn(self._ask_forever),
-            gevent.spawn(self._retry_lost_forever),
+            _tasks.spawn(self._ask_forever, clock=self._clock),
+            _tasks.spawn(self._retry_lost_forever, clock=self._clock),
         ]
         self._wake_pusher()
 
--- a/src/topazlug/_instances.py
+++ b/src/topazlug/_instances.py
@@ -19,6 +19,7 @@
 from topazlug import _clock
 from topazlug import _errors
 from topazlug import _platform_http
+from topazlug import _tasks
 
 LIST_PATH = "/instances"
 RENEWAL_SECONDS = 5.0
@@ -156,7 +157,7 @@
 
     def start(self) -> None:
         """Read the list at intervals from now on."""
-        self._reader = gevent.spawn(self._read_forever)
+        self._reader = _tasks.spawn(self._read_forever, clock=self._clock)
 
     def stop(self) -> None:
         """Stop reading and renewing; entries stay on the list."""
--- a/src/topazlug/_membership.py
+++ b/src/topazlug/_membership.py
@@ -29,6 +29,7 @@
 from topazlug import _instances
 from topazlug import _members
 from topazlug import _peers
+from topazlug import _tasks
 from topazlug._generated import messages
 from topazlug._generated import settings as _settings
 
@@ -151,7 +152,9 @@
         self._seed()
         self._ticked_at = self._clock.monotonic()
         self._exchange.start()
-        self._greenlets.append(gevent.spawn(self._tick_forever))
+        self._greenlets.append(
+            _tasks.spawn(self._tick_forever, clock=self._clock)
+        )
 
     def stop(self) -> None:
         """Exchange no more, without a word to peers."""
--- /dev/null
+++ b/tests/topazlug/test_tasks.py
@@ -0,0 +1,33 @@
+"""Tasks that must not end."""
+
+import gevent.event
+import pytest
+
+from tests.topazlug import claim_fakes
+from topazlug import _tasks
+
+
+class TestSpawn:
+    @pytest.mark.parametrize("fails", [True, False])
+    def test_ended_task_runs_again(self, fails):
+        """Symptom: a daemon's counts grow wrong, and no log says why.
+
+        Sequence: one renewal meets an error nobody expected. Cause: the
+        greenlet that renews ended with it, and nobody looked.
+        """
+        again = gevent.event.Event()
+        runs = []
+
+        def task():
+            runs.append(1)
+            if len(runs) > 1:
+                again.set()
+                gevent.sleep(60)
+            if fails:
+                raise ZeroDivisionError
+
+        greenlet = _tasks.spawn(task, clock=claim_fakes.FakeClock())
+        try:
+            assert again.wait(timeout=20)
+        finally:
+            greenlet.kill()
