--- a/src/topazlug/_chat_calls.py
+++ b/src/topazlug/_chat_calls.py
@@ -44,6 +44,11 @@
     streamed: bool
     returning: bool
 
+    @property
+    def chat_name(self) -> str:
+        """Give the chat's hash; its id is the caller's own word."""
+        return f"{_ranking.chat_hash(self.caller.name, self.chat_id):016x}"
+
     @property
     def request_class(self) -> table.RequestClass:
         if self.caller.batch:
@@ -131,7 +136,8 @@
             returning=call.returning,
         )
         with _caller_watch.watched(request.socket):
-            return self._run(call, wanted)
+            with _logs.request_fields(chat=call.chat_name):
+                return self._run(call, wanted)
 
     def _run(
         self, call: _Call, wanted: _place.PlaceRequest
@@ -152,7 +158,8 @@
     ) -> _caller_answer.CallerAnswer:
         """Make one attempt; what it may have left behind is cancelled."""
         try:
-            return self._send(call, place, ticket)
+            with _logs.request_fields(replica=place.target.replica):
+                return self._send(call, place, ticket)
         except _errors.RequestError as error:
             if error.outcome is _errors.Outcome.UNKNOWN:
                 self._cancel(call, place)
@@ -198,7 +205,7 @@
         self._admission.release(place)
         ticket.give_back()
         self._note_first(call, answer)
-        self._note_end(call, answer.status)
+        self._note_end(call, place, answer.status)
         headers = _caller_headers(call, place, answer)
         headers.append(("Content-Length", str(len(body))))
         return _caller_answer.CallerAnswer(
@@ -256,10 +263,11 @@
             yield b""
             yield first
             yield from self._rest(call, pieces)
-            self._note_end(call, 200 if stream.is_whole else 499)
+            self._note_end(call, place, 200 if stream.is_whole else 499)
         except _errors.RequestError as error:
             self._count(call, error.code, error.outcome)
-            _log.warning("stream broke: {code}", code=error.code.value)
+            with _log_fields(call, place):
+                _log.warning("stream broke: {code}", code=error.code.value)
             yield _chat_stream.error_event(error, call.request.request_id)
         finally:
             watch.stop()
@@ -320,11 +328,17 @@
             hit = bool(cached)
             self._metrics.count_reuse(hit, cached or 0, prompt)
 
-    def _note_end(self, call: _Call, status: int) -> None:
-        now = self._clock.monotonic()
+    def _note_end(self, call: _Call, place: _place.Place, status: int) -> None:
+        seconds = self._clock.monotonic() - call.request.started
         self._metrics.observe_total(
-            call.caller.name, call.request_class, now - call.request.started
+            call.caller.name, call.request_class, seconds
         )
+        with _log_fields(call, place):
+            _log.info(
+                "answered with {status} in {seconds:.3f} s",
+                status=status,
+                seconds=seconds,
+            )
         code = None if status == 200 else _errors.Code.TARGET_FAILED
         self._count(call, code, _errors.Outcome.RAN)
 
@@ -353,12 +367,21 @@
     return pool
 
 
+def _log_fields(call: _Call, place: _place.Place) -> _logs.request_fields:
+    """Give the fields of a line, where the request's own context is gone."""
+    return _logs.request_fields(
+        request_id=call.request.request_id,
+        team=call.caller.name,
+        chat=call.chat_name,
+        replica=place.target.replica,
+    )
+
+
 def _host(place: _place.Place) -> tuple[str, str]:
     return "Host", f"{place.target.host}:{place.target.port}"
 
 
 def _engine_request(call: _Call) -> _target_client.TargetRequest:
-    chat_hash = _ranking.chat_hash(call.caller.name, call.chat_id)
     return _target_client.TargetRequest(
         method="POST",
         path=_PATH,
@@ -366,7 +389,7 @@
             ("Content-Type", "application/json"),
             # The engine gets a hash: a chat id is the caller's own word and
             # two teams may use the same one.
-            ("X-Chat-Id", f"{chat_hash:016x}"),
+            ("X-Chat-Id", call.chat_name),
             ("X-Priority", "1" if call.caller.batch else "0"),
             ("Host", "engine"),
         ],
--- a/src/topazlug/_service_calls.py
+++ b/src/topazlug/_service_calls.py
@@ -319,6 +319,17 @@
         self._metrics.count_request(
             call.caller.name, request_class, None, _errors.Outcome.RAN
         )
+        with _logs.request_fields(
+            request_id=call.request.request_id,
+            team=call.caller.name,
+            service=call.row.name,
+            replica=place.target.replica,
+        ):
+            _log.info(
+                "answered with {status} in {seconds:.3f} s",
+                status=status,
+                seconds=now - call.request.started,
+            )
 
 
 def _route(
