--- /dev/null
+++ b/src/topazlug/_call_parts.py
@@ -0,0 +1,41 @@
+"""What every kind of caller's call is served with."""
+
+from typing import NamedTuple
+
+from topazlug import _attempts
+from topazlug import _clock
+from topazlug import _metrics
+from topazlug import _place
+from topazlug import _quotas
+from topazlug import _target_client
+from topazlug._generated import settings
+
+
+class CallParts(NamedTuple):
+    """Parts of the daemon that calls share.
+
+    Attributes
+    ----------
+    attempts : Attempts
+        Finds replicas and retries.
+    admission : Admission
+        Takes places back.
+    connections : TargetConnections
+        Connections to targets.
+    quotas : Quotas
+        Ceilings of teams.
+    limits : LimitSettings
+        Bounds.
+    metrics : Metrics
+        What is measured.
+    clock : Clock
+        Time.
+    """
+
+    attempts: _attempts.Attempts
+    admission: _place.Admission
+    connections: _target_client.TargetConnections
+    quotas: _quotas.Quotas
+    limits: settings.LimitSettings
+    metrics: _metrics.Metrics
+    clock: _clock.Clock
--- a/src/topazlug/_chat_calls.py
+++ b/src/topazlug/_chat_calls.py
@@ -10,24 +10,21 @@
 
 import msgspec
 
-from topazlug import _attempts
+from topazlug import _call_parts
 from topazlug import _caller_answer
 from topazlug import _caller_request
 from topazlug import _caller_watch
 from topazlug import _chat_body
 from topazlug import _chat_stream
-from topazlug import _clock
 from topazlug import _configuration
 from topazlug import _errors
 from topazlug import _ids
 from topazlug import _logs
-from topazlug import _metrics
 from topazlug import _place
 from topazlug import _quotas
 from topazlug import _ranking
 from topazlug import _target_answer
 from topazlug import _target_client
-from topazlug._generated import settings as _settings_types
 from topazlug._generated import table
 
 _log = _logs.logger("chat")
@@ -62,20 +59,8 @@
 
     Parameters
     ----------
-    attempts : Attempts
-        Finds engines and retries.
-    admission : Admission
-        Takes places back.
-    connections : TargetConnections
-        Connections to engines.
-    quotas : Quotas
-        Ceilings of teams.
-    limits : LimitSettings
-        Bounds.
-    metrics : Metrics
-        What is measured.
-    clock : Clock
-        Time.
+    parts : CallParts
+        What all calls share.
     spawn : callable
         Starts a greenlet for work that the caller does not wait for.
     """
@@ -83,22 +68,10 @@
     def __init__(
         self,
         *,
-        attempts: _attempts.Attempts,
-        admission: _place.Admission,
-        connections: _target_client.TargetConnections,
-        quotas: _quotas.Quotas,
-        limits: _settings_types.LimitSettings,
-        metrics: _metrics.Metrics,
-        clock: _clock.Clock,
+        parts: _call_parts.CallParts,
         spawn: Callable[..., object],
     ) -> None:
-        self._attempts = attempts
-        self._admission = admission
-        self._connections = connections
-        self._quotas = quotas
-        self._limits = limits
-        self._metrics = metrics
-        self._clock = clock
+        self._parts = parts
         self._spawn = spawn
 
     def serve(
@@ -142,9 +115,11 @@
     def _run(
         self, call: _Call, wanted: _place.PlaceRequest
     ) -> _caller_answer.CallerAnswer:
-        ticket = self._quotas.take(call.caller.team, deadline=wanted.deadline)
+        ticket = self._parts.quotas.take(
+            call.caller.team, deadline=wanted.deadline
+        )
         try:
-            return self._attempts.run(
+            return self._parts.attempts.run(
                 wanted,
                 lambda place: self._attempt(call, place, ticket),
                 repeatable=True,
@@ -171,15 +146,15 @@
     def _send(
         self, call: _Call, place: _place.Place, ticket: _quotas.Ticket
     ) -> _caller_answer.CallerAnswer:
-        waited = self._clock.monotonic() - call.request.started
-        self._metrics.observe_queueing(
+        waited = self._parts.clock.monotonic() - call.request.started
+        self._parts.metrics.observe_queueing(
             call.caller.name, call.request_class, waited
         )
         call.request.remaining()
-        answer = self._connections.exchange(
+        answer = self._parts.connections.exchange(
             place.target,
             _engine_request(call),
-            head_timeout=self._limits.first_byte_timeout,
+            head_timeout=self._parts.limits.first_byte_timeout,
             deadline=call.request.deadline,
         )
         if answer.status == 200 and call.streamed:
@@ -197,12 +172,12 @@
         try:
             body = _chat_body.read_answer(
                 answer,
-                silence=self._limits.target_silence,
+                silence=self._parts.limits.target_silence,
                 deadline=call.request.deadline,
             )
         finally:
             answer.close()
-        self._admission.release(place)
+        self._parts.admission.release(place)
         ticket.give_back()
         self._note_first(call, answer)
         self._note_end(call, place, answer.status)
@@ -225,11 +200,11 @@
         repeated at another engine: nothing has gone to the caller yet.
         """
         stream = _chat_stream.ChatStream(
-            connections=self._connections,
+            connections=self._parts.connections,
             target=place.target,
             request_id=call.request.request_id,
             answer=answer,
-            silence=self._limits.target_silence,
+            silence=self._parts.limits.target_silence,
             deadline=call.request.deadline,
         )
         pieces = stream.pieces()
@@ -271,17 +246,17 @@
             yield _chat_stream.error_event(error, call.request.request_id)
         finally:
             watch.stop()
-            self._admission.release(place)
+            self._parts.admission.release(place)
             ticket.give_back()
             if not stream.is_whole:
                 stream.answer.close()
                 self._cancel(call, place)
 
     def _rest(self, call: _Call, pieces: Iterator[bytes]) -> Iterator[bytes]:
-        before = self._clock.monotonic()
+        before = self._parts.clock.monotonic()
         for piece in pieces:
-            now = self._clock.monotonic()
-            self._metrics.observe_between_tokens(
+            now = self._parts.clock.monotonic()
+            self._parts.metrics.observe_between_tokens(
                 call.caller.name, call.request_class, now - before
             )
             before = now
@@ -307,7 +282,7 @@
             fresh=True,
         )
         try:
-            answer = self._connections.exchange(
+            answer = self._parts.connections.exchange(
                 place.target, request, head_timeout=1.0
             )
         except _errors.TopazlugError as error:
@@ -318,19 +293,19 @@
     def _note_first(
         self, call: _Call, answer: _target_answer.TargetAnswer
     ) -> None:
-        now = self._clock.monotonic()
-        self._metrics.observe_first_token(
+        now = self._parts.clock.monotonic()
+        self._parts.metrics.observe_first_token(
             call.caller.name, call.request_class, now - call.request.started
         )
         cached = _number(answer.header("X-Cached-Tokens"))
         prompt = _number(answer.header("X-Prompt-Tokens"))
         if call.returning and prompt is not None:
             hit = bool(cached)
-            self._metrics.count_reuse(hit, cached or 0, prompt)
+            self._parts.metrics.count_reuse(hit, cached or 0, prompt)
 
     def _note_end(self, call: _Call, place: _place.Place, status: int) -> None:
-        seconds = self._clock.monotonic() - call.request.started
-        self._metrics.observe_total(
+        seconds = self._parts.clock.monotonic() - call.request.started
+        self._parts.metrics.observe_total(
             call.caller.name, call.request_class, seconds
         )
         with _log_fields(call, place):
@@ -348,7 +323,7 @@
         code: _errors.Code | None,
         outcome: _errors.Outcome,
     ) -> None:
-        self._metrics.count_request(
+        self._parts.metrics.count_request(
             call.caller.name, call.request_class, code, outcome
         )
 
--- a/src/topazlug/_daemon.py
+++ b/src/topazlug/_daemon.py
@@ -1,7 +1,6 @@
 """One daemon: its parts, put together, started and stopped."""
 
 from collections.abc import Callable
-from typing import Any
 from typing import final
 
 import gevent
@@ -10,6 +9,7 @@
 
 from topazlug import _administration
 from topazlug import _attempts
+from topazlug import _call_parts
 from topazlug import _callers
 from topazlug import _chat_calls
 from topazlug import _claim_sweep
@@ -98,18 +98,20 @@
             clock=self.clock,
             max_kept_bytes=settings.limits.max_kept_answer_bytes,
         )
-        shared: dict[str, Any] = {
-            "attempts": attempts,
-            "admission": self.routing.admission,
-            "connections": self.routing.connections,
-            "quotas": self.routing.quotas,
-            "limits": settings.limits,
-            "metrics": self.metrics,
-            "clock": self.clock,
-        }
+        parts = _call_parts.CallParts(
+            attempts=attempts,
+            admission=self.routing.admission,
+            connections=self.routing.connections,
+            quotas=self.routing.quotas,
+            limits=settings.limits,
+            metrics=self.metrics,
+            clock=self.clock,
+        )
         self.app = _callers.CallersApp(
-            chats=_chat_calls.ChatCalls(**shared, spawn=gevent.spawn),
-            services=_service_calls.ServiceCalls(**shared, claims=self.claims),
+            chats=_chat_calls.ChatCalls(parts=parts, spawn=gevent.spawn),
+            services=_service_calls.ServiceCalls(
+                parts=parts, claims=self.claims
+            ),
             configuration=self.fleet.configuration,
             limits=settings.limits,
             metrics=self.metrics,
--- a/src/topazlug/_service_calls.py
+++ b/src/topazlug/_service_calls.py
@@ -7,24 +7,21 @@
 
 import msgspec
 
-from topazlug import _attempts
+from topazlug import _call_parts
 from topazlug import _caller_answer
 from topazlug import _caller_request
 from topazlug import _claim_rows
 from topazlug import _claims
-from topazlug import _clock
 from topazlug import _configuration
 from topazlug import _errors
 from topazlug import _ids
 from topazlug import _logs
-from topazlug import _metrics
 from topazlug import _place
 from topazlug import _quotas
 from topazlug import _ranking
 from topazlug import _service_wire
 from topazlug import _target_answer
 from topazlug import _target_client
-from topazlug._generated import settings as _settings_types
 from topazlug._generated import table
 
 _log = _logs.logger("service")
@@ -67,44 +64,20 @@
 
     Parameters
     ----------
-    attempts : Attempts
-        Finds replicas and retries.
-    admission : Admission
-        Takes places back.
-    connections : TargetConnections
-        Connections to replicas.
+    parts : CallParts
+        What all calls share.
     claims : Claims
         Claims in the platform's table.
-    quotas : Quotas
-        Ceilings of teams.
-    limits : LimitSettings
-        Bounds.
-    metrics : Metrics
-        What is measured.
-    clock : Clock
-        Time.
     """
 
     def __init__(
         self,
         *,
-        attempts: _attempts.Attempts,
-        admission: _place.Admission,
-        connections: _target_client.TargetConnections,
+        parts: _call_parts.CallParts,
         claims: Claims,
-        quotas: _quotas.Quotas,
-        limits: _settings_types.LimitSettings,
-        metrics: _metrics.Metrics,
-        clock: _clock.Clock,
     ) -> None:
-        self._attempts = attempts
-        self._admission = admission
-        self._connections = connections
+        self._parts = parts
         self._claims = claims
-        self._quotas = quotas
-        self._limits = limits
-        self._metrics = metrics
-        self._clock = clock
 
     def serve(
         self,
@@ -180,14 +153,14 @@
             deadline=call.request.deadline,
         )
         try:
-            ticket = self._quotas.take(
+            ticket = self._parts.quotas.take(
                 call.caller.team, deadline=call.request.deadline
             )
         except _errors.RequestError as error:
             _end_claim(call, error)
             raise
         try:
-            return self._attempts.run(
+            return self._parts.attempts.run(
                 wanted,
                 lambda place: self._attempt(call, place, ticket),
                 repeatable=call.repeatable,
@@ -206,14 +179,14 @@
         call.request.remaining()
         if call.claim is not None:
             call.claim.may_send()
-        answer = self._connections.exchange(
+        answer = self._parts.connections.exchange(
             place.target,
             _target_request(call),
-            head_timeout=self._limits.first_byte_timeout,
+            head_timeout=self._parts.limits.first_byte_timeout,
             deadline=call.request.deadline,
         )
         chunks = answer.chunks(
-            silence=self._limits.target_silence,
+            silence=self._parts.limits.target_silence,
             deadline=call.request.deadline,
         )
         if call.claim is not None:
@@ -309,14 +282,14 @@
         status: int,
         ticket: _quotas.Ticket,
     ) -> None:
-        self._admission.release(place)
+        self._parts.admission.release(place)
         ticket.give_back()
         request_class = table.RequestClass(call.caller.class_name)
-        now = self._clock.monotonic()
-        self._metrics.observe_total(
+        now = self._parts.clock.monotonic()
+        self._parts.metrics.observe_total(
             call.caller.name, request_class, now - call.request.started
         )
-        self._metrics.count_request(
+        self._parts.metrics.count_request(
             call.caller.name, request_class, None, _errors.Outcome.RAN
         )
         with _logs.request_fields(
--- a/tests/topazlug/routing_fixtures.py
+++ b/tests/topazlug/routing_fixtures.py
@@ -25,6 +25,7 @@
 from tests.topazlug import claim_fakes
 from topazlug import _admission
 from topazlug import _attempts
+from topazlug import _call_parts
 from topazlug import _callers
 from topazlug import _chat_calls
 from topazlug import _clock
@@ -265,19 +266,19 @@
             count_retry=self.retried.append,
         )
         metrics = _metrics.Metrics(_settings_types.MetricsSettings(), ME, "z1")
-        shared: dict[str, Any] = {
-            "attempts": attempts,
-            "admission": admission,
-            "connections": self.connections,
-            "quotas": self.quotas,
-            "limits": self.limits,
-            "metrics": metrics,
-            "clock": self.clock,
-        }
+        parts = _call_parts.CallParts(
+            attempts=attempts,
+            admission=admission,
+            connections=self.connections,
+            quotas=self.quotas,
+            limits=self.limits,
+            metrics=metrics,
+            clock=self.clock,
+        )
         claims = claim_fakes.make_keeper(self.store, clock=QuickClock())
         return _callers.CallersApp(
-            chats=_chat_calls.ChatCalls(**shared, spawn=gevent.spawn),
-            services=_service_calls.ServiceCalls(**shared, claims=claims),
+            chats=_chat_calls.ChatCalls(parts=parts, spawn=gevent.spawn),
+            services=_service_calls.ServiceCalls(parts=parts, claims=claims),
             configuration=table_holder(),
             limits=self.limits,
             metrics=metrics,
