--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -125,6 +125,7 @@
         self._count = daemons or deployment.daemons
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="topazlug-"))
         self.platform_port = 0
+        self._started: list[processes.Process] = []
         self.platform: processes.Process | None = None
         self.daemons: list[DaemonProcess] = []
         self.engines: list[TargetProcess] = []
@@ -167,6 +168,9 @@
             name=name, arguments=arguments, folder=self.folder
         )
         process.start()
+        # Tests take daemons out of the list, or start one more; whatever
+        # was started here must end with the fleet all the same.
+        self._started.append(process)
         return process
 
     def _start_platform(self) -> None:
@@ -334,10 +338,7 @@
 
     def stop(self) -> None:
         """End everything that this fleet started."""
-        started = [item.process for item in self.daemons]
-        started += [item.process for item in self.engines + self.services]
-        if self.platform is not None:
-            started.append(self.platform)
+        started = list(self._started)
         if self._links is not None:
             started += self._links.started
         for process in started:
