--- a/src/topazlug/_attempts.py
+++ b/src/topazlug/_attempts.py
@@ -11,17 +11,28 @@
 from topazlug import _errors
 from topazlug import _ids
 from topazlug import _place
-from topazlug import _retry_budget
 from topazlug import _target_client
 from topazlug import _targets
 from topazlug._generated import messages
 
 _log = logbook.Logger("attempts")
 _MAX_ATTEMPTS = 4
+# A request whose connections all fail is not tried for ever.
+_MAX_CONNECTS = 6
 
 ResultT = TypeVar("ResultT")
 
 
+class Budget(Protocol):
+    """How many retries may still be made."""
+
+    def earn(self, group: _ids.GroupName) -> None:
+        """Note a first attempt."""
+
+    def spend(self, group: _ids.GroupName) -> bool:
+        """Take one retry; tell whether there was one."""
+
+
 class TargetSigns(Protocol):
     """Whom to tell what a target gave away about itself."""
 
@@ -50,7 +61,7 @@
         Finds places.
     targets : TargetDirectory
         Targets.
-    budget : RetryBudget
+    budget : Budget
         This daemon's retries.
     signs : TargetSigns
         Gets to know of targets that are leaving.
@@ -65,7 +76,7 @@
         *,
         admission: _place.Admission,
         targets: _targets.TargetDirectory,
-        budget: _retry_budget.RetryBudget,
+        budget: Budget,
         signs: TargetSigns,
         clock: _clock.Clock,
         count_retry: Callable[[_place.PlaceRequest], None],
@@ -83,6 +94,8 @@
         attempt: Callable[[_place.Place], ResultT],
         *,
         repeatable: bool,
+        max_replicas: int = _MAX_ATTEMPTS,
+        free_connects: bool = False,
     ) -> ResultT:
         """Run attempts until one succeeds.
 
@@ -95,17 +108,23 @@
             method releases it when it raises.
         repeatable : bool
             Whether an attempt whose fate is unknown may be repeated.
+        max_replicas : int
+            Replicas that the request may be sent to.
+        free_connects : bool
+            Whether a failed connection, over which nothing was sent, counts
+            neither as an attempt nor as a retry.
 
         Raises
         ------
         RequestError
             The last failure, with what is known of all attempts.
         """
-        self._budget.earn()
+        self._budget.earn(request.group)
+        sent = 0
         outcome = _errors.Outcome.NOT_RUN
         excluded: frozenset[_ids.ReplicaId] = frozenset()
         failure: _errors.RequestError | None = None
-        for number in range(1, _MAX_ATTEMPTS + 1):
+        for number in range(1, _MAX_CONNECTS + 1):
             place = self._admit(request, excluded, failure)
             try:
                 return attempt(place)
@@ -116,14 +135,23 @@
                 self._note_refusal(place, error)
             except _errors.RequestError as error:
                 failure = error
-                if error.outcome is _errors.Outcome.UNKNOWN:
-                    outcome = _errors.Outcome.UNKNOWN
+                if error.outcome is not _errors.Outcome.NOT_RUN:
+                    outcome = error.outcome
             except BaseException:
                 self._admission.release(place)
                 raise
             self._admission.release(place)
             failure.outcome = outcome
-            if not self._may_repeat(failure, number, repeatable):
+            unsent = isinstance(failure, _errors.NoTarget)
+            sent += 0 if unsent and free_connects else 1
+            if number == _MAX_CONNECTS or sent >= max_replicas:
+                raise failure
+            is_free = unsent and free_connects
+            if not is_free and not self._may_repeat(
+                request.group, failure, repeatable
+            ):
+                raise failure
+            if is_free and self._clock.monotonic() >= request.deadline:
                 raise failure
             self._count_retry(request)
             excluded |= {place.target.replica}
@@ -145,6 +173,7 @@
             deadline=request.deadline,
             excluded=excluded,
             returning=request.returning and not excluded,
+            keeps_context=request.keeps_context,
         )
         try:
             return self._admission.admit(wanted)
@@ -171,13 +200,14 @@
         )
 
     def _may_repeat(
-        self, failure: _errors.RequestError, number: int, repeatable: bool
+        self,
+        group: _ids.GroupName,
+        failure: _errors.RequestError,
+        repeatable: bool,
     ) -> bool:
-        if number >= _MAX_ATTEMPTS:
-            return False
         if isinstance(failure, _errors.DeadlineExceeded):
             return False
         certain = failure.outcome is _errors.Outcome.NOT_RUN
         if not certain and not repeatable:
             return False
-        return self._budget.spend()
+        return self._budget.spend(group)
--- a/src/topazlug/_caller_answer.py
+++ b/src/topazlug/_caller_answer.py
@@ -79,9 +79,23 @@
 
 
 def of_error(
-    error: _errors.TopazlugError, request_id: _ids.RequestId
+    error: _errors.TopazlugError,
+    request_id: _ids.RequestId,
+    *,
+    whole_seconds: bool = True,
 ) -> CallerAnswer:
-    """Make the answer of a request that failed."""
+    """Make the answer of a request that failed.
+
+    Parameters
+    ----------
+    error : TopazlugError
+        Why.
+    request_id : RequestId
+        The request.
+    whole_seconds : bool
+        Whether Retry-After is rounded up, as RFC 9110 has it. Some callers
+        take fractions.
+    """
     body = error_document(error, request_id) + b"\n"
     outcome = _errors.Outcome.UNKNOWN
     retry_after = None
@@ -95,7 +109,10 @@
         ("X-Request-Id", request_id),
     ]
     if retry_after is not None:
-        headers.append(("Retry-After", str(math.ceil(retry_after))))
+        shown = f"{retry_after:.3f}"
+        if whole_seconds:
+            shown = str(math.ceil(retry_after))
+        headers.append(("Retry-After", shown))
     return CallerAnswer(
         status=int(error.status), headers=headers, body=iter([body])
     )
--- a/src/topazlug/_caller_connection.py
+++ b/src/topazlug/_caller_connection.py
@@ -15,8 +15,8 @@
 from topazlug import _logs
 
 _log = _logs.logger("callers")
-_HEAD_SECONDS = 10.0
-_IDLE_SECONDS = 75.0
+HEAD_SECONDS = 10.0
+IDLE_SECONDS = 75.0
 _WRITE_SECONDS = 30.0
 _LINGER_SECONDS = 2.0
 _LINGER_BLOCK = 65536
@@ -45,10 +45,21 @@
 
     def read_requestline(self) -> str:
         """Read the request line; an idle connection ends in time."""
-        with gevent.Timeout(_IDLE_SECONDS, False):
-            return super().read_requestline()
+        self.server.idle_handlers.add(self)
+        try:
+            with gevent.Timeout(self.server.idle_seconds, False):
+                return super().read_requestline()
+        finally:
+            self.server.idle_handlers.discard(self)
         return ""
 
+    def end_reading(self) -> None:
+        """Take no further request than one that is already here."""
+        try:
+            self.socket.shutdown(_plain_socket.SHUT_RD)
+        except OSError:
+            return
+
     def read_request(self, raw_requestline: str) -> Any:
         """Read the head; one that trickles in is given up.
 
@@ -57,7 +68,7 @@
         """
         late = _errors.BodyTooSlow("the head of the request took too long")
         _caller_head.check_line(raw_requestline)
-        with gevent.Timeout(_HEAD_SECONDS, late):
+        with gevent.Timeout(self.server.head_seconds, late):
             return super().read_request(raw_requestline)
 
     def MessageClass(self, *args: Any) -> Any:  # noqa: N802
@@ -91,6 +102,8 @@
         environ = super().get_environ()
         environ[_caller_request.SOCKET] = self.socket
         environ[_caller_request.RAW_PATH] = self.path.partition("?")[0]
+        environ[_caller_request.FIELDS] = self.headers.items()
+        environ[_caller_request.TARGET] = self.path
         return environ
 
     def handle_one_response(self) -> None:
--- a/src/topazlug/_caller_request.py
+++ b/src/topazlug/_caller_request.py
@@ -23,6 +23,8 @@
 _MAX_KEY_CHARACTERS = 512
 SOCKET = "topazlug.socket"
 RAW_PATH = "topazlug.raw_path"
+FIELDS = "topazlug.fields"
+TARGET = "topazlug.target"
 
 
 @final
@@ -171,24 +173,47 @@
         BodyTooLarge, BodyTooSlow, BadBody
             As named.
         """
-        limit = self._limits.max_body_bytes
-        declared = self._environ.get("CONTENT_LENGTH") or ""
-        if declared.isdigit() and int(declared) > limit:
-            raise _too_large(limit)
-        stream: BinaryIO = self._environ["wsgi.input"]
-        late = _errors.BodyTooSlow(
-            f"the body took longer than {self._limits.body_timeout} s"
+        return read_body(
+            self._environ,
+            limit=self._limits.max_body_bytes,
+            timeout=self._limits.body_timeout,
         )
-        with gevent.Timeout(self._limits.body_timeout, late):
-            try:
-                body = _read_at_most(stream, limit)
-            except (OSError, ValueError) as error:
-                raise _errors.BadBody(
-                    f"the body could not be read: {error}"
-                ) from error
-        if declared.isdigit() and len(body) < int(declared):
-            raise _errors.BadBody("the body ended before its stated length")
-        return body
+
+
+def read_body(
+    environ: Mapping[str, Any], *, limit: int, timeout: float
+) -> bytes:
+    """Read the whole body of a WSGI request.
+
+    Parameters
+    ----------
+    environ : mapping
+        WSGI environment.
+    limit : int
+        Most bytes.
+    timeout : float
+        Longest time in seconds.
+
+    Raises
+    ------
+    BodyTooLarge, BodyTooSlow, BadBody
+        As named.
+    """
+    declared = environ.get("CONTENT_LENGTH") or ""
+    if declared.isdigit() and int(declared) > limit:
+        raise _too_large(limit)
+    stream: BinaryIO = environ["wsgi.input"]
+    late = _errors.BodyTooSlow(f"the body took longer than {timeout} s")
+    with gevent.Timeout(timeout, late):
+        try:
+            body = _read_at_most(stream, limit)
+        except (OSError, ValueError) as error:
+            raise _errors.BadBody(
+                f"the body could not be read: {error}"
+            ) from error
+    if declared.isdigit() and len(body) < int(declared):
+        raise _errors.BadBody("the body ended before its stated length")
+    return body
 
 
 def _too_large(limit: int) -> _errors.BodyTooLarge:
--- /dev/null
+++ b/src/topazlug/_caller_server.py
@@ -0,0 +1,66 @@
+"""The callers' listener."""
+
+from typing import Any
+
+from gevent import pool as _pool
+from gevent import pywsgi
+
+from topazlug import _caller_connection
+from topazlug._generated import settings as _settings_types
+
+
+class CallersServer(pywsgi.WSGIServer):
+    """The callers' listener.
+
+    Attributes
+    ----------
+    stopping : bool
+        Whether answers now close their connection.
+    head_seconds, idle_seconds : float
+        Longest time for the head of a request, and between two requests.
+    idle_handlers : set of CallersHandler
+        Connections that wait for their next request.
+    """
+
+    handler_class = _caller_connection.CallersHandler
+
+    def __init__(
+        self,
+        *,
+        address: _settings_types.AddressSettings,
+        app: Any,
+        max_connections: int,
+        tls: _settings_types.TlsSettings | None = None,
+    ) -> None:
+        options: dict[str, Any] = {}
+        if tls is not None:
+            options = {"certfile": tls.certificate, "keyfile": tls.key}
+        super().__init__(
+            (address.host, address.port),
+            app,
+            log=None,
+            error_log=None,
+            spawn=_pool.Pool(max_connections),
+            backlog=1024,
+            # Without a name the library asks the resolver for one.
+            environ={"SERVER_NAME": address.host},
+            **options,
+        )
+        self.stopping = False
+        self.head_seconds = _caller_connection.HEAD_SECONDS
+        self.idle_seconds = _caller_connection.IDLE_SECONDS
+        self.idle_handlers: set[_caller_connection.CallersHandler] = set()
+
+    @property
+    def connections(self) -> int:
+        """Give the number of open connections."""
+        return len(self.pool) if self.pool is not None else 0
+
+    def end_idle(self) -> None:
+        """Close the connections that wait for a next request.
+
+        Only their reading side is shut: a request that has just arrived is
+        still read and answered.
+        """
+        for handler in list(self.idle_handlers):
+            handler.end_reading()
--- a/src/topazlug/_callers.py
+++ b/src/topazlug/_callers.py
@@ -8,12 +8,9 @@
 from typing import Protocol
 from typing import final
 
-from gevent import pool as _pool
-from gevent import pywsgi
 import msgspec
 
 from topazlug import _caller_answer
-from topazlug import _caller_connection
 from topazlug import _caller_request
 from topazlug import _caller_watch
 from topazlug import _clock
@@ -22,6 +19,7 @@
 from topazlug import _logs
 from topazlug import _metrics
 from topazlug import _service_calls
+from topazlug import _wsgi
 from topazlug._generated import settings as _settings_types
 from topazlug._generated import table
 
@@ -29,7 +27,6 @@
 _CHAT = "/v1/chat/completions"
 _MODELS = "/v1/models"
 
-StartResponse = Callable[[str, list[tuple[str, str]]], Any]
 
 
 class Calls(Protocol):
@@ -93,14 +90,14 @@
         self.in_progress = 0
 
     def __call__(
-        self, environ: Mapping[str, Any], start: StartResponse
+        self, environ: Mapping[str, Any], start: _wsgi.StartResponse
     ) -> Iterable[bytes]:
         """Answer one request, as WSGI asks."""
         request = _caller_request.CallerRequest(
             environ=environ, limits=self._limits, clock=self._clock
         )
         self.in_progress += 1
-        body = _Body(ended=self._ended)
+        body = _wsgi.AnswerBody(ended=self._ended)
         try:
             answer = self._answer(request)
             body.pieces = answer.body
@@ -111,7 +108,7 @@
         if request.method == "HEAD":
             # Bytes after this head would be read as the next answer.
             body.close()
-            return _Body()
+            return _wsgi.AnswerBody()
         return body
 
     def _ended(self) -> None:
@@ -212,64 +209,3 @@
     )
     document = _Models(data=[_Model(id=name) for name in names])
     return _caller_answer.of_json(document, request.request_id)
-
-
-@final
-class _Body:
-    """An answer's pieces; tells when the answer has ended, however."""
-
-    def __init__(self, *, ended: Callable[[], None] | None = None) -> None:
-        self.pieces: Iterator[bytes] = iter(())
-        self._ended = ended
-
-    def __iter__(self) -> Iterator[bytes]:
-        return self.pieces
-
-    def close(self) -> None:
-        ended, self._ended = self._ended, None
-        try:
-            close = getattr(self.pieces, "close", None)
-            if close is not None:
-                close()
-        finally:
-            if ended is not None:
-                ended()
-
-
-class CallersServer(pywsgi.WSGIServer):
-    """The callers' listener.
-
-    Attributes
-    ----------
-    stopping : bool
-        Whether answers now close their connection.
-    """
-
-    handler_class = _caller_connection.CallersHandler
-
-    def __init__(
-        self,
-        *,
-        address: _settings_types.AddressSettings,
-        app: CallersApp,
-        max_connections: int,
-        tls: _settings_types.TlsSettings | None = None,
-    ) -> None:
-        options: dict[str, Any] = {}
-        if tls is not None:
-            options = {"certfile": tls.certificate, "keyfile": tls.key}
-        super().__init__(
-            (address.host, address.port),
-            app,
-            log=None,
-            error_log=None,
-            spawn=_pool.Pool(max_connections),
-            backlog=1024,
-            **options,
-        )
-        self.stopping = False
-
-    @property
-    def connections(self) -> int:
-        """Give the number of open connections."""
-        return len(self.pool) if self.pool is not None else 0
--- a/src/topazlug/_chat_stream.py
+++ b/src/topazlug/_chat_stream.py
@@ -122,7 +122,8 @@
         """Continue after the last whole event, or raise what broke it."""
         self.answer.close()
         self._reader.drop_rest()
-        if self._reader.last_id < 0 or self.resumes >= _MAX_RESUMES:
+        last_id = self._reader.last_id
+        if last_id is None or last_id < 0 or self.resumes >= _MAX_RESUMES:
             raise error
         self.resumes += 1
         request = _target_client.TargetRequest(
@@ -130,7 +131,7 @@
             path=f"/v1/streams/{self._request_id}",
             headers=[
                 ("Host", f"{self._target.host}:{self._target.port}"),
-                ("Last-Event-ID", str(self._reader.last_id)),
+                ("Last-Event-ID", str(last_id)),
             ],
             body=b"",
             request_id=self._request_id,
--- a/src/topazlug/_daemon.py
+++ b/src/topazlug/_daemon.py
@@ -10,6 +10,7 @@
 from topazlug import _administration
 from topazlug import _attempts
 from topazlug import _call_parts
+from topazlug import _caller_server
 from topazlug import _callers
 from topazlug import _chat_calls
 from topazlug import _claim_sweep
@@ -117,7 +118,7 @@
             metrics=self.metrics,
             clock=self.clock,
         )
-        self.callers = _callers.CallersServer(
+        self.callers = _caller_server.CallersServer(
             address=settings.listen.callers,
             app=self.app,
             max_connections=settings.limits.max_connections,
--- a/src/topazlug/_place.py
+++ b/src/topazlug/_place.py
@@ -30,6 +30,8 @@
         Replicas that failed this request already.
     returning : bool
         Whether the chat has context on the replica it was on last.
+    keeps_context : bool
+        Whether replicas keep context at all; without, any does as well.
     """
 
     group: _ids.GroupName
@@ -40,6 +42,7 @@
     deadline: float
     excluded: frozenset[_ids.ReplicaId] = frozenset()
     returning: bool = False
+    keeps_context: bool = True
 
 
 @final
--- a/src/topazlug/_platform_http.py
+++ b/src/topazlug/_platform_http.py
@@ -24,6 +24,11 @@
 DEFAULT_RETRY_AFTER = 1.0
 MAX_RETRY_AFTER = 300.0
 _BLOCK_BYTES = 64 * 1024
+# Two seconds of silence on the line mean that the platform is out of reach;
+# a new connection then finds the way back as soon as there is one.
+_KEEPALIVE_SECONDS = 1
+_KEEPALIVE_PROBES = 1
+_UNACKNOWLEDGED_MILLISECONDS = 2000
 _HEAD = (
     "{method} {target} HTTP/1.1\r\n"
     "Host: {host}:{port}\r\n"
@@ -54,8 +59,18 @@
 
 @final
 class _Pool(connectionpool.ConnectionPool):
+    # A call may wait long for its answer by design. If the platform is cut
+    # off meanwhile, only unanswered probes show it.
     def after_connect(self, sock: socket.socket) -> None:
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        tcp = socket.IPPROTO_TCP
+        sock.setsockopt(tcp, socket.TCP_NODELAY, 1)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+        sock.setsockopt(tcp, socket.TCP_KEEPIDLE, _KEEPALIVE_SECONDS)
+        sock.setsockopt(tcp, socket.TCP_KEEPINTVL, _KEEPALIVE_SECONDS)
+        sock.setsockopt(tcp, socket.TCP_KEEPCNT, _KEEPALIVE_PROBES)
+        sock.setsockopt(
+            tcp, socket.TCP_USER_TIMEOUT, _UNACKNOWLEDGED_MILLISECONDS
+        )
 
     # The library asks select(), which refuses descriptors from 1024 on: a
     # daemon with many callers would then open a connection for every call,
@@ -110,9 +125,21 @@
         *,
         body: bytes = b"",
         content_type: str = "application/json",
+        timeout: float | None = None,
     ) -> PlatformAnswer:
         """Send one request once and read its whole answer.
 
+        Parameters
+        ----------
+        method, target : str
+            As in the request line.
+        body : bytes
+            Whole body.
+        content_type : str
+            Its kind.
+        timeout : float or None
+            Longest time in seconds instead of the usual one.
+
         Raises
         ------
         StoreUnavailable
@@ -128,15 +155,16 @@
             content_type=content_type,
             length=len(body),
         )
-        with gevent.Timeout(self._timeout) as timeout:
-            sock = self._connect(timeout)
+        allowed = self._timeout if timeout is None else timeout
+        with gevent.Timeout(allowed) as expiry:
+            sock = self._connect(expiry)
             whole = False
             try:
                 sock.sendall(head.encode("ascii") + body)
                 parsed = _read_answer(sock, method)
                 whole = not parsed.should_close()
             except gevent.Timeout as error:
-                if error is not timeout:
+                if error is not expiry:
                     raise
                 raise self._ambiguous(method, "no answer in time") from error
             except (OSError, response.HTTPParseError) as error:
--- a/src/topazlug/_retry_budget.py
+++ b/src/topazlug/_retry_budget.py
@@ -6,6 +6,8 @@
 
 from typing import final
 
+from topazlug import _ids
+
 _FLOOR = 3.0
 _CEILING = 100.0
 
@@ -26,11 +28,11 @@
         self.spent = 0
         self.refused = 0
 
-    def earn(self) -> None:
-        """Note a first attempt."""
+    def earn(self, group: _ids.GroupName) -> None:
+        """Note a first attempt; this budget is one for all groups."""
         self._balance = min(_CEILING, self._balance + self._ratio)
 
-    def spend(self) -> bool:
+    def spend(self, group: _ids.GroupName) -> bool:
         """Take one retry out of the budget.
 
         Returns
--- a/src/topazlug/_sse.py
+++ b/src/topazlug/_sse.py
@@ -8,7 +8,7 @@
 
 DONE = b"data: [DONE]"
 _END = b"\n\n"
-_ID = b"id: "
+_ID = b"id:"
 _MAX_EVENT_BYTES = 1 << 20
 
 
@@ -24,19 +24,25 @@
 class EventReader:
     """Cuts a stream into events and drops the ones seen before.
 
+    Parameters
+    ----------
+    last_id : int or None
+        Number of the last event that the caller has; None where the first
+        number is the sender's choice.
+
     Attributes
     ----------
     last_id : int
-        Number of the last event passed on; -1 before the first.
+        Number of the last event passed on; -1 or None before the first.
     done : bool
         Whether the closing event came.
     count : int
         Events passed on, the closing one not counted.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, *, last_id: int | None = -1) -> None:
         self._rest = b""
-        self.last_id = -1
+        self.last_id = last_id
         self.done = False
         self.count = 0
 
@@ -81,6 +87,11 @@
             return b""
         return _END.join(fresh) + _END
 
+    @property
+    def is_between_events(self) -> bool:
+        """Say whether no part of an event is left over."""
+        return not self._rest
+
     def drop_rest(self) -> None:
         """Forget a torn event before the stream is continued."""
         self._rest = b""
@@ -93,17 +104,20 @@
             return True
         number = _number(event)
         if number is not None:
-            if number <= self.last_id:
+            last = number - 1 if self.last_id is None else self.last_id
+            if number <= last:
                 return False
-            if number != self.last_id + 1:
-                raise EventMissing(f"{number} follows {self.last_id}")
+            if number != last + 1:
+                raise EventMissing(f"{number} follows {last}")
             self.last_id = number
         self.count += 1
         return True
 
 
 def _number(event: bytes) -> int | None:
-    if not event.startswith(_ID):
-        return None
-    line, _, _ = event[len(_ID) :].partition(b"\n")
-    return int(line) if line.isdigit() else None
+    """Give an event's number; other lines may stand before it."""
+    for line in event.split(b"\n"):
+        if line.startswith(_ID):
+            digits = line[len(_ID) :].strip()
+            return int(digits) if digits.isdigit() else None
+    return None
--- a/src/topazlug/_target_answer.py
+++ b/src/topazlug/_target_answer.py
@@ -1,12 +1,14 @@
 """An answer of a target, and the connection that it comes on."""
 
 import collections
+from collections.abc import Callable
 from collections.abc import Iterator
 import math
 import socket as _plain_socket
 from typing import NamedTuple
 from typing import final
 
+import gevent
 from gevent import socket
 from geventhttpclient import response as _response
 
@@ -69,6 +71,8 @@
         HTTP status.
     headers : list of tuple
         Header fields in order.
+    idle_seconds : float or None
+        How long the target keeps an idle connection, if it says.
     """
 
     def __init__(
@@ -78,7 +82,12 @@
         parser: AnswerParser,
         pool: "IdleConnections",
         clock: _clock.Clock,
+        sender: gevent.Greenlet | None = None,
+        heard: Callable[[], None] | None = None,
     ) -> None:
+        self._sender = sender
+        self._heard = heard
+        self.idle_seconds: float | None = None
         self._connection = connection
         self._clock = clock
         self._parser = parser
@@ -134,6 +143,8 @@
         try:
             self._connection.settimeout(max(0.0, min(silence, left)))
             data = self._connection.recv(BLOCK)
+            if self._heard is not None:
+                self._heard()
             self._parser.feed(data)
         except (TimeoutError, BlockingIOError) as error:
             self.close()
@@ -154,10 +165,23 @@
         if self._closed:
             return
         self._closed = True
-        if self._parser.should_close():
-            self._connection.close()
+        if self._parser.should_close() or not self._all_sent():
+            self._close_connection()
         else:
-            self._pool.keep(self._connection)
+            self._pool.keep(self._connection, seconds=self.idle_seconds)
+
+    def _all_sent(self) -> bool:
+        """Say whether the request's body has gone out whole.
+
+        A target that answers early reads the rest of the body later. The
+        next request on this connection would be taken for that rest.
+        """
+        return self._sender is None or bool(self._sender.value)
+
+    def _close_connection(self) -> None:
+        if self._sender is not None:
+            self._sender.kill(block=False)
+        self._connection.close()
 
     def abort(self) -> None:
         """Break the connection, from any greenlet."""
@@ -174,7 +198,7 @@
         if self._closed:
             return
         self._closed = True
-        self._connection.close()
+        self._close_connection()
 
 
 def too_late() -> _errors.DeadlineExceeded:
@@ -193,7 +217,7 @@
 
 class _Idle(NamedTuple):
     connection: socket.socket
-    since: float
+    until: float
 
 
 @final
@@ -213,12 +237,24 @@
     def __len__(self) -> int:
         return len(self._idle)
 
-    def keep(self, connection: socket.socket) -> None:
-        """Take a connection whose answer was read whole."""
-        if len(self._idle) >= _IDLE_PER_TARGET:
+    def keep(
+        self, connection: socket.socket, *, seconds: float | None = None
+    ) -> None:
+        """Take a connection whose answer was read whole.
+
+        Parameters
+        ----------
+        connection : socket
+            The connection.
+        seconds : float or None
+            How long the target keeps it, None for this side's own bound.
+        """
+        allowed = _IDLE_SECONDS if seconds is None else seconds
+        if len(self._idle) >= _IDLE_PER_TARGET or allowed <= 0:
             connection.close()
             return
-        self._idle.append(_Idle(connection, self._clock.monotonic()))
+        now = self._clock.monotonic()
+        self._idle.append(_Idle(connection, now + allowed))
 
     def sweep(self) -> None:
         """Close connections that waited for a minute.
@@ -226,17 +262,21 @@
         To 6,100 targets one idle connection each takes 42 MB and as many
         descriptors.
         """
-        oldest = self._clock.monotonic() - _IDLE_SECONDS
-        while self._idle and self._idle[0].since < oldest:
-            self._idle.popleft().connection.close()
+        now = self._clock.monotonic()
+        kept = [idle for idle in self._idle if now < idle.until]
+        for idle in self._idle:
+            if now >= idle.until:
+                idle.connection.close()
+        self._idle = collections.deque(kept)
 
     def take(self) -> socket.socket | None:
         """Give the connection used last, if it is still good."""
+        now = self._clock.monotonic()
         while self._idle:
-            connection = self._idle.pop().connection
-            if _is_quiet(connection):
-                return connection
-            connection.close()
+            idle = self._idle.pop()
+            if now < idle.until and _is_quiet(idle.connection):
+                return idle.connection
+            idle.connection.close()
         return None
 
     def close(self) -> None:
--- a/src/topazlug/_target_client.py
+++ b/src/topazlug/_target_client.py
@@ -7,10 +7,13 @@
 request that may run once only must never be sent twice.
 """
 
+import functools
 import math
 import socket as _plain_socket
+from typing import Protocol
 from typing import final
 
+import gevent
 from gevent import socket
 from geventhttpclient import response as _response
 import msgspec
@@ -18,13 +21,25 @@
 from topazlug import _clock
 from topazlug import _errors
 from topazlug import _ids
+from topazlug import _logs
 from topazlug import _target_answer
 from topazlug import _targets
 
+_log = _logs.logger("targets")
 _MAX_HEAD = 65536
+_MAX_SKIPPED = 65536
 REQUEST_ID = "X-Request-Id"
 NOT_RUN = "X-Not-Run"
 TARGET_STATE = "X-Target-State"
+_HEAD_END = b"\r\n\r\n"
+# A body up to this many bytes fits the kernel's buffers of both ends; it is
+# sent in one call. A longer one is sent beside the reading of the answer.
+_SENT_AT_ONCE = 16384
+# An established connection whose far end fell silent without a reset is
+# noticed after this many seconds and probes, well before callers give up.
+_KEEPALIVE_IDLE_SECONDS = 1
+_KEEPALIVE_PROBES = 2
+_UNACKNOWLEDGED_MILLISECONDS = 3000
 
 
 class TargetRequest(msgspec.Struct, frozen=True):
@@ -46,6 +61,53 @@
     is_probe: bool = False
 
 
+class TargetWire(Protocol):
+    """The names that targets of one kind use.
+
+    Attributes
+    ----------
+    id_header : str
+        Header that names a request; targets echo it.
+    """
+
+    id_header: str
+
+    def refusal(
+        self, answer: _target_answer.TargetAnswer
+    ) -> _errors.TargetRefused | None:
+        """Give the error for an answer that says "did not run"."""
+
+    def idle_seconds(
+        self, answer: _target_answer.TargetAnswer
+    ) -> float | None:
+        """Give how long the target keeps an idle connection, if it says."""
+
+
+@final
+class ProductWire:
+    """The names of the project's own interface to targets."""
+
+    id_header = REQUEST_ID
+
+    def refusal(
+        self, answer: _target_answer.TargetAnswer
+    ) -> _errors.TargetRefused | None:
+        """Give the error for an answer that says "did not run"."""
+        if answer.status != 503 or answer.header(NOT_RUN) != "true":
+            return None
+        leaving = answer.header(TARGET_STATE) == "leaving"
+        return _errors.TargetRefused(
+            "the target is leaving" if leaving else "the target refused",
+            retry_after=1.0,
+        )
+
+    def idle_seconds(
+        self, answer: _target_answer.TargetAnswer
+    ) -> float | None:
+        """Give None: these targets don't say."""
+        return None
+
+
 @final
 class ConnectFailed(_errors.TopazlugError):
     """No connection: not a byte of the request was sent."""
@@ -63,11 +125,20 @@
         Longest wait for a connection in seconds.
     clock : Clock
         Time.
+    wire : TargetWire or None
+        Names on the wire; None for the project's own.
     """
 
-    def __init__(self, *, connect_timeout: float, clock: _clock.Clock) -> None:
+    def __init__(
+        self,
+        *,
+        connect_timeout: float,
+        clock: _clock.Clock,
+        wire: TargetWire | None = None,
+    ) -> None:
         self._connect_timeout = connect_timeout
         self._clock = clock
+        self._wire = wire or ProductWire()
         self._heard_at: dict[_ids.ReplicaId, float] = {}
         self._idle_by_address: dict[
             tuple[str, int], _target_answer.IdleConnections
@@ -107,20 +178,29 @@
         """
         pool = self._pool(target)
         connection = None if request.fresh else pool.take()
+        kept = connection is not None
         if connection is None:
             connection = self._connect(target)
         try:
             answer = self._talk(
-                connection, request, pool, head_timeout, deadline
+                connection, request, target, head_timeout, deadline, kept=kept
             )
         except BaseException:
             connection.close()
             raise
         if not request.is_probe:
-            self._heard_at[target.replica] = self._clock.monotonic()
-        self._check(answer, request)
+            self.note_heard(target)
+        answer.idle_seconds = self._wire.idle_seconds(answer)
+        refusal = self._wire.refusal(answer)
+        if refusal is not None:
+            answer.close()
+            raise refusal
         return answer
 
+    def note_heard(self, target: _targets.Target) -> None:
+        """Note that a target has just sent something."""
+        self._heard_at[target.replica] = self._clock.monotonic()
+
     def heard_within(self, target: _targets.Target, seconds: float) -> bool:
         """Say whether a target has answered a caller's request lately."""
         at = self._heard_at.get(target.replica, -math.inf)
@@ -143,20 +223,19 @@
             raise ConnectFailed(
                 f"no connection to {target.replica}: {error}"
             ) from error
-        connection.setsockopt(
-            _plain_socket.IPPROTO_TCP, _plain_socket.TCP_NODELAY, 1
-        )
+        _set_options(connection)
         return connection
 
     def _talk(
         self,
         connection: socket.socket,
         request: TargetRequest,
-        pool: _target_answer.IdleConnections,
+        target: _targets.Target,
         head_timeout: float,
         deadline: float,
+        *,
+        kept: bool,
     ) -> _target_answer.TargetAnswer:
-        parser = _target_answer.AnswerParser(method=request.method)
         now = self._clock.monotonic()
         if now >= deadline:
             # A daemon that was frozen while it connected would run a
@@ -164,10 +243,11 @@
             raise _errors.DeadlineExceeded("no connection before the deadline")
         silent_at = now + head_timeout
         end = min(silent_at, deadline)
+        sender = None
         try:
             connection.settimeout(self._left(end))
-            connection.sendall(_head(request) + request.body)
-            self._read_head(connection, parser, end)
+            sender = self._send(connection, request)
+            parser = self._read_head(connection, request, end, kept=kept)
         except (TimeoutError, BlockingIOError) as error:
             if deadline <= silent_at:
                 raise _target_answer.too_late() from error
@@ -178,47 +258,116 @@
         except (OSError, _response.HTTPParseError) as error:
             raise _failed(str(error)) from error
         return _target_answer.TargetAnswer(
-            connection=connection, parser=parser, pool=pool, clock=self._clock
+            connection=connection,
+            parser=parser,
+            pool=self._pool(target),
+            clock=self._clock,
+            sender=sender,
+            heard=functools.partial(self.note_heard, target),
         )
 
+    def _send(
+        self, connection: socket.socket, request: TargetRequest
+    ) -> gevent.Greenlet | None:
+        """Send a request; a long body goes out beside the answer's reading.
+
+        A target may answer before it has read a long body and read no
+        further. Whoever first sends all of it then waits for the target,
+        and the target for a reader of its answer.
+        """
+        head = _head(request, self._wire.id_header)
+        if len(request.body) <= _SENT_AT_ONCE:
+            connection.sendall(head + request.body)
+            return None
+        connection.sendall(head)
+        return gevent.spawn(_send_body, connection, request.body)
+
     def _left(self, end: float) -> float:
         return max(0.0, end - self._clock.monotonic())
 
     def _read_head(
         self,
         connection: socket.socket,
-        parser: _target_answer.AnswerParser,
+        request: TargetRequest,
         end: float,
-    ) -> None:
+        *,
+        kept: bool,
+    ) -> _target_answer.AnswerParser:
+        """Read up to the head of the answer to this request.
+
+        A faulty target may answer a request twice, and the second answer
+        arrives where the next request's answer is due. Its id gives it
+        away; it is read to its end and dropped, so that the next request
+        gets its own answer instead of a failure. A new connection carries
+        no earlier answers: there a foreign one fails the request at once.
+        """
+        parser = _target_answer.AnswerParser(method=request.method)
+        pending = b""
         size = 0
-        while (
-            not parser.headers_complete
-            or parser.final_status < _target_answer.FINAL
-        ):
-            connection.settimeout(self._left(end))
-            data = connection.recv(_target_answer.BLOCK)
-            if not data:
-                raise _failed("the connection ended before the answer")
-            size += len(data)
-            if size > _MAX_HEAD and not parser.headers_complete:
-                raise _failed("the head of the answer is too long")
-            parser.feed(data)
-
-    def _check(
-        self, answer: _target_answer.TargetAnswer, request: TargetRequest
-    ) -> None:
-        """Drop an answer that belongs to another request."""
-        echoed = set(answer.header_values(REQUEST_ID))
-        if echoed - {request.request_id}:
-            answer.close()
+        while True:
+            head, separator, rest = pending.partition(_HEAD_END)
+            if not separator:
+                if len(pending) > _MAX_HEAD:
+                    raise _failed("the head of the answer is too long")
+                connection.settimeout(self._left(end))
+                data = connection.recv(_target_answer.BLOCK)
+                if not data:
+                    raise _failed("the connection ended before the answer")
+                pending += data
+                continue
+            size += len(head)
+            if size > _MAX_HEAD:
+                raise _failed("the heads of the answer are too long")
+            parser.feed(head + separator)
+            pending = rest
+            if parser.final_status < _target_answer.FINAL:
+                continue
+            if not self._is_foreign(parser, request):
+                parser.feed(rest)
+                return parser
+            if not kept:
+                raise _failed("the answer belongs to another request")
+            pending = self._skip(connection, parser, rest, end)
+            parser = _target_answer.AnswerParser(method=request.method)
+
+    def _is_foreign(
+        self, parser: _target_answer.AnswerParser, request: TargetRequest
+    ) -> bool:
+        wanted = self._wire.id_header.lower()
+        echoed = {
+            value
+            for name, value in parser.items()
+            if name.lower() == wanted
+        }
+        return bool(echoed - {request.request_id})
+
+    def _skip(
+        self,
+        connection: socket.socket,
+        parser: _target_answer.AnswerParser,
+        rest: bytes,
+        end: float,
+    ) -> bytes:
+        """Drop a foreign answer's body and give the bytes after it.
+
+        The parser does not tell where a message ended inside of a block, so
+        it gets the bytes one by one.
+        """
+        skipped = 0
+        while not parser.message_complete:
+            if skipped > _MAX_SKIPPED:
+                raise _failed("the answer belongs to another request")
+            if not rest:
+                connection.settimeout(self._left(end))
+                rest = connection.recv(_target_answer.BLOCK)
+                if not rest:
+                    raise _failed("the answer belongs to another request")
+            parser.feed(rest[:1])
+            rest = rest[1:]
+            skipped += 1
+        if parser.should_close():
             raise _failed("the answer belongs to another request")
-        if answer.status == 503 and answer.header(NOT_RUN) == "true":
-            leaving = answer.header(TARGET_STATE) == "leaving"
-            answer.close()
-            raise _errors.TargetRefused(
-                "the target is leaving" if leaving else "the target refused",
-                retry_after=1.0,
-            )
+        return rest
 
     def sweep(self) -> None:
         """Close connections that waited too long for a next request."""
@@ -239,10 +388,44 @@
     )
 
 
-def _head(request: TargetRequest) -> bytes:
+def _set_options(connection: socket.socket) -> None:
+    tcp = _plain_socket.IPPROTO_TCP
+    connection.setsockopt(tcp, _plain_socket.TCP_NODELAY, 1)
+    connection.setsockopt(
+        _plain_socket.SOL_SOCKET, _plain_socket.SO_KEEPALIVE, 1
+    )
+    connection.setsockopt(
+        tcp, _plain_socket.TCP_KEEPIDLE, _KEEPALIVE_IDLE_SECONDS
+    )
+    connection.setsockopt(
+        tcp, _plain_socket.TCP_KEEPINTVL, _KEEPALIVE_IDLE_SECONDS
+    )
+    connection.setsockopt(tcp, _plain_socket.TCP_KEEPCNT, _KEEPALIVE_PROBES)
+    connection.setsockopt(
+        tcp, _plain_socket.TCP_USER_TIMEOUT, _UNACKNOWLEDGED_MILLISECONDS
+    )
+
+
+def _send_body(connection: socket.socket, body: bytes) -> bool:
+    """Send a body; whether the answer came all the same is seen by reading.
+
+    Returns
+    -------
+    bool
+        Whether all of it was sent.
+    """
+    try:
+        connection.sendall(body)
+    except OSError as error:
+        _log.debug("a body was not sent whole: {why}", why=str(error))
+        return False
+    return True
+
+
+def _head(request: TargetRequest, id_header: str) -> bytes:
     lines = [f"{request.method} {request.path} HTTP/1.1"]
     lines += [f"{name}: {value}" for name, value in request.headers]
-    lines.append(f"{REQUEST_ID}: {request.request_id}")
+    lines.append(f"{id_header}: {request.request_id}")
     if request.body or request.method not in ("GET", "HEAD"):
         lines.append(f"Content-Length: {len(request.body)}")
     lines.append("\r\n")
--- /dev/null
+++ b/src/topazlug/forwarding/_admission.py
@@ -0,0 +1,120 @@
+"""Places requests by what this daemon knows by itself.
+
+A request with context goes to its chat's home while the home stays within
+the bound, as consistent hashing with bounded loads does; one without goes
+where it is likely to be answered first.
+"""
+
+import itertools
+from typing import final
+
+from topazlug import _errors
+from topazlug import _ids
+from topazlug import _place
+from topazlug import _ranking
+from topazlug import _targets
+from topazlug.forwarding import _replica_view
+
+# A replica may hold this multiple of its group's mean load plus the margin.
+# The bound that must not be passed is 2 times the mean plus 3; the rest
+# covers what reports of other daemons' requests lag behind.
+_BOUND = 1.5
+_MARGIN = 2.0
+# A replica of which no latency is known is taken to be as fast as this.
+_UNKNOWN_LATENCY = 0.02
+_NO_TARGET_SECONDS = 0.3
+
+
+@final
+class ViewAdmission:
+    """Finds places without a word to other daemons.
+
+    Parameters
+    ----------
+    targets : TargetDirectory
+        Which replicas may get new work.
+    views : ReplicaViews
+        Their load and health as seen here.
+    """
+
+    def __init__(
+        self,
+        *,
+        targets: _targets.TargetDirectory,
+        views: _replica_view.ReplicaViews,
+    ) -> None:
+        self._targets = targets
+        self._views = views
+        self._numbers = itertools.count(1)
+
+    def admit(self, request: _place.PlaceRequest) -> _place.Place:
+        """Find a place.
+
+        Raises
+        ------
+        NoTarget
+            The group has no usable replica that was not tried.
+        """
+        usable = [
+            replica
+            for replica in self._targets.usable(request.group)
+            if replica not in request.excluded
+        ]
+        if not usable:
+            raise _errors.NoTarget(
+                f"no usable replica of {request.group}",
+                retry_after=_NO_TARGET_SECONDS,
+            )
+        candidates = self._views.sound(usable)
+        if request.keeps_context:
+            chosen, home = self._by_context(request, candidates)
+        else:
+            chosen, home = self._soonest(candidates), False
+        self._views.of(chosen).in_flight += 1
+        return _place.Place(
+            target=self._targets.target_by_replica[chosen],
+            ask=_ids.AskNumber(next(self._numbers)),
+            owner=None,
+            request=request,
+            home=home,
+        )
+
+    def _by_context(
+        self,
+        request: _place.PlaceRequest,
+        candidates: list[_ids.ReplicaId],
+    ) -> tuple[_ids.ReplicaId, bool]:
+        loads = {one: self._views.of(one).load for one in candidates}
+        mean = sum(loads.values()) / len(loads)
+        bound = _BOUND * mean + _MARGIN
+        ranked = _ranking.rank(
+            candidates, request.chat, count=len(candidates)
+        )
+        for name in ranked:
+            replica = _ids.ReplicaId(name)
+            if loads[replica] + 1 <= bound:
+                return replica, name == ranked[0]
+        least = min(candidates, key=loads.__getitem__)
+        return least, False
+
+    def _soonest(
+        self, candidates: list[_ids.ReplicaId]
+    ) -> _ids.ReplicaId:
+        """Give the replica with the least expected time to an answer."""
+
+        def expected(replica: _ids.ReplicaId) -> float:
+            view = self._views.of(replica)
+            latency = max(view.latency, _UNKNOWN_LATENCY)
+            return latency * (view.load + 1.0)
+
+        best = min(map(expected, candidates))
+        # Daemons that see the same reports must not all choose the same.
+        near = [one for one in candidates if expected(one) <= 1.25 * best]
+        return near[next(self._numbers) % len(near)]
+
+    def release(self, place: _place.Place) -> None:
+        """Give a place back; a second time does nothing."""
+        if place.released:
+            return
+        place.released = True
+        self._views.of(place.target.replica).in_flight -= 1
--- /dev/null
+++ b/src/topazlug/forwarding/_app.py
@@ -0,0 +1,198 @@
+"""The WSGI application of the forwarding listener."""
+
+from collections.abc import Iterable
+from collections.abc import Mapping
+from http import HTTPStatus
+from typing import Any
+from typing import final
+
+from topazlug import _caller_answer
+from topazlug import _caller_request
+from topazlug import _caller_watch
+from topazlug import _clock
+from topazlug import _errors
+from topazlug import _ids
+from topazlug import _logs
+from topazlug import _wsgi
+from topazlug.forwarding import _call
+from topazlug.forwarding import _forwarder
+from topazlug.forwarding import _table
+from topazlug.forwarding import _wire
+
+_log = _logs.logger("forwarding")
+# Patience of a caller that names none, in seconds: the route's timeout is
+# shorter wherever one is set.
+_DEFAULT_PATIENCE = 60.0
+_BODY_SECONDS = 10.0
+_NOT_READY_SECONDS = 0.5
+# A caller takes a Retry-After up to a third of the time that it has left.
+_RETRY_PART = 0.3
+# Statuses that promise that a request has not run.
+_PROMISES = frozenset(
+    {
+        HTTPStatus.REQUEST_TIMEOUT,
+        HTTPStatus.MISDIRECTED_REQUEST,
+        HTTPStatus.TOO_MANY_REQUESTS,
+        HTTPStatus.SERVICE_UNAVAILABLE,
+    }
+)
+
+
+@final
+class ForwardingApp:
+    """Answers the requests of the forwarding listener.
+
+    Parameters
+    ----------
+    forwarder : Forwarder
+        Serves requests whose route and key are known.
+    tables : TableHolder
+        The table in force.
+    wire : CallerWire
+        Names on the wire.
+    clock : Clock
+        Time.
+
+    Attributes
+    ----------
+    in_progress : int
+        Requests that were read and not answered whole.
+    """
+
+    def __init__(
+        self,
+        *,
+        forwarder: _forwarder.Forwarder,
+        tables: _table.TableHolder,
+        wire: _wire.CallerWire,
+        clock: _clock.Clock,
+    ) -> None:
+        self._forwarder = forwarder
+        self._tables = tables
+        self._wire = wire
+        self._clock = clock
+        self.in_progress = 0
+
+    def __call__(
+        self, environ: Mapping[str, Any], start: _wsgi.StartResponse
+    ) -> Iterable[bytes]:
+        """Answer one request, as WSGI asks."""
+        self.in_progress += 1
+        body = _wsgi.AnswerBody(ended=self._ended)
+        try:
+            answer = self._answer(environ)
+            body.pieces = answer.body
+            start(_caller_answer.status_line(answer.status), answer.headers)
+        except BaseException:
+            body.close()
+            raise
+        if environ["REQUEST_METHOD"] == "HEAD":
+            # Bytes after this head would be read as the next answer.
+            body.close()
+            return _wsgi.AnswerBody()
+        return body
+
+    def _ended(self) -> None:
+        self.in_progress -= 1
+
+    def _answer(
+        self, environ: Mapping[str, Any]
+    ) -> _caller_answer.CallerAnswer:
+        started = self._clock.monotonic()
+        attempt = _ids.RequestId("")
+        try:
+            head = self._wire.decode(environ[_caller_request.FIELDS])
+            attempt = head.attempt
+            with _logs.request_fields(request_id=attempt):
+                return self._serve(environ, head, started)
+        except _errors.TopazlugError as error:
+            return self._refuse(error, attempt, started)
+        except Exception:
+            _log.exception("a request met a fault of this daemon")
+            fault = _errors.TopazlugError("internal error")
+            return _caller_answer.of_error(fault, attempt)
+
+    def _serve(
+        self,
+        environ: Mapping[str, Any],
+        head: _wire.CallHead,
+        started: float,
+    ) -> _caller_answer.CallerAnswer:
+        table = self._tables.current
+        if table is None:
+            raise _errors.NotReady(
+                "this daemon has no routing table yet",
+                retry_after=_NOT_READY_SECONDS,
+            )
+        path = environ[_caller_request.RAW_PATH]
+        route = table.route_of(environ.get("HTTP_HOST", ""), path)
+        team = table.team_of(route, head.key)
+        patience = min(head.patience or _DEFAULT_PATIENCE, route.timeout)
+        body = _caller_request.read_body(
+            environ,
+            limit=table.bounds.max_body_bytes,
+            timeout=min(_BODY_SECONDS, patience),
+        )
+        chat = _call.chat_of(head)
+        call = _call.ForwardedCall(
+            method=environ["REQUEST_METHOD"],
+            target=environ[_caller_request.TARGET],
+            head=head,
+            body=body,
+            route=route,
+            team=team,
+            group=route.group_for(chat),
+            chat=chat,
+            started=started,
+            deadline=started + patience,
+            socket=environ.get(_caller_request.SOCKET),
+        )
+        fields = {"route": route.name, "team": team.name if team else ""}
+        with _logs.request_fields(**fields):
+            return self._forward(call)
+
+    def _forward(
+        self, call: _call.ForwardedCall
+    ) -> _caller_answer.CallerAnswer:
+        try:
+            answer = self._forwarder.serve(call)
+        except _errors.RequestError as error:
+            if error.retry_after is not None:
+                left = call.deadline - self._clock.monotonic()
+                longest = max(0.0, _RETRY_PART * left)
+                error.retry_after = min(error.retry_after, longest)
+            raise
+        _log.info(
+            "answered with {status} after {seconds:.3f} s",
+            status=answer.status,
+            seconds=self._clock.monotonic() - call.started,
+        )
+        return answer
+
+    def _refuse(
+        self,
+        error: _errors.TopazlugError,
+        attempt: _ids.RequestId,
+        started: float,
+    ) -> _caller_answer.CallerAnswer:
+        with _logs.request_fields(request_id=attempt):
+            if isinstance(error, _caller_watch.CallerLeft):
+                _log.info("the caller left before its answer began")
+            else:
+                _log.info(
+                    "failed with {code} after {seconds:.3f} s: {why}",
+                    code=error.code.value,
+                    seconds=self._clock.monotonic() - started,
+                    why=error.message,
+                )
+        answer = _caller_answer.of_error(error, attempt, whole_seconds=False)
+        if answer.status in _PROMISES and not _is_certain(error):
+            answer.status = int(HTTPStatus.BAD_GATEWAY)
+        return answer
+
+
+def _is_certain(error: _errors.TopazlugError) -> bool:
+    """Say whether an error's request certainly has not run."""
+    if not isinstance(error, _errors.RequestError):
+        return False
+    return error.outcome is _errors.Outcome.NOT_RUN
--- /dev/null
+++ b/src/topazlug/forwarding/_call.py
@@ -0,0 +1,85 @@
+"""One request on its way from a caller to a replica."""
+
+from typing import Any
+from typing import final
+
+import msgspec
+
+from topazlug import _ids
+from topazlug import _place
+from topazlug import _ranking
+from topazlug.forwarding import _table
+from topazlug.forwarding import _wire
+
+
+@final
+class ForwardedCall(msgspec.Struct, kw_only=True):
+    """One request of a caller.
+
+    Attributes
+    ----------
+    method, target : str
+        As the caller sent them; the target with its query.
+    head : CallHead
+        What its fields say.
+    body : bytes
+        Whole body.
+    route : Route
+        The route that it took.
+    team : Team or None
+        Who calls.
+    group : GroupName
+        Service that runs it.
+    chat : ChatHash
+        Hash of the last shared part of its prompt.
+    started, deadline : float
+        Monotonic seconds.
+    socket : socket or None
+        The caller's connection.
+    """
+
+    method: str
+    target: str
+    head: _wire.CallHead
+    body: bytes
+    route: _table.Route
+    team: _table.Team | None
+    group: _ids.GroupName
+    chat: _ids.ChatHash
+    started: float
+    deadline: float
+    socket: Any
+
+    @property
+    def priority(self) -> int:
+        """Give its rank: the team's own goes before the route's."""
+        if self.team is not None and self.team.priority is not None:
+            return self.team.priority
+        return self.route.priority
+
+    def place_request(
+        self, *, excluded: frozenset[_ids.ReplicaId] = frozenset()
+    ) -> _place.PlaceRequest:
+        """Give what is asked of the admission."""
+        return _place.PlaceRequest(
+            group=self.group,
+            chat=self.chat,
+            team=self.team.name if self.team else _ids.TeamName(""),
+            batch=False,
+            weight=1,
+            deadline=self.deadline,
+            excluded=excluded,
+            keeps_context=self.route.has_context,
+        )
+
+
+def chat_of(head: _wire.CallHead) -> _ids.ChatHash:
+    """Hash what the request's context is kept under.
+
+    The last part of a prompt belongs to this request or its session; the
+    one before it is the longest that others share.
+    """
+    if not head.parts:
+        return _ranking.chat_hash(head.attempt)
+    shared = head.parts[-2] if len(head.parts) > 1 else head.parts[-1]
+    return _ranking.chat_hash(head.model, shared.id)
--- /dev/null
+++ b/src/topazlug/forwarding/_daemon.py
@@ -0,0 +1,321 @@
+"""A daemon that forwards: its parts, put together, started and stopped."""
+
+from collections.abc import Callable
+from collections.abc import Iterable
+from typing import final
+
+import gevent
+from gevent import event
+from gevent import pywsgi
+import msgspec
+
+from topazlug import _attempts
+from topazlug import _caller_server
+from topazlug import _clock
+from topazlug import _ids
+from topazlug import _logs
+from topazlug import _place
+from topazlug import _target_client
+from topazlug import _targets
+from topazlug import _tasks
+from topazlug._generated import messages
+from topazlug._generated import settings as _settings_types
+from topazlug.forwarding import _admission
+from topazlug.forwarding import _app
+from topazlug.forwarding import _context
+from topazlug.forwarding import _event_relay
+from topazlug.forwarding import _exchange
+from topazlug.forwarding import _forwarder
+from topazlug.forwarding import _replica_view
+from topazlug.forwarding import _retry_share
+from topazlug.forwarding import _table
+from topazlug.forwarding import _wire
+
+_log = _logs.logger("daemon")
+# A balancer asks each second and takes a daemon out after two misses; until
+# then new callers come, and a closed listener would reset them.
+_STILL_FOUND_SECONDS = 2.6
+# Time before the platform's own limit at which a stop ends all the same.
+_STOP_MARGIN_SECONDS = 0.4
+_QUIET_SECONDS = 0.3
+_POLL_SECONDS = 0.05
+_SWEEP_SECONDS = 1.0
+# A replica in the same region takes a connection in a few milliseconds. One
+# that takes none so long is dark, or its first packet was lost.
+_CONNECT_SECONDS = 0.25
+_FLAP_SECONDS = 10.0
+
+
+@final
+class ForwardingOptions(msgspec.Struct, frozen=True, kw_only=True):
+    """What a forwarding daemon is told at its start.
+
+    Attributes
+    ----------
+    daemon : DaemonId
+        Its name.
+    callers, health : AddressSettings
+        Listeners for callers, and for the balancer's question.
+    health_path : str
+        Path of that question.
+    stop_seconds : float
+        Seconds that a planned stop may take.
+    retry_ratio, retry_extra, retry_window : float
+        Bound on retries over the whole fleet: a part of requests and a
+        fixed number, in any window of so many seconds.
+    daemons : int
+        Daemons of the fleet, at most.
+    max_connections : int
+        Callers' connections served at once.
+    """
+
+    daemon: _ids.DaemonId
+    callers: _settings_types.AddressSettings
+    health: _settings_types.AddressSettings
+    health_path: str
+    stop_seconds: float
+    retry_ratio: float
+    retry_extra: float
+    retry_window: float
+    daemons: int
+    max_connections: int
+
+
+@final
+class _NoSigns:
+    """Peers are not told of targets: each reads the list itself."""
+
+    def publish_target(
+        self,
+        replica: _ids.ReplicaId,
+        *,
+        incarnation: int,
+        state: messages.FactState,
+    ) -> None:
+        """Do nothing."""
+
+
+@final
+class ForwardingDaemon:
+    """One instance that forwards requests.
+
+    Parameters
+    ----------
+    options : ForwardingOptions
+        What it is told.
+    caller_wire, replica_wire
+        Names on the wire.
+    clock : Clock
+        Time.
+
+    Attributes
+    ----------
+    tables : TableHolder
+        The routing table; whoever reads it from the platform puts it here.
+    targets : TargetDirectory
+        Replicas.
+    """
+
+    def __init__(
+        self,
+        *,
+        options: ForwardingOptions,
+        caller_wire: _wire.CallerWire,
+        replica_wire: _wire.ReplicaWire,
+        clock: _clock.Clock,
+    ) -> None:
+        self._options = options
+        self.name = options.daemon
+        self._clock = clock
+        self._stopping = False
+        self._knows_replicas = False
+        self._greenlets: list[gevent.Greenlet] = []
+        self.stopped = event.Event()
+        self.tables = _table.TableHolder()
+        self.targets = _targets.TargetDirectory(
+            clock=clock, flap_window=_FLAP_SECONDS
+        )
+        self.views = _replica_view.ReplicaViews(clock=clock)
+        self.contexts = _context.ContextMemory(
+            targets=self.targets, clock=clock
+        )
+        self.budget = _retry_share.RetryShare(
+            ratio=options.retry_ratio,
+            extra=options.retry_extra,
+            window=options.retry_window,
+            daemons=options.daemons,
+            clock=clock,
+        )
+        self._connections = _target_client.TargetConnections(
+            connect_timeout=_CONNECT_SECONDS, clock=clock, wire=replica_wire
+        )
+        self._app = _app.ForwardingApp(
+            forwarder=self._build_forwarder(replica_wire),
+            tables=self.tables,
+            wire=caller_wire,
+            clock=clock,
+        )
+        self._callers = _caller_server.CallersServer(
+            address=options.callers,
+            app=self._app,
+            max_connections=options.max_connections,
+        )
+        self._health = pywsgi.WSGIServer(
+            (options.health.host, options.health.port),
+            self._answer_health,
+            log=None,
+            error_log=None,
+            environ={"SERVER_NAME": options.health.host},
+        )
+
+    def _build_forwarder(
+        self, wire: _wire.ReplicaWire
+    ) -> _forwarder.Forwarder:
+        admission = _admission.ViewAdmission(
+            targets=self.targets, views=self.views
+        )
+        exchange = _exchange.Exchange(
+            connections=self._connections,
+            targets=self.targets,
+            views=self.views,
+            contexts=self.contexts,
+            wire=wire,
+            clock=self._clock,
+        )
+        attempts = _attempts.Attempts(
+            admission=admission,
+            targets=self.targets,
+            budget=self.budget,
+            signs=_NoSigns(),
+            clock=self._clock,
+            count_retry=_log_retry,
+        )
+        resumer = _event_relay.StreamResumer(
+            admission=admission,
+            exchange=exchange,
+            budget=self.budget,
+            views=self.views,
+            clock=self._clock,
+        )
+        return _forwarder.Forwarder(
+            attempts=attempts,
+            admission=admission,
+            exchange=exchange,
+            resumer=resumer,
+            views=self.views,
+            budget=self.budget,
+            clock=self._clock,
+        )
+
+    def take_table(self, table: _table.RoutingTable) -> None:
+        """Put a newer routing table in force."""
+        if not self.tables.take(table):
+            _log.warning(
+                "table {given} is not newer than {held}; it is left",
+                given=table.version,
+                held=self.tables.version,
+            )
+            return
+        self._callers.head_seconds = table.bounds.head_timeout
+        self._callers.idle_seconds = table.bounds.idle_timeout
+        _log.info("table {version} is in force", version=table.version)
+
+    def take_replicas(
+        self, targets: Iterable[_targets.Target], *, is_whole: bool
+    ) -> None:
+        """Take the platform's list of replicas.
+
+        Parameters
+        ----------
+        targets : iterable of Target
+            All of them.
+        is_whole : bool
+            Whether the list was just read whole, as after a loss of contact.
+        """
+        listed = list(targets)
+        self.targets.take_list(listed)
+        names = [target.replica for target in listed]
+        self.views.forget_all_but(names)
+        self.contexts.note_replicas(names)
+        self._knows_replicas = True
+
+    def start(self) -> None:
+        """Start both listeners."""
+        self._health.start()
+        self._callers.start()
+        self.spawn(self._sweep)
+        _log.info(
+            "started: callers at {host}:{port}",
+            host=self._options.callers.host,
+            port=self._options.callers.port,
+        )
+
+    def spawn(self, task: Callable[[], None]) -> None:
+        """Run a task for as long as the daemon does."""
+        self._greenlets.append(_tasks.spawn(task, clock=self._clock))
+
+    def _sweep(self) -> None:
+        while True:
+            self._clock.sleep(_SWEEP_SECONDS)
+            self._connections.sweep()
+
+    def is_ready(self) -> bool:
+        """Say whether the balancer may send callers here."""
+        if self._stopping or self.tables.current is None:
+            return False
+        return self._knows_replicas
+
+    def _answer_health(self, environ, start):  # type: ignore
+        found = environ["PATH_INFO"] == self._options.health_path
+        status = "200 OK" if self.is_ready() else "503 Service Unavailable"
+        start(status if found else "404 Not Found", [("Content-Length", "0")])
+        return [b""]
+
+    def stop(self) -> None:
+        """Stop as planned: cut off nothing that is in progress.
+
+        The daemon says that it is not ready and still serves whoever
+        comes, until the balancer sends nobody any more; each answer closes
+        its connection. When all requests have ended it goes.
+        """
+        if self._stopping:
+            return
+        self._stopping = True
+        started = self._clock.monotonic()
+        self._callers.stopping = True
+        _log.info("stopping; {n} in progress", n=self._app.in_progress)
+        self._clock.sleep(_STILL_FOUND_SECONDS)
+        self._callers.stop_accepting()
+        while accepted := self._callers.do_read():
+            self._callers.do_handle(*accepted)
+        self._callers.close()
+        self._callers.end_idle()
+        end = started + self._options.stop_seconds - _STOP_MARGIN_SECONDS
+        self._wait_until_quiet(end)
+        _log.info("stopped; {n} cut off", n=self._app.in_progress)
+        self.halt()
+
+    def _wait_until_quiet(self, end: float) -> None:
+        quiet_since: float | None = None
+        while self._clock.monotonic() < end:
+            now = self._clock.monotonic()
+            self._callers.end_idle()
+            if self._app.in_progress or self._callers.connections:
+                quiet_since = None
+            elif quiet_since is None:
+                quiet_since = now
+            elif now - quiet_since >= _QUIET_SECONDS:
+                return
+            self._clock.sleep(_POLL_SECONDS)
+
+    def halt(self) -> None:
+        """End all greenlets and connections at once."""
+        self._callers.stop(timeout=0)
+        self._health.stop(timeout=0)
+        gevent.killall(self._greenlets, block=False)
+        self._connections.close()
+        self.stopped.set()
+
+
+def _log_retry(request: _place.PlaceRequest) -> None:
+    _log.info("another replica of {group} is tried", group=request.group)
--- /dev/null
+++ b/src/topazlug/forwarding/_exchange.py
@@ -0,0 +1,159 @@
+"""One attempt of a request at one replica, up to its genuine answer."""
+
+from typing import final
+
+from topazlug import _clock
+from topazlug import _errors
+from topazlug import _place
+from topazlug import _target_answer
+from topazlug import _target_client
+from topazlug import _targets
+from topazlug.forwarding import _call
+from topazlug.forwarding import _context
+from topazlug.forwarding import _replica_view
+from topazlug.forwarding import _wire
+
+
+@final
+class AnsweredWithFailure(_errors.RequestError):
+    """A replica ran the request and answered with a failure of its own.
+
+    Where the request may be repeated, another replica is tried; if that
+    can't be, the caller gets this answer as it is.
+    """
+
+    code = _errors.Code.TARGET_FAILED
+
+    def __init__(
+        self, answer: _target_answer.TargetAnswer, body: bytes
+    ) -> None:
+        super().__init__(
+            f"the replica answered {answer.status}",
+            outcome=_errors.Outcome.RAN,
+        )
+        self.answer = answer
+        self.body = body
+
+
+@final
+class Exchange:
+    """Sends requests to replicas and notes how they answer.
+
+    Parameters
+    ----------
+    connections : TargetConnections
+        Connections to replicas.
+    targets : TargetDirectory
+        Known replicas.
+    views : ReplicaViews
+        Gets load, latency and outcomes.
+    contexts : ContextMemory
+        Knows where prompts' contexts lie.
+    wire : ReplicaWire
+        Names on the wire.
+    clock : Clock
+        Time.
+    """
+
+    def __init__(
+        self,
+        *,
+        connections: _target_client.TargetConnections,
+        targets: _targets.TargetDirectory,
+        views: _replica_view.ReplicaViews,
+        contexts: _context.ContextMemory,
+        wire: _wire.ReplicaWire,
+        clock: _clock.Clock,
+    ) -> None:
+        self._connections = connections
+        self._targets = targets
+        self._views = views
+        self._contexts = contexts
+        self._wire = wire
+        self._clock = clock
+
+    def send(
+        self,
+        call: _call.ForwardedCall,
+        place: _place.Place,
+        *,
+        head_timeout: float,
+        resume_after: int | None,
+    ) -> _target_answer.TargetAnswer:
+        """Send a request and give its genuine answer's head.
+
+        Raises
+        ------
+        ConnectFailed
+            Nothing was sent.
+        TargetRefused
+            The replica did not run it.
+        RequestError
+            It may have run.
+        """
+        view = self._views.of(place.target.replica)
+        sent_at = self._clock.monotonic()
+        try:
+            answer = self._connections.exchange(
+                place.target,
+                self._request(call, place, resume_after),
+                head_timeout=head_timeout,
+                deadline=call.deadline,
+            )
+        except (_target_client.ConnectFailed, _errors.RequestError):
+            view.note_outcome(failed=True)
+            raise
+        self._note(call, place, answer, sent_at)
+        if self._wire.verdict(answer) is _wire.AnswerVerdict.NOT_GENUINE:
+            answer.close()
+            view.note_outcome(failed=True)
+            raise _errors.TargetFailed(
+                "the replica's answer is not genuine",
+                outcome=_errors.Outcome.UNKNOWN,
+            )
+        return answer
+
+    def _request(
+        self,
+        call: _call.ForwardedCall,
+        place: _place.Place,
+        resume_after: int | None,
+    ) -> _target_client.TargetRequest:
+        source = None
+        if call.route.has_context:
+            source = self._contexts.source(call.chat, place.target)
+        sending = _wire.Sending(
+            left=call.deadline - self._clock.monotonic(),
+            replica=place.target.replica,
+            team=call.team.name if call.team else None,
+            is_generation=call.route.has_context,
+            priority=min(9, max(0, call.priority)),
+            resume_after=resume_after,
+            context_source=source,
+        )
+        return _target_client.TargetRequest(
+            method=call.method,
+            path=call.target,
+            headers=self._wire.encode(call.head, sending),
+            body=call.body,
+            request_id=call.head.attempt,
+            # A kept connection may be closed by the replica just when the
+            # request is sent; whether it ran is then unknown, and what may
+            # run once only is lost.
+            fresh=not call.route.repeatable,
+        )
+
+    def _note(
+        self,
+        call: _call.ForwardedCall,
+        place: _place.Place,
+        answer: _target_answer.TargetAnswer,
+        sent_at: float,
+    ) -> None:
+        view = self._views.of(place.target.replica)
+        view.note_latency(self._clock.monotonic() - sent_at)
+        load = self._wire.load(answer)
+        if load is not None:
+            view.note_report(load.running + load.waiting)
+        if call.route.has_context:
+            self._contexts.note_read(call.chat, place.target.replica)
--- /dev/null
+++ b/src/topazlug/forwarding/_replica_view.py
@@ -0,0 +1,166 @@
+"""What this daemon knows of each replica: its load and how it answers.
+
+Load is this daemon's own requests in progress, counted exactly, plus what
+the replica last reported beyond them. Health comes from the outcomes of
+requests alone: a health check may pass while requests fail.
+"""
+
+import collections
+from collections.abc import Iterable
+import math
+from typing import final
+
+import msgspec
+
+from topazlug import _clock
+from topazlug import _ids
+
+# A report is as old as the answer that brought it. After this many seconds
+# the others' part is taken to have ended: it is about the length of a
+# stream.
+_REPORT_SECONDS = 2.0
+# Outcomes older than this say nothing of a replica's health now.
+_OUTCOME_SECONDS = 6.0
+_MAX_OUTCOMES = 40
+# A replica is ill when it failed this often and this much more often than
+# the rest of its group. Fewer failures are within what a sound service of
+# the users shows (14% of its idempotent reads).
+_ILL_FAILURES = 3
+_ILL_SHARE = 0.3
+_ILL_RATIO = 2.0
+_HOLD_SECONDS = 1.0
+_MAX_HOLD_SECONDS = 4.0
+
+
+class _Outcome(msgspec.Struct, frozen=True):
+    at: float
+    failed: bool
+
+
+@final
+class ReplicaView:
+    """One replica as this daemon sees it.
+
+    Attributes
+    ----------
+    in_flight : int
+        This daemon's own requests in progress.
+    latency : float
+        Moving mean of the seconds to an answer's first byte; 0 unknown.
+    """
+
+    def __init__(self, *, clock: _clock.Clock) -> None:
+        self._clock = clock
+        self.in_flight = 0
+        self.latency = 0.0
+        self._others = 0
+        self._reported_at = -math.inf
+        self._outcomes: collections.deque[_Outcome] = collections.deque(
+            maxlen=_MAX_OUTCOMES
+        )
+        self._held_until = -math.inf
+        self._hold = _HOLD_SECONDS
+
+    @property
+    def load(self) -> float:
+        """Give the requests that the replica holds, by all daemons."""
+        age = self._clock.monotonic() - self._reported_at
+        fresh = max(0.0, 1.0 - age / _REPORT_SECONDS)
+        return self.in_flight + self._others * fresh
+
+    def note_report(self, held: int) -> None:
+        """Take the replica's own word on how many requests it holds."""
+        self._others = max(0, held - self.in_flight)
+        self._reported_at = self._clock.monotonic()
+
+    def note_latency(self, seconds: float) -> None:
+        """Take the time to the first byte of an answer."""
+        if self.latency == 0.0:
+            self.latency = seconds
+        # A rise counts fast and a fall slowly: a replica that turned slow
+        # must not get half of the requests until the mean has crept up.
+        weight = 0.5 if seconds > self.latency else 0.2
+        self.latency += weight * (seconds - self.latency)
+
+    def note_outcome(self, *, failed: bool) -> None:
+        """Take the outcome of one request."""
+        self._outcomes.append(_Outcome(self._clock.monotonic(), failed))
+        if not failed and not self.is_held:
+            self._hold = _HOLD_SECONDS
+
+    def failures(self) -> tuple[int, int]:
+        """Give how many of the last requests failed, and how many ended."""
+        oldest = self._clock.monotonic() - _OUTCOME_SECONDS
+        while self._outcomes and self._outcomes[0].at < oldest:
+            self._outcomes.popleft()
+        return sum(one.failed for one in self._outcomes), len(self._outcomes)
+
+    @property
+    def is_held(self) -> bool:
+        """Say whether it gets no new work for a moment."""
+        return self._clock.monotonic() < self._held_until
+
+    def hold(self) -> None:
+        """Keep new work away, each time for longer.
+
+        Afterwards its outcomes start anew, so that a replica that is well
+        again is not judged by what it did before.
+        """
+        self._held_until = self._clock.monotonic() + self._hold
+        self._hold = min(_MAX_HOLD_SECONDS, self._hold * 2)
+        self._outcomes.clear()
+
+
+@final
+class ReplicaViews:
+    """All replicas as this daemon sees them.
+
+    Parameters
+    ----------
+    clock : Clock
+        Time.
+    """
+
+    def __init__(self, *, clock: _clock.Clock) -> None:
+        self._clock = clock
+        self._view_by_replica: dict[_ids.ReplicaId, ReplicaView] = {}
+
+    def of(self, replica: _ids.ReplicaId) -> ReplicaView:
+        """Give the view of a replica, a new one if there is none."""
+        view = self._view_by_replica.get(replica)
+        if view is None:
+            view = ReplicaView(clock=self._clock)
+            self._view_by_replica[replica] = view
+        return view
+
+    def forget_all_but(self, replicas: Iterable[_ids.ReplicaId]) -> None:
+        """Drop the views of replicas that are gone and hold nothing."""
+        kept = set(replicas)
+        for replica, view in list(self._view_by_replica.items()):
+            if replica not in kept and not view.in_flight:
+                del self._view_by_replica[replica]
+
+    def sound(
+        self, replicas: Iterable[_ids.ReplicaId]
+    ) -> list[_ids.ReplicaId]:
+        """Give the replicas that are not ill, or all when all are.
+
+        When a whole service fails, holding its replicas out one after the
+        other would pile all requests on the last.
+        """
+        named = list(replicas)
+        self._hold_ill(named)
+        sound = [one for one in named if not self.of(one).is_held]
+        return sound if len(sound) * 2 >= len(named) else named
+
+    def _hold_ill(self, replicas: list[_ids.ReplicaId]) -> None:
+        counts = {one: self.of(one).failures() for one in replicas}
+        failed = sum(count[0] for count in counts.values())
+        ended = sum(count[1] for count in counts.values())
+        for replica, (own_failed, own_ended) in counts.items():
+            if own_failed < _ILL_FAILURES:
+                continue
+            share = own_failed / own_ended
+            others = (failed - own_failed) / max(1, ended - own_ended)
+            if share >= _ILL_SHARE and share >= _ILL_RATIO * others:
+                self.of(replica).hold()
--- /dev/null
+++ b/src/topazlug/forwarding/_retry_share.py
@@ -0,0 +1,113 @@
+"""This daemon's share of the retries that a fleet may make.
+
+The bound is over the whole fleet: in any window, retries of a service stay
+under a part of its requests plus a fixed number. Each daemon counts the
+requests that it took itself; the fixed number is split evenly. The shares
+add up to the bound without a message, as long as the number of daemons is
+not taken too low.
+"""
+
+import collections
+from typing import final
+
+from topazlug import _clock
+from topazlug import _ids
+
+# Requests near a window's edge fall into one window here and into another
+# where the bound is checked; a tenth is left for that.
+_SAFETY = 0.9
+
+
+class _Window:
+    """Times of the last events within a window."""
+
+    def __init__(self, seconds: float) -> None:
+        self._seconds = seconds
+        self._times: collections.deque[float] = collections.deque()
+
+    def add(self, now: float) -> None:
+        self._times.append(now)
+
+    def count(self, now: float) -> int:
+        while self._times and self._times[0] <= now - self._seconds:
+            self._times.popleft()
+        return len(self._times)
+
+
+@final
+class RetryShare:
+    """Retries that this daemon may still make, by service.
+
+    Parameters
+    ----------
+    ratio : float
+        Retries allowed for each request.
+    extra : float
+        Retries allowed besides, in a window, over the whole fleet.
+    window : float
+        Seconds.
+    clock : Clock
+        Time.
+
+    Attributes
+    ----------
+    daemons : int
+        Daemons that the fixed number is split among.
+    """
+
+    def __init__(
+        self,
+        *,
+        ratio: float,
+        extra: float,
+        window: float,
+        daemons: int,
+        clock: _clock.Clock,
+    ) -> None:
+        self._ratio = ratio
+        self._extra = extra
+        self._seconds = window
+        self._clock = clock
+        self.daemons = daemons
+        self.refused = 0
+        self._requests_by_group: dict[_ids.GroupName, _Window] = {}
+        self._retries_by_group: dict[_ids.GroupName, _Window] = {}
+
+    def earn(self, group: _ids.GroupName) -> None:
+        """Note a request of a caller."""
+        window = self._window(self._requests_by_group, group)
+        now = self._clock.monotonic()
+        window.add(now)
+        window.count(now)
+
+    def has_left(self, group: _ids.GroupName) -> bool:
+        """Say whether a retry could be made now."""
+        retries = self._window(self._retries_by_group, group)
+        count = retries.count(self._clock.monotonic())
+        return count + 1 <= self.allowed(group)
+
+    def spend(self, group: _ids.GroupName) -> bool:
+        """Take one retry out of the share; tell whether there was one."""
+        if not self.has_left(group):
+            self.refused += 1
+            return False
+        retries = self._window(self._retries_by_group, group)
+        retries.add(self._clock.monotonic())
+        return True
+
+    def allowed(self, group: _ids.GroupName) -> float:
+        """Give the retries allowed in the window that ends now."""
+        requests = self._window(self._requests_by_group, group)
+        earned = self._ratio * requests.count(self._clock.monotonic())
+        return _SAFETY * (earned + self._extra / max(1, self.daemons))
+
+    def _window(
+        self,
+        windows_by_group: dict[_ids.GroupName, _Window],
+        group: _ids.GroupName,
+    ) -> _Window:
+        window = windows_by_group.get(group)
+        if window is None:
+            window = _Window(self._seconds)
+            windows_by_group[group] = window
+        return window
--- a/tests/topazlug/routing_fixtures.py
+++ b/tests/topazlug/routing_fixtures.py
@@ -26,6 +26,7 @@
 from topazlug import _admission
 from topazlug import _attempts
 from topazlug import _call_parts
+from topazlug import _caller_server
 from topazlug import _callers
 from topazlug import _chat_calls
 from topazlug import _clock
@@ -247,7 +248,7 @@
             connect_timeout=1.0, clock=self.clock
         )
         self.app = self._app()
-        self.server = _callers.CallersServer(
+        self.server = _caller_server.CallersServer(
             address=_settings_types.AddressSettings(host=HOST, port=0),
             app=self.app,
             max_connections=64,
--- a/tests/topazlug/test_retry_budget.py
+++ b/tests/topazlug/test_retry_budget.py
@@ -3,8 +3,11 @@
 from hypothesis import given
 from hypothesis import strategies
 
+from topazlug import _ids
 from topazlug import _retry_budget
 
+GROUP = _ids.GroupName("engines")
+
 
 class TestRetryBudget:
     @given(
@@ -14,12 +17,12 @@
     def test_retries_are_a_part_of_first_attempts(self, ratio, steps):
         budget = _retry_budget.RetryBudget(ratio=ratio)
         for first in steps:
-            budget.earn() if first else budget.spend()
+            budget.earn(GROUP) if first else budget.spend(GROUP)
         assert budget.spent <= 3 + ratio * sum(steps) + 1e-6
         assert budget.spent + budget.refused == len(steps) - sum(steps)
 
     def test_quiet_times_save_up_no_storm(self):
         budget = _retry_budget.RetryBudget(ratio=1.0)
         for _ in range(10_000):
-            budget.earn()
-        assert sum(budget.spend() for _ in range(10_000)) == 100
+            budget.earn(GROUP)
+        assert sum(budget.spend(GROUP) for _ in range(10_000)) == 100
