Give each call to the store its own timeout on the socket

Cause: feeds wait 3.4 s, but the pool's sockets gave up after 2 s, so each quiet feed was taken for a loss of the store and read whole again.

--- a/src/topazlug/_platform_http.py
+++ b/src/topazlug/_platform_http.py
@@ -160,6 +160,7 @@
             sock = self._connect(expiry)
             whole = False
             try:
+                sock.settimeout(allowed)
                 sock.sendall(head.encode("ascii") + body)
                 parsed = _read_answer(sock, method)
                 whole = not parsed.should_close()
--- a/tests/topazlug/test_callers.py
+++ b/tests/topazlug/test_callers.py
@@ -309,13 +309,13 @@
                 data += sock.recv(65536)
         assert data.index(b"letters") < data.index(b"standin")
 
-    def test_slow_head(self, rig, monkeypatch):
-        monkeypatch.setattr("topazlug._caller_connection._HEAD_SECONDS", 0.05)
+    def test_slow_head(self, rig):
+        rig.server.head_seconds = 0.05
         data = sent(rig, b"GET /v1/models HTTP/1.1\r\nHost: x\r\n")
         assert refusal(data)[0] == 408
 
-    def test_idle_connection_is_ended(self, rig, monkeypatch):
-        monkeypatch.setattr("topazlug._caller_connection._IDLE_SECONDS", 0.05)
+    def test_idle_connection_is_ended(self, rig):
+        rig.server.idle_seconds = 0.05
         assert sent(rig, b"") == b""
 
     def test_error_to_head_has_no_body(self, rig):
