Drop a late second answer where its platform sends such

Cause: a faulty replica answers a request twice and the second answer arrives where the next request's is due; that request failed though its own answer followed. Ruled out: skipping any foreign answer (a target that answers with another's id never sends ours; TestAnyFaults then waits until its deadline), and for the project's own targets, which don't repeat answers.

--- a/src/topazlug/_target_answer.py
+++ b/src/topazlug/_target_answer.py
@@ -14,6 +14,7 @@
 
 from topazlug import _clock
 from topazlug import _errors
+from topazlug import _ids
 
 BLOCK = 16384
 FINAL = 200
@@ -81,6 +82,7 @@
         connection: socket.socket,
         parser: AnswerParser,
         pool: "IdleConnections",
+        request_id: _ids.RequestId,
         clock: _clock.Clock,
         sender: gevent.Greenlet | None = None,
         heard: Callable[[], None] | None = None,
@@ -92,6 +94,7 @@
         self._clock = clock
         self._parser = parser
         self._pool = pool
+        self._request_id = request_id
         self._closed = False
         self.aborted = False
         self.status = parser.final_status
@@ -168,7 +171,11 @@
         if self._parser.should_close() or not self._all_sent():
             self._close_connection()
         else:
-            self._pool.keep(self._connection, seconds=self.idle_seconds)
+            self._pool.keep(
+                self._connection,
+                last_request=self._request_id,
+                seconds=self.idle_seconds,
+            )
 
     def _all_sent(self) -> bool:
         """Say whether the request's body has gone out whole.
@@ -215,8 +222,21 @@
     )
 
 
-class _Idle(NamedTuple):
+class IdleConnection(NamedTuple):
+    """A connection that waits for its next request.
+
+    Attributes
+    ----------
+    connection : socket
+        The connection.
+    last_request : RequestId
+        The request whose answer was read last.
+    until : float
+        Monotonic seconds from which it must not be used.
+    """
+
     connection: socket.socket
+    last_request: _ids.RequestId
     until: float
 
 
@@ -232,13 +252,17 @@
 
     def __init__(self, *, clock: _clock.Clock) -> None:
         self._clock = clock
-        self._idle: collections.deque[_Idle] = collections.deque()
+        self._idle: collections.deque[IdleConnection] = collections.deque()
 
     def __len__(self) -> int:
         return len(self._idle)
 
     def keep(
-        self, connection: socket.socket, *, seconds: float | None = None
+        self,
+        connection: socket.socket,
+        *,
+        last_request: _ids.RequestId,
+        seconds: float | None = None,
     ) -> None:
         """Take a connection whose answer was read whole.
 
@@ -246,6 +270,8 @@
         ----------
         connection : socket
             The connection.
+        last_request : RequestId
+            The request whose answer was read.
         seconds : float or None
             How long the target keeps it, None for this side's own bound.
         """
@@ -254,7 +280,9 @@
             connection.close()
             return
         now = self._clock.monotonic()
-        self._idle.append(_Idle(connection, now + allowed))
+        self._idle.append(
+            IdleConnection(connection, last_request, now + allowed)
+        )
 
     def sweep(self) -> None:
         """Close connections that waited for a minute.
@@ -269,13 +297,13 @@
                 idle.connection.close()
         self._idle = collections.deque(kept)
 
-    def take(self) -> socket.socket | None:
+    def take(self) -> IdleConnection | None:
         """Give the connection used last, if it is still good."""
         now = self._clock.monotonic()
         while self._idle:
             idle = self._idle.pop()
             if now < idle.until and _is_quiet(idle.connection):
-                return idle.connection
+                return idle
             idle.connection.close()
         return None
 
--- a/src/topazlug/_target_client.py
+++ b/src/topazlug/_target_client.py
@@ -68,9 +68,13 @@
     ----------
     id_header : str
         Header that names a request; targets echo it.
+    repeats_answers : bool
+        Whether a target may answer a request a second time, before it
+        answers the connection's next one.
     """
 
     id_header: str
+    repeats_answers: bool
 
     def refusal(
         self, answer: _target_answer.TargetAnswer
@@ -88,6 +92,7 @@
     """The names of the project's own interface to targets."""
 
     id_header = REQUEST_ID
+    repeats_answers = False
 
     def refusal(
         self, answer: _target_answer.TargetAnswer
@@ -177,13 +182,16 @@
             Bytes were sent and the deadline came first: outcome unknown.
         """
         pool = self._pool(target)
-        connection = None if request.fresh else pool.take()
-        kept = connection is not None
-        if connection is None:
-            connection = self._connect(target)
+        kept = None if request.fresh else pool.take()
+        connection = kept.connection if kept else self._connect(target)
         try:
             answer = self._talk(
-                connection, request, target, head_timeout, deadline, kept=kept
+                connection,
+                request,
+                target,
+                head_timeout,
+                deadline,
+                previous=self._repeated(kept),
             )
         except BaseException:
             connection.close()
@@ -201,6 +209,14 @@
         """Note that a target has just sent something."""
         self._heard_at[target.replica] = self._clock.monotonic()
 
+    def _repeated(
+        self, kept: _target_answer.IdleConnection | None
+    ) -> _ids.RequestId | None:
+        """Give whose answer may come again on a kept connection."""
+        if kept is None or not self._wire.repeats_answers:
+            return None
+        return kept.last_request
+
     def heard_within(self, target: _targets.Target, seconds: float) -> bool:
         """Say whether a target has answered a caller's request lately."""
         at = self._heard_at.get(target.replica, -math.inf)
@@ -234,7 +250,7 @@
         head_timeout: float,
         deadline: float,
         *,
-        kept: bool,
+        previous: _ids.RequestId | None,
     ) -> _target_answer.TargetAnswer:
         now = self._clock.monotonic()
         if now >= deadline:
@@ -247,7 +263,7 @@
         try:
             connection.settimeout(self._left(end))
             sender = self._send(connection, request)
-            parser = self._read_head(connection, request, end, kept=kept)
+            parser = self._read_head(connection, request, end, previous)
         except (TimeoutError, BlockingIOError) as error:
             if deadline <= silent_at:
                 raise _target_answer.too_late() from error
@@ -261,6 +277,7 @@
             connection=connection,
             parser=parser,
             pool=self._pool(target),
+            request_id=request.request_id,
             clock=self._clock,
             sender=sender,
             heard=functools.partial(self.note_heard, target),
@@ -290,16 +307,15 @@
         connection: socket.socket,
         request: TargetRequest,
         end: float,
-        *,
-        kept: bool,
+        previous: _ids.RequestId | None,
     ) -> _target_answer.AnswerParser:
         """Read up to the head of the answer to this request.
 
         A faulty target may answer a request twice, and the second answer
-        arrives where the next request's answer is due. Its id gives it
-        away; it is read to its end and dropped, so that the next request
-        gets its own answer instead of a failure. A new connection carries
-        no earlier answers: there a foreign one fails the request at once.
+        arrives where the next request's answer is due. It bears the id of
+        the connection's previous request; it is read to its end and dropped,
+        so that the next request gets its own answer instead of a failure.
+        Any other id fails the request at once: its answer will not come.
         """
         parser = _target_answer.AnswerParser(method=request.method)
         pending = b""
@@ -322,24 +338,20 @@
             pending = rest
             if parser.final_status < _target_answer.FINAL:
                 continue
-            if not self._is_foreign(parser, request):
+            echoed = self._echoed(parser)
+            if not echoed - {request.request_id}:
                 parser.feed(rest)
                 return parser
-            if not kept:
+            if echoed != {previous}:
                 raise _failed("the answer belongs to another request")
             pending = self._skip(connection, parser, rest, end)
             parser = _target_answer.AnswerParser(method=request.method)
 
-    def _is_foreign(
-        self, parser: _target_answer.AnswerParser, request: TargetRequest
-    ) -> bool:
+    def _echoed(self, parser: _target_answer.AnswerParser) -> set[str]:
         wanted = self._wire.id_header.lower()
-        echoed = {
-            value
-            for name, value in parser.items()
-            if name.lower() == wanted
+        return {
+            value for name, value in parser.items() if name.lower() == wanted
         }
-        return bool(echoed - {request.request_id})
 
     def _skip(
         self,
