Don't tell the parser of an end when a head comes alone

Cause: the bytes behind an answer's head were fed to the parser also when there were none, which it takes for the connection's end ('incomplete response'). Ruled out: gaps in the events' numbers (the log shows the parser's error).

--- a/src/topazlug/_target_client.py
+++ b/src/topazlug/_target_client.py
@@ -340,7 +340,9 @@
                 continue
             echoed = self._echoed(parser)
             if not echoed - {request.request_id}:
-                parser.feed(rest)
+                # No bytes would tell the parser that the connection ended.
+                if rest:
+                    parser.feed(rest)
                 return parser
             if echoed != {previous}:
                 raise _failed("the answer belongs to another request")
--- a/tests/topazlug/test_target_client.py
+++ b/tests/topazlug/test_target_client.py
@@ -137,6 +137,84 @@
         answer = connections.exchange(target, request(), head_timeout=5)
         assert body_of(answer) == b"one"
 
+    def test_head_that_comes_before_its_body(self, connections, serve):
+        """Symptom: requests fail with "incomplete response" as they start.
+
+        Sequence: the head of an answer arrives in a packet of its own, the
+        body later. Cause: the parser was handed the no bytes behind the
+        head, and took them for the end of the connection.
+        """
+        go_on = gevent.event.Event()
+
+        def script(sock):
+            fixtures.read_request(sock)
+            sock.sendall(CHUNKED)
+            go_on.wait()
+            sock.sendall(b"3\r\none\r\n0\r\n\r\n")
+
+        answer = connections.exchange(
+            serve(script), request(), head_timeout=5
+        )
+        go_on.set()
+        assert body_of(answer) == b"one"
+
+    def test_second_answer_of_a_target_that_repeats(self, serve):
+        """Symptom: the request after a doubled answer fails.
+
+        Sequence: a target answers a request twice, the second time only
+        when the connection's next request is there, then answers that one.
+        Cause: the late answer was taken for a failure of the next request.
+        """
+
+        class Wire(_target_client.ProductWire):
+            repeats_answers = True
+
+        made = _target_client.TargetConnections(
+            connect_timeout=1.0, clock=_clock.SystemClock(), wire=Wire()
+        )
+
+        def script(sock):
+            fixtures.read_request(sock)
+            first = fixtures.http_answer(b"one", "X-Request-Id: r1")
+            sock.sendall(first)
+            fixtures.read_request(sock)
+            sock.sendall(first)
+            sock.sendall(fixtures.http_answer(b"two", "X-Request-Id: r2"))
+
+        target = serve(script)
+        for name, body in (("r1", b"one"), ("r2", b"two")):
+            answer = made.exchange(target, request(name), head_timeout=5)
+            assert body_of(answer) == body
+        made.close()
+
+    def test_answer_before_the_whole_body_was_read(self, connections, serve):
+        """Symptom: the rest of a body is missing at its target.
+
+        Sequence: the target answers early and reads the body later; the
+        next request goes out on the same connection. Cause: the connection
+        was kept although the body had not gone out whole.
+        """
+        sockets = []
+
+        def script(sock):
+            sockets.append(sock)
+            sock.recv(1024)
+            sock.sendall(fixtures.http_answer(b"early"))
+            gevent.sleep(60)
+
+        target = serve(script)
+        large = _target_client.TargetRequest(
+            method="POST",
+            path="/",
+            headers=[],
+            body=b"x" * 30_000_000,
+            request_id=_ids.RequestId("r1"),
+        )
+        answer = connections.exchange(target, large, head_timeout=5)
+        assert body_of(answer) == b"early"
+        connections.exchange(target, request("r2"), head_timeout=5).close()
+        assert len(sockets) == 2
+
     def test_idle_connection_is_closed_after_a_minute(self, serve):
         """Symptom: a daemon runs out of descriptors though little runs.
 
