--- a/src/topazlug/forwarding/_daemon.py
+++ b/src/topazlug/forwarding/_daemon.py
@@ -285,6 +285,11 @@
             port=self._options.callers.port,
         )
 
+    @property
+    def callers_port(self) -> int:
+        """Give the port that callers connect to."""
+        return int(self._callers.server_port)
+
     def spawn(self, task: Callable[[], None]) -> None:
         """Run a task for as long as the daemon does."""
         self._greenlets.append(_tasks.spawn(task, clock=self._clock))
--- /dev/null
+++ b/tests/topazlug/forwarding/test_context.py
@@ -0,0 +1,92 @@
+"""Where a prompt's context may be copied from."""
+
+from tests.topazlug import claim_fakes
+from tests.topazlug.forwarding import forwarding_fixtures as fixtures
+from topazlug import _ids
+from topazlug import _ranking
+from topazlug import _targets
+from topazlug.forwarding import _context
+
+NAMES = [f"r{number}" for number in range(6)]
+
+
+class World:
+    def __init__(self):
+        self.clock = claim_fakes.FakeClock()
+        self.clock.advance(1000.0)
+        self.targets = _targets.TargetDirectory(
+            clock=self.clock, flap_window=10.0
+        )
+        self.memory = _context.ContextMemory(
+            targets=self.targets, clock=self.clock
+        )
+
+    def list(self, names, *, leaving=()):
+        self.targets.take_list(
+            [fixtures.target(name, leaving=name in leaving) for name in names]
+        )
+        self.memory.note_replicas(_ids.ReplicaId(name) for name in names)
+
+    def source(self, chat, chosen):
+        found = self.memory.source(
+            chat, self.targets.target_by_replica[chosen]
+        )
+        return found and found.replica
+
+
+def chat_that_moves(names, new):
+    """Give a chat whose home changes when a replica joins."""
+    for number in range(1000):
+        chat = _ranking.chat_hash(f"c{number}")
+        if _ranking.first([*names, new], chat) == new:
+            return chat, _ranking.first(names, chat)
+    raise AssertionError("no chat moves")
+
+
+class TestSource:
+    def test_settled_home_needs_none(self):
+        world = World()
+        world.list(NAMES)
+        chat = _ranking.chat_hash("c")
+        assert world.source(chat, _ranking.first(NAMES, chat)) is None
+
+    def test_new_replica_copies_from_the_home_before(self):
+        """Symptom: prompts are read again for each replica that joins.
+
+        Sequence: a replica joins and becomes the home of some chats; a
+        daemon that has not seen them before gets their next requests.
+        """
+        world = World()
+        world.list(NAMES)
+        chat, before = chat_that_moves(NAMES, "new")
+        world.list([*NAMES, "new"])
+        assert world.source(chat, "new") == before
+        world.clock.advance(60.0)
+        assert world.source(chat, "new") is None
+
+    def test_leaving_home_is_copied_from(self):
+        world = World()
+        world.list(NAMES)
+        chat = _ranking.chat_hash("c")
+        home = _ranking.first(NAMES, chat)
+        others = [name for name in NAMES if name != home]
+        world.list(NAMES, leaving=[home])
+        assert world.source(chat, _ranking.first(others, chat)) == home
+
+    def test_displaced_chat_copies_from_where_it_was_last(self):
+        world = World()
+        world.list(NAMES)
+        chat = _ranking.chat_hash("c")
+        home, second, third = _ranking.rank(NAMES, chat, count=3)
+        world.memory.note_read(chat, second)
+        assert world.source(chat, third) == second
+        assert world.source(chat, second) is None
+
+    def test_replica_that_is_gone_is_no_source(self):
+        world = World()
+        world.list(NAMES)
+        chat = _ranking.chat_hash("c")
+        home, second = _ranking.rank(NAMES, chat, count=2)
+        world.memory.note_read(chat, home)
+        world.list([name for name in NAMES if name != home])
+        assert world.source(chat, second) is None
--- /dev/null
+++ b/tests/topazlug/forwarding/test_replica_list.py
@@ -0,0 +1,60 @@
+"""The list of replicas around an outage of the store."""
+
+from tests.topazlug import routing_fixtures
+from tests.topazlug.forwarding import forwarding_fixtures as fixtures
+from topazlug import _clock
+from topazlug.forwarding import _replica_list
+
+
+class Rig:
+    def __init__(self, monkeypatch, seconds):
+        monkeypatch.setattr(_replica_list, "_RETURN_SECONDS", seconds)
+        self.names = []
+        self.list = _replica_list.ReplicaList(
+            changed=self._take, clock=_clock.SystemClock()
+        )
+
+    def _take(self, targets):
+        self.names = sorted(target.replica for target in targets)
+
+    def take(self, *names, leaving=()):
+        self.list.take(
+            fixtures.target(name, leaving=name in leaving) for name in names
+        )
+
+
+class TestReplicaList:
+    def test_lapsed_entries_stay_until_they_may_be_back(self, monkeypatch):
+        """Symptom: all requests are refused right after an outage.
+
+        Sequence: the store is away, all entries lapse; it returns with an
+        empty list, and the replicas write theirs a second later. Cause:
+        the list was taken at its word.
+        """
+        rig = Rig(monkeypatch, 60.0)
+        rig.take("a", "b")
+        rig.list.store_regained()
+        rig.take()
+        assert rig.names == ["a", "b"]
+        rig.take("a")
+        assert rig.names == ["a", "b"]
+
+    def test_who_does_not_come_back_is_gone(self, monkeypatch):
+        rig = Rig(monkeypatch, 0.05)
+        rig.take("a", "b")
+        rig.list.store_regained()
+        rig.take("a")
+        routing_fixtures.wait_until(lambda: rig.names == ["a"])
+
+    def test_leaving_replica_is_not_kept(self, monkeypatch):
+        rig = Rig(monkeypatch, 60.0)
+        rig.take("a", "b", leaving=["b"])
+        rig.list.store_regained()
+        rig.take("a")
+        assert rig.names == ["a"]
+
+    def test_without_an_outage_gone_is_gone(self, monkeypatch):
+        rig = Rig(monkeypatch, 60.0)
+        rig.take("a", "b")
+        rig.take("a")
+        assert rig.names == ["a"]
--- /dev/null
+++ b/tests/topazlug/forwarding/test_replica_view.py
@@ -0,0 +1,65 @@
+"""Replicas as one daemon sees them."""
+
+from tests.topazlug import claim_fakes
+from topazlug import _ids
+from topazlug.forwarding import _replica_view
+
+ONE = _ids.ReplicaId("one")
+TWO = _ids.ReplicaId("two")
+THREE = _ids.ReplicaId("three")
+
+
+def outcomes(views, replica, *, failed, good):
+    for _ in range(failed):
+        views.of(replica).note_outcome(failed=True)
+    for _ in range(good):
+        views.of(replica).note_outcome(failed=False)
+
+
+class TestSound:
+    def test_replica_that_fails_more_than_others_is_left_out(self):
+        """Symptom: half of one replica's requests fail for seconds.
+
+        Cause: its health check is good, and nothing else was looked at.
+        """
+        clock = claim_fakes.FakeClock()
+        views = _replica_view.ReplicaViews(clock=clock)
+        outcomes(views, ONE, failed=5, good=5)
+        outcomes(views, TWO, failed=0, good=20)
+        outcomes(views, THREE, failed=1, good=20)
+        assert views.sound([ONE, TWO, THREE]) == [TWO, THREE]
+        clock.advance(1.1)
+        assert views.sound([ONE, TWO, THREE]) == [ONE, TWO, THREE]
+
+    def test_all_that_fail_alike_stay(self):
+        """Symptom: all requests pile up on the last replica left.
+
+        Cause: in a failure of the whole service each replica is held out.
+        """
+        views = _replica_view.ReplicaViews(clock=claim_fakes.FakeClock())
+        for replica in (ONE, TWO, THREE):
+            outcomes(views, replica, failed=5, good=5)
+        assert views.sound([ONE, TWO, THREE]) == [ONE, TWO, THREE]
+
+    def test_each_hold_is_longer(self):
+        clock = claim_fakes.FakeClock()
+        views = _replica_view.ReplicaViews(clock=clock)
+        for seconds in (1.0, 2.0, 4.0, 4.0):
+            views.of(ONE).hold()
+            clock.advance(seconds - 0.1)
+            assert views.of(ONE).is_held
+            clock.advance(0.2)
+            assert not views.of(ONE).is_held
+
+
+class TestLoad:
+    def test_others_part_fades(self):
+        clock = claim_fakes.FakeClock()
+        view = _replica_view.ReplicaView(clock=clock)
+        view.in_flight = 2
+        view.note_report(10)
+        assert view.load == 10
+        clock.advance(1.0)
+        assert view.load == 6
+        clock.advance(5.0)
+        assert view.load == 2
--- /dev/null
+++ b/tests/topazlug/forwarding/test_table_feed.py
@@ -0,0 +1,118 @@
+"""A copy of a table that is whole and never goes back."""
+
+import gevent
+import pytest
+
+from tests.topazlug import routing_fixtures
+from tests.topazlug.forwarding import store_fakes
+from topazlug import _clock
+from topazlug.forwarding import _table_feed
+from topazlug.forwarding import _table_source
+
+TABLE = "servers"
+
+
+class Rig:
+    def __init__(self):
+        self.store = store_fakes.FakeTables()
+        self.seen = []
+        self.regained = 0
+        self.feed = _table_feed.TableFeed(
+            source=self.store,
+            table=TABLE,
+            wait=lambda: 0.02,
+            follower=_table_feed.TableFollower(
+                changed=lambda data: self.seen.append(dict(data)),
+                regained=self._count,
+            ),
+            clock=_clock.SystemClock(),
+        )
+        self.greenlet = gevent.spawn(self.feed.run)
+
+    def _count(self):
+        self.regained += 1
+
+    def wait_for(self, data):
+        routing_fixtures.wait_until(
+            lambda: bool(self.seen) and self.seen[-1] == data
+        )
+
+
+@pytest.fixture
+def rig():
+    made = Rig()
+    yield made
+    made.greenlet.kill()
+
+
+class TestFollowing:
+    def test_changes_arrive(self, rig):
+        rig.wait_for({})
+        rig.store.put(TABLE, "a", b"1")
+        rig.store.put(TABLE, "b", b"2")
+        rig.wait_for({"a": b"1", "b": b"2"})
+        rig.store.drop(TABLE, "a")
+        rig.wait_for({"b": b"2"})
+
+    def test_lost_history_is_read_whole(self, rig):
+        rig.wait_for({})
+        rig.store.is_away = True
+        routing_fixtures.wait_until(lambda: not rig.feed.in_contact)
+        rig.store.is_away = False
+        rig.store.put(TABLE, "a", b"1")
+        rig.store.forgotten = rig.store.version + 1
+        rig.wait_for({"a": b"1"})
+        assert rig.regained == 1
+
+    def test_older_copy_is_refused(self, rig):
+        """Symptom: a replica that left gets requests again.
+
+        Sequence: the store drops its history; the copy that is read next
+        is from before the replica left. Cause: it was taken as it is.
+        """
+        rig.store.put(TABLE, "a", b"1")
+        rig.wait_for({"a": b"1"})
+        rig.store.drop(TABLE, "a")
+        rig.wait_for({})
+        rig.store.stale = _table_source.TableChanges(
+            1, [_table_source.Row("a", b"1")]
+        )
+        rig.store.forgotten = rig.store.version + 1
+        routing_fixtures.wait_until(lambda: not rig.feed.in_contact)
+        rig.store.stale = None
+        rig.store.forgotten = 0
+        rig.store.put(TABLE, "b", b"2")
+        rig.wait_for({"b": b"2"})
+        assert {"a": b"1"} not in rig.seen[1:]
+
+
+class TestForOthers:
+    def test_waits_for_news(self, rig):
+        rig.store.put(TABLE, "a", b"1")
+        rig.wait_for({"a": b"1"})
+        version = rig.feed.version
+        waiting = gevent.spawn(rig.feed.changes_since, version, wait=10.0)
+        gevent.sleep(0)
+        rig.store.put(TABLE, "b", b"2")
+        found = waiting.get(timeout=10)
+        assert [row.key for row in found.rows] == ["b"]
+        assert found.version > version
+
+    def test_nothing_while_the_store_is_lost(self, rig):
+        """Symptom: daemons keep an old table while their own way is free.
+
+        Sequence: the relay is cut off from the store and goes on to say
+        that nothing is new. Cause: its contact was not asked for.
+        """
+        rig.wait_for({})
+        waiting = gevent.spawn(
+            rig.feed.changes_since, rig.feed.version, wait=30.0
+        )
+        gevent.sleep(0)
+        rig.store.is_away = True
+        assert waiting.get(timeout=10) is None
+
+    def test_nothing_for_who_lags_too_much(self, rig):
+        rig.store.put(TABLE, "a", b"1")
+        rig.wait_for({"a": b"1"})
+        assert rig.feed.changes_since(0, wait=0.0) is None
--- /dev/null
+++ b/tests/topazlug_platform/platform_rig.py
@@ -0,0 +1,153 @@
+"""A forwarding daemon with the platform's headers, before scripted replicas."""
+
+import gevent
+from gevent import server
+from gevent import socket
+
+from tests.topazlug import routing_fixtures
+from tests.topazlug.forwarding import forwarding_fixtures as fixtures
+from tests.topazlug.forwarding import store_fakes
+from topazlug import _clock
+from topazlug import _ids
+from topazlug._generated import settings
+from topazlug.forwarding import _daemon
+from topazlug_platform import headers
+
+ANY = settings.AddressSettings(host="127.0.0.1", port=0)
+SIGNED = "X-Response-Signature: s1"
+
+
+def answer(body=b"whole", *fields, status="200 OK", attempt="a1", signed=True):
+    """Give the bytes of a replica's answer."""
+    lines = [f"X-Attempt-Id: {attempt}", *fields]
+    if signed:
+        lines.append(SIGNED)
+    return routing_fixtures.http_answer(body, *lines, status=status)
+
+
+def stream_head(attempt="a1"):
+    """Give the head of a replica's stream of events."""
+    lines = (
+        "HTTP/1.1 200 OK",
+        "Content-Type: text/event-stream",
+        f"X-Attempt-Id: {attempt}",
+        SIGNED,
+        "Transfer-Encoding: chunked",
+        "",
+        "",
+    )
+    return "\r\n".join(lines).encode()
+
+
+def chunk(data):
+    """Give one chunk of a body."""
+    return f"{len(data):x}\r\n".encode() + data + b"\r\n"
+
+
+def event(number):
+    """Give one event."""
+    return f"id: {number}\ndata: word {number}\n\n".encode()
+
+
+END = b"0\r\n\r\n"
+
+
+class Rig:
+    """One daemon; replicas are callables that get their connection."""
+
+    def __init__(self, *routes, scripts=(), daemons=1):
+        self.requests = []
+        self._servers = []
+        self.daemon = _daemon.ForwardingDaemon(
+            options=_daemon.ForwardingOptions(
+                daemon=_ids.DaemonId("d1"),
+                callers=ANY,
+                health=ANY,
+                health_path="/v1/readiness",
+                stop_seconds=8.0,
+                retry_ratio=0.2,
+                retry_extra=100.0,
+                retry_window=10.0,
+                peers=ANY,
+                relays=True,
+                feed_seconds=0.05,
+                max_connections=100,
+            ),
+            caller_wire=headers.ClientHeaders(),
+            replica_wire=headers.ReplicaHeaders(),
+            new_store=store_fakes.FakeTables,
+            clock=_clock.SystemClock(),
+        )
+        self.daemon.start()
+        if routes:
+            self.daemon.take_table(fixtures.table(*routes))
+        self.list(*scripts)
+
+    def list(self, *scripts):
+        """Serve these replicas, and put them on the list."""
+        targets = []
+        for script in scripts:
+            one = server.StreamServer(
+                ("127.0.0.1", 0), self._recording(script)
+            )
+            one.start()
+            self._servers.append(one)
+            targets.append(
+                fixtures.target(
+                    f"i-{len(self._servers)}", port=one.server_port
+                )
+            )
+        self.daemon.replicas.take(targets)
+
+    def _recording(self, script):
+        def serve(sock, address):
+            while data := routing_fixtures.read_request(sock):
+                self.requests.append(data)
+                if script(sock) is False:
+                    return
+
+        return serve
+
+    @property
+    def port(self):
+        return self.daemon.callers_port
+
+    def connect(self):
+        return socket.create_connection(("127.0.0.1", self.port))
+
+    def send(self, *fields, method="POST", path="/a/x?q=1", body=b"body"):
+        """Send a request and read all that comes until its end or a cut."""
+        with self.connect() as sock:
+            sock.sendall(request(*fields, method=method, path=path, body=body))
+            with gevent.Timeout(10):
+                return read_all(sock)
+
+    def stop(self):
+        self.daemon.halt()
+        for one in self._servers:
+            one.stop(timeout=0)
+
+
+def request(*fields, method="POST", path="/a/x?q=1", body=b"body"):
+    """Give the bytes of a client's request that closes its connection."""
+    lines = [
+        f"{method} {path} HTTP/1.1",
+        "Host: chat.example",
+        "X-Attempt-Id: a1",
+        f"Authorization: Bearer {fixtures.KEY}",
+        "Connection: close",
+        f"Content-Length: {len(body)}",
+        *fields,
+    ]
+    return "\r\n".join([*lines, "", ""]).encode() + body
+
+
+def read_all(sock):
+    """Read until the daemon closes; give status, fields and body."""
+    data = b""
+    while more := sock.recv(65536):
+        data += more
+    head, _, body = data.partition(b"\r\n\r\n")
+    first, *lines = head.decode().split("\r\n")
+    fields = dict(line.lower().split(": ", 1) for line in lines)
+    return int(first.split()[1]), fields, body
--- /dev/null
+++ b/tests/topazlug_platform/test_forwarding.py
@@ -0,0 +1,319 @@
+"""Requests and answers through a whole daemon, with the platform's names."""
+
+import contextlib
+
+import gevent
+import pytest
+
+from tests.topazlug import routing_fixtures
+from tests.topazlug.forwarding import forwarding_fixtures as fixtures
+from tests.topazlug_platform import platform_rig
+from topazlug.forwarding import _daemon
+from topazlug.forwarding import _table
+
+AT_MOST_ONCE = _table.RequestKind.AT_MOST_ONCE
+STREAM = _table.RequestKind.STREAM
+
+
+@contextlib.contextmanager
+def running(*routes, scripts=()):
+    rig = platform_rig.Rig(*routes, scripts=scripts)
+    try:
+        yield rig
+    finally:
+        rig.stop()
+
+
+def answering(data):
+    return lambda sock: sock.sendall(data)
+
+
+def cutting(data):
+    """Send something, then close the connection."""
+
+    def script(sock):
+        sock.sendall(data)
+        return False
+
+    return script
+
+
+class TestRequest:
+    def test_reaches_the_replica_as_it_was_sent(self):
+        script = answering(platform_rig.answer())
+        with running(fixtures.route(), scripts=[script]) as rig:
+            status, fields, body = rig.send("X-Deadline-Ms: 3000", "X-Own: 1")
+            (sent,) = rig.requests
+        assert (status, body) == (200, b"whole")
+        assert fields["x-response-signature"] == "s1"
+        head, _, sent_body = sent.decode().partition("\r\n\r\n")
+        assert head.startswith("POST /a/x?q=1 HTTP/1.1\r\n")
+        assert sent_body == "body"
+        for line in (
+            "X-Attempt-Id: a1",
+            "X-Own: 1",
+            "Host: chat.example",
+            "X-Expected-Replica: i-1",
+            "X-Tenant: udelar",
+        ):
+            assert line in head.split("\r\n")
+        assert fixtures.KEY not in head
+
+    def test_deadline_is_what_is_left(self):
+        script = answering(platform_rig.answer())
+        with running(fixtures.route(timeout=2.0), scripts=[script]) as rig:
+            rig.send("X-Deadline-Ms: 9000")
+            head = rig.requests[0].decode()
+        (left,) = [
+            int(line.split()[1])
+            for line in head.split("\r\n")
+            if line.startswith("X-Deadline-Ms")
+        ]
+        assert 0 < left <= 2000
+
+    @pytest.mark.parametrize(
+        "field",
+        [
+            "X-Tenant: other",
+            "X-Expected-Replica: i-9",
+            "Kv-From: 1.2.3.4:5/6",
+            "X-Kv-Backup: 1.2.3.4:5",
+            "X-Cache-Retention: 1",
+            "X-Pin-Duration-Ms: 1",
+            "X-Request-Priority: 0",
+        ],
+    )
+    def test_fields_that_only_the_system_sets(self, field):
+        script = answering(platform_rig.answer())
+        with running(fixtures.route(), scripts=[script]) as rig:
+            rig.send(field)
+            assert field not in rig.requests[0].decode().split("\r\n")
+
+    def test_client_that_leaves_ends_its_request(self):
+        """Symptom: replicas work for callers that have left."""
+        ended = []
+
+        def script(sock):
+            ended.append(sock.recv(1))
+            return False
+
+        with running(fixtures.route(), scripts=[script]) as rig:
+            with rig.connect() as sock:
+                sock.sendall(platform_rig.request())
+                routing_fixtures.wait_until(lambda: bool(rig.requests))
+            routing_fixtures.wait_until(lambda: bool(ended))
+        assert ended == [b""]
+
+
+class TestRefusals:
+    def test_no_table(self):
+        with running() as rig:
+            status, fields, _ = rig.send()
+        assert status == 503 and "retry-after" in fields
+
+    def test_no_route(self):
+        with running(fixtures.route()) as rig:
+            assert rig.send(path="/b/")[0] == 404
+
+    def test_unknown_key(self):
+        route = fixtures.route(anonymous=False)
+        with running(route) as rig:
+            rig.daemon.take_table(
+                _table.RoutingTable(
+                    version=2,
+                    routes=[route],
+                    teams_by_key={},
+                    bounds=_table.CallerBounds(),
+                )
+            )
+            assert rig.send()[0] == 401
+
+    def test_no_replica_is_told_at_once(self):
+        with running(fixtures.route()) as rig:
+            status, fields, _ = rig.send("X-Deadline-Ms: 60000")
+        assert status == 503 and "retry-after" in fields
+
+    def test_refusal_of_all_replicas(self):
+        refusal = platform_rig.answer(
+            b"", "X-Not-Executed: 1", status="503 Full", signed=False
+        )
+        scripts = [answering(refusal)] * 2
+        route = fixtures.route(kind=AT_MOST_ONCE)
+        with running(route, scripts=scripts) as rig:
+            assert rig.send()[0] == 503
+            assert len(rig.requests) == 2
+
+    def test_listener_that_is_gone_costs_nothing(self):
+        script = answering(platform_rig.answer())
+        route = fixtures.route(kind=AT_MOST_ONCE, max_replicas=1)
+        with running(route, scripts=[script]) as rig:
+            known = list(rig.daemon.targets.target_by_replica.values())
+            gone = [fixtures.target(f"gone-{n}", port=1) for n in range(3)]
+            rig.daemon.replicas.take([*known, *gone])
+            assert [rig.send()[0] for _ in range(8)] == [200] * 8
+
+
+class TestAnswers:
+    """What is no genuine answer never reaches a client as one."""
+
+    @pytest.mark.parametrize(
+        "data",
+        [
+            platform_rig.answer(signed=False),
+            platform_rig.answer(b"x", "Content-Encoding: gzip"),
+            platform_rig.answer(attempt="a2"),
+            platform_rig.answer(status="503 Busy"),
+            platform_rig.answer(status="429 Many"),
+            b"\x00\x01 no HTTP\r\n\r\n",
+            platform_rig.answer(b"half")[:-1],
+        ],
+    )
+    def test_not_genuine(self, data):
+        route = fixtures.route(kind=AT_MOST_ONCE, max_replicas=3)
+        scripts = [cutting(data)] * 3
+        with running(route, scripts=scripts) as rig:
+            status, fields, _ = rig.send()
+            assert status == 502
+            assert "x-response-signature" not in fields
+            assert len(rig.requests) == 1
+
+    def test_idempotent_request_is_tried_elsewhere(self):
+        calls = []
+
+        def script(sock):
+            calls.append(sock)
+            if len(calls) == 1:
+                return False
+            sock.sendall(platform_rig.answer())
+            return None
+
+        with running(fixtures.route(), scripts=[script] * 2) as rig:
+            assert rig.send()[0] == 200
+            assert len(rig.requests) == 2
+
+    def test_failure_of_a_replica_is_passed_on(self):
+        failure = platform_rig.answer(b"sorry", status="500 Broken")
+        with running(
+            fixtures.route(), scripts=[answering(failure)] * 2
+        ) as rig:
+            status, fields, body = rig.send()
+            assert (status, body) == (500, b"sorry")
+            assert fields["x-response-signature"] == "s1"
+            assert len(rig.requests) == 2
+
+    def test_body_that_ends_with_its_connection(self):
+        data = (
+            b"HTTP/1.1 200 OK\r\nX-Attempt-Id: a1\r\n"
+            b"X-Response-Signature: s1\r\n\r\nunframed"
+        )
+        with running(fixtures.route(), scripts=[cutting(data)]) as rig:
+            assert rig.send()[2] == b"unframed"
+
+
+class TestStreams:
+    def test_whole(self):
+        whole = platform_rig.stream_head() + b"".join(
+            platform_rig.chunk(platform_rig.event(n)) for n in range(1, 4)
+        )
+        script = answering(whole + platform_rig.END)
+        with running(fixtures.route(kind=STREAM), scripts=[script]) as rig:
+            status, _, body = rig.send()
+        assert status == 200
+        assert body.endswith(platform_rig.END)
+        for number in range(1, 4):
+            assert platform_rig.event(number) in body
+
+    def test_broken_stream_goes_on_elsewhere(self):
+        """Symptom: a letter ends in the middle when a replica crashes.
+
+        Sequence: the replica breaks off inside of its third event; another
+        one is asked to go on after the second.
+        """
+        asked = []
+
+        def script(sock):
+            asked.append(sock)
+            if len(asked) == 1:
+                part = platform_rig.event(1) + platform_rig.event(2)
+                torn = platform_rig.event(3)[:9]
+                sock.sendall(
+                    platform_rig.stream_head()
+                    + platform_rig.chunk(part + torn)
+                )
+                return False
+            rest = platform_rig.event(3) + platform_rig.event(4)
+            sock.sendall(
+                platform_rig.stream_head()
+                + platform_rig.chunk(rest)
+                + platform_rig.END
+            )
+            return None
+
+        route = fixtures.route(kind=STREAM, resumable=True)
+        with running(route, scripts=[script] * 2) as rig:
+            _, _, body = rig.send()
+            again = rig.requests[1].decode()
+        assert "\r\nLast-Event-Id: 2\r\n" in again
+        events = [platform_rig.event(n) for n in range(1, 5)]
+        text = b"".join(
+            line for line in body.split(b"\r\n") if b"data" in line
+        )
+        assert text == b"".join(events)
+        assert body.endswith(platform_rig.END)
+
+    def test_stream_that_may_not_go_on_is_cut(self):
+        part = platform_rig.stream_head() + platform_rig.chunk(
+            platform_rig.event(1)
+        )
+        route = fixtures.route(kind=STREAM)
+        with running(route, scripts=[cutting(part)] * 2) as rig:
+            _, _, body = rig.send()
+            assert len(rig.requests) == 1
+        assert platform_rig.event(1) in body
+        assert not body.endswith(platform_rig.END)
+
+    def test_missing_event_is_no_stream(self):
+        """Symptom: an event is missing in the middle of an answer."""
+        data = platform_rig.stream_head() + b"".join(
+            platform_rig.chunk(platform_rig.event(n)) for n in (1, 2, 4)
+        )
+        route = fixtures.route(kind=STREAM)
+        script = answering(data + platform_rig.END)
+        with running(route, scripts=[script]) as rig:
+            _, _, body = rig.send()
+        assert platform_rig.event(4) not in body
+        assert not body.endswith(platform_rig.END)
+
+
+class TestStopping:
+    def test_cuts_off_nothing(self, monkeypatch):
+        """Symptom: callers lose answers when a daemon is replaced."""
+        monkeypatch.setattr(_daemon, "_STILL_FOUND_SECONDS", 0.2)
+        go_on = gevent.event.Event()
+
+        def script(sock):
+            go_on.wait()
+            sock.sendall(platform_rig.answer())
+
+        with running(fixtures.route(), scripts=[script]) as rig:
+            running_one = gevent.spawn(rig.send)
+            routing_fixtures.wait_until(lambda: bool(rig.requests))
+            assert rig.daemon.is_ready()
+            stopping = gevent.spawn(rig.daemon.stop)
+            routing_fixtures.wait_until(lambda: not rig.daemon.is_ready())
+            late_one = gevent.spawn(rig.send)
+            routing_fixtures.wait_until(lambda: len(rig.requests) == 2)
+            go_on.set()
+            assert running_one.get(timeout=10)[0] == 200
+            assert late_one.get(timeout=10)[0] == 200
+            stopping.get(timeout=10)
+            assert rig.daemon.stopped.is_set()
+
+    def test_idle_connections_are_ended(self, monkeypatch):
+        monkeypatch.setattr(_daemon, "_STILL_FOUND_SECONDS", 0.05)
+        with running(fixtures.route()) as rig:
+            with rig.connect() as sock:
+                stopping = gevent.spawn(rig.daemon.stop)
+                with gevent.Timeout(10):
+                    assert sock.recv(1) == b""
+                stopping.get(timeout=10)
