--- a/src/topazlug/fleet/_fleet.py
+++ b/src/topazlug/fleet/_fleet.py
@@ -166,6 +166,21 @@
             clock=self._clock,
         )
 
+    @property
+    def size(self) -> int:
+        """Give the number of daemons in the directory."""
+        return len(self.directory.daemons_by_id)
+
+    @property
+    def bytes_sent(self) -> int:
+        """Give the bytes sent to other daemons."""
+        return self._links.bytes_sent if self._links else 0
+
+    @property
+    def bytes_received(self) -> int:
+        """Give the bytes received from other daemons."""
+        return self._links.bytes_received if self._links else 0
+
     def stop(self) -> None:
         """Close the streams to peers."""
         if self._links is not None:
--- a/src/topazlug/forwarding/_app.py
+++ b/src/topazlug/forwarding/_app.py
@@ -16,8 +16,10 @@
 from topazlug.callers import _wsgi
 from topazlug.forwarding import _call
 from topazlug.forwarding import _forwarder
+from topazlug.forwarding import _measures
 from topazlug.forwarding import _table
 from topazlug.forwarding import _wire
+from topazlug.telemetry import _metrics
 
 _log = _logs.logger("forwarding")
 # Patience of a caller that names none, in seconds: the route's timeout is
@@ -50,6 +52,8 @@
         The table in force.
     wire : CallerWire
         Names on the wire.
+    measures : Measures
+        What is counted.
     clock : Clock
         Time.
 
@@ -65,11 +69,13 @@
         forwarder: _forwarder.Forwarder,
         tables: _table.TableHolder,
         wire: _wire.CallerWire,
+        measures: _measures.Measures,
         clock: _clock.Clock,
     ) -> None:
         self._forwarder = forwarder
         self._tables = tables
         self._wire = wire
+        self._measures = measures
         self._clock = clock
         self.in_progress = 0
 
@@ -100,24 +106,31 @@
     ) -> _caller_answer.CallerAnswer:
         started = self._clock.monotonic()
         attempt = _ids.RequestId("")
+        # Not known before the key is; a failure before counts for nobody.
+        team = _metrics.NO_TEAM
         try:
             head = self._wire.decode(environ[_caller_request.FIELDS])
             attempt = head.attempt
             with _logs.request_fields(request_id=attempt):
-                return self._serve(environ, head, started)
+                call = self._read(environ, head, started)
+                team = call.team_name
+                return self._forward(call)
         except _errors.TopazlugError as error:
+            if not isinstance(error, _caller_watch.CallerLeft):
+                self._measures.refused(team, error)
             return self._refuse(error, attempt, started)
         except Exception:
             _log.exception("a request met a fault of this daemon")
             fault = _errors.TopazlugError("internal error")
             return _caller_answer.of_error(fault, attempt)
 
-    def _serve(
+    def _read(
         self,
         environ: Mapping[str, Any],
         head: _wire.CallHead,
         started: float,
-    ) -> _caller_answer.CallerAnswer:
+    ) -> _call.ForwardedCall:
+        """Find a request's route and team, and read its body."""
         table = self._tables.current
         if table is None:
             raise _errors.NotReady(
@@ -134,7 +147,7 @@
             timeout=min(_BODY_SECONDS, patience),
         )
         chat = _call.chat_of(head)
-        call = _call.ForwardedCall(
+        return _call.ForwardedCall(
             method=environ["REQUEST_METHOD"],
             target=environ[_caller_request.TARGET],
             head=head,
@@ -147,12 +160,20 @@
             deadline=started + patience,
             socket=environ.get(_caller_request.SOCKET),
         )
-        fields = {"route": route.name, "team": team.name if team else ""}
-        with _logs.request_fields(**fields):
-            return self._forward(call)
 
     def _forward(
         self, call: _call.ForwardedCall
+    ) -> _caller_answer.CallerAnswer:
+        fields = {
+            "route": call.route.name,
+            "team": call.team_name,
+            "table": self._tables.version,
+        }
+        with _logs.request_fields(**fields):
+            return self._forward_named(call)
+
+    def _forward_named(
+        self, call: _call.ForwardedCall
     ) -> _caller_answer.CallerAnswer:
         try:
             answer = self._forwarder.serve(call)
--- a/src/topazlug/forwarding/_call.py
+++ b/src/topazlug/forwarding/_call.py
@@ -57,6 +57,11 @@
             return self.team.priority
         return self.route.priority
 
+    @property
+    def team_name(self) -> _ids.TeamName:
+        """Give the team's name, empty where no key is asked for."""
+        return self.team.name if self.team else _ids.TeamName("")
+
     def place_request(
         self, *, excluded: frozenset[_ids.ReplicaId] = frozenset()
     ) -> _place.PlaceRequest:
@@ -64,7 +69,7 @@
         return _place.PlaceRequest(
             group=self.group,
             chat=self.chat,
-            team=self.team.name if self.team else _ids.TeamName(""),
+            team=self.team_name,
             batch=False,
             weight=1,
             deadline=self.deadline,
--- a/src/topazlug/forwarding/_daemon.py
+++ b/src/topazlug/forwarding/_daemon.py
@@ -26,6 +26,7 @@
 from topazlug.forwarding import _event_relay
 from topazlug.forwarding import _exchange
 from topazlug.forwarding import _forwarder
+from topazlug.forwarding import _measures
 from topazlug.forwarding import _replica_list
 from topazlug.forwarding import _replica_view
 from topazlug.forwarding import _retry_share
@@ -34,6 +35,7 @@
 from topazlug.routing import _place
 from topazlug.targets import _target_client
 from topazlug.targets import _targets
+from topazlug.telemetry import _metrics
 
 _log = _logs.logger("daemon")
 # A balancer asks each second and takes a daemon out after two misses; until
@@ -70,6 +72,10 @@
         Listeners for callers, and for the balancer's question.
     health_path : str
         Path of that question.
+    metrics : AddressSettings
+        Listener for scrapes of `/metrics`.
+    zone : str
+        Its availability zone.
     stop_seconds : float
         Seconds that a planned stop may take.
     retry_ratio, retry_extra, retry_window : float
@@ -89,6 +95,8 @@
     callers: _settings_types.AddressSettings
     health: _settings_types.AddressSettings
     health_path: str
+    metrics: _settings_types.AddressSettings
+    zone: str
     stop_seconds: float
     retry_ratio: float
     retry_extra: float
@@ -187,10 +195,15 @@
             wire=replica_wire,
             idle_per_target=_IDLE_PER_REPLICA,
         )
+        self.metrics = _metrics.Metrics(
+            _settings_types.MetricsSettings(), options.daemon, options.zone
+        )
+        self._measures = _measures.Measures(metrics=self.metrics, clock=clock)
         self._app = _app.ForwardingApp(
             forwarder=self._build_forwarder(replica_wire),
             tables=self.tables,
             wire=caller_wire,
+            measures=self._measures,
             clock=clock,
         )
         self._callers = _caller_server.CallersServer(
@@ -198,6 +211,14 @@
             app=self._app,
             max_connections=options.max_connections,
         )
+        self._watch_metrics()
+        self._scrapes = pywsgi.WSGIServer(
+            (options.metrics.host, options.metrics.port),
+            self._answer_scrape,
+            log=None,
+            error_log=None,
+            environ={"SERVER_NAME": options.metrics.host},
+        )
         self._health = pywsgi.WSGIServer(
             (options.health.host, options.health.port),
             self._answer_health,
@@ -226,7 +247,7 @@
             budget=self.budget,
             signs=_NoSigns(),
             clock=self._clock,
-            count_retry=_log_retry,
+            count_retry=self._note_retry,
         )
         resumer = _event_relay.StreamResumer(
             admission=admission,
@@ -242,9 +263,32 @@
             resumer=resumer,
             views=self.views,
             budget=self.budget,
+            measures=self._measures,
             clock=self._clock,
         )
 
+    def _note_retry(self, request: _place.PlaceRequest) -> None:
+        self._measures.retried(request)
+        _log.info(
+            "another replica of {group} is tried",
+            group=request.group,
+            budget_left=self.budget.left(request.group),
+        )
+
+    def _watch_metrics(self) -> None:
+        watch = self.metrics.watch
+        gauge = _metrics.Gauge
+        watch(gauge.IN_FLIGHT, lambda: self._app.in_progress)
+        watch(gauge.CONNECTIONS, lambda: self._callers.connections)
+        watch(gauge.REVISION, lambda: self.tables.version)
+        watch(
+            gauge.KNOWN_REPLICAS, lambda: len(self.targets.target_by_replica)
+        )
+        watch(gauge.MEMBERS, lambda: self._fleet.size)
+        total = _metrics.Total
+        watch(total.CONTROL_SENT, lambda: self._fleet.bytes_sent)
+        watch(total.CONTROL_RECEIVED, lambda: self._fleet.bytes_received)
+
     def take_table(self, table: _table.RoutingTable) -> None:
         """Put a newer routing table in force."""
         if not self.tables.take(table):
@@ -278,6 +322,7 @@
     def start(self) -> None:
         """Start both listeners."""
         self._health.start()
+        self._scrapes.start()
         self._callers.start()
         self.spawn(self._sweep)
         self.spawn(self._fleet.run)
@@ -292,6 +337,11 @@
         """Give the port that callers connect to."""
         return int(self._callers.server_port)
 
+    @property
+    def metrics_port(self) -> int:
+        """Give the port of the metrics."""
+        return int(self._scrapes.server_port)
+
     def spawn(self, task: Callable[[], None]) -> None:
         """Run a task for as long as the daemon does."""
         self._greenlets.append(_tasks.spawn(task, clock=self._clock))
@@ -313,6 +363,15 @@
         start(status if found else "404 Not Found", [("Content-Length", "0")])
         return [b""]
 
+    def _answer_scrape(self, environ, start):  # type: ignore
+        if environ["PATH_INFO"] != "/metrics":
+            start("404 Not Found", [("Content-Length", "0")])
+            return [b""]
+        body = self.metrics.exposition()
+        headers = [("Content-Type", _metrics.CONTENT_TYPE)]
+        start("200 OK", [*headers, ("Content-Length", str(len(body)))])
+        return [body]
+
     def stop(self) -> None:
         """Stop as planned: cut off nothing that is in progress.
 
@@ -354,16 +413,13 @@
         """End all greenlets and connections at once."""
         self._callers.stop(timeout=0)
         self._health.stop(timeout=0)
+        self._scrapes.stop(timeout=0)
         gevent.killall(self._greenlets, block=False)
         self._connections.close()
         self._fleet.stop()
         self.stopped.set()
 
 
-def _log_retry(request: _place.PlaceRequest) -> None:
-    _log.info("another replica of {group} is tried", group=request.group)
-
-
 def _log_changes(
     before: Mapping[_ids.ReplicaId, _targets.Target],
     listed: list[_targets.Target],
--- a/src/topazlug/forwarding/_event_relay.py
+++ b/src/topazlug/forwarding/_event_relay.py
@@ -15,6 +15,7 @@
 from topazlug.calls import _sse
 from topazlug.forwarding import _call
 from topazlug.forwarding import _exchange
+from topazlug.forwarding import _measures
 from topazlug.forwarding import _replica_view
 from topazlug.forwarding import _retry_share
 from topazlug.routing import _place
@@ -131,6 +132,8 @@
         Replicas that the request was sent to.
     resumer : StreamResumer
         Continues it.
+    measures : Measures
+        What is counted.
     clock : Clock
         Time.
     """
@@ -143,6 +146,7 @@
         answer: _target_answer.TargetAnswer,
         tried: int,
         resumer: StreamResumer,
+        measures: _measures.Measures,
         clock: _clock.Clock,
     ) -> None:
         self._call = call
@@ -150,6 +154,7 @@
         self._answer = answer
         self._tried = tried
         self._resumer = resumer
+        self._measures = measures
         self._clock = clock
         self._reader = _sse.EventReader(last_id=call.head.resume_after)
         self._left = False
@@ -187,6 +192,7 @@
             yield first
             yield from self._rest()
             failed = False
+            self._measures.answered(self._call, self._answer.status)
         finally:
             watch.stop()
             self._answer.close()
@@ -206,15 +212,32 @@
             except _errors.RequestError as error:
                 self._answer.close()
                 if self._left or not self._go_on(error):
+                    self._note_broken(error)
                     raise
 
+    def _note_broken(self, error: _errors.RequestError) -> None:
+        self._measures.broke(self._call, error)
+        _log.warning(
+            "a stream ends early after event {last}: {why}",
+            request_id=self._call.head.attempt,
+            replica=self._place.target.replica,
+            last=self._reader.last_id,
+            tried=self._tried,
+            caller_left=self._left,
+            why=error.message,
+        )
+
     def _relay(self) -> Iterator[bytes]:
+        before = self._clock.monotonic()
         chunks = self._answer.chunks(
             silence=self._silence(), deadline=self._call.deadline
         )
         for data in chunks:
             events = self._whole_events(data)
             if events:
+                now = self._clock.monotonic()
+                self._measures.pause(self._call, now - before)
+                before = now
                 yield events
         if not self._reader.is_between_events:
             raise _torn("it ended inside of an event")
--- a/src/topazlug/forwarding/_forwarder.py
+++ b/src/topazlug/forwarding/_forwarder.py
@@ -13,6 +13,7 @@
 from topazlug.forwarding import _call
 from topazlug.forwarding import _event_relay
 from topazlug.forwarding import _exchange
+from topazlug.forwarding import _measures
 from topazlug.forwarding import _replica_view
 from topazlug.forwarding import _retry_share
 from topazlug.forwarding import _wire
@@ -64,6 +65,8 @@
         How replicas answer.
     budget : RetryShare
         Retries of this daemon.
+    measures : Measures
+        What is counted.
     clock : Clock
         Time.
     """
@@ -77,6 +80,7 @@
         resumer: _event_relay.StreamResumer,
         views: _replica_view.ReplicaViews,
         budget: _retry_share.RetryShare,
+        measures: _measures.Measures,
         clock: _clock.Clock,
     ) -> None:
         self._attempts = attempts
@@ -85,6 +89,7 @@
         self._resumer = resumer
         self._views = views
         self._budget = budget
+        self._measures = measures
         self._clock = clock
 
     def serve(self, call: _call.ForwardedCall) -> _caller_answer.CallerAnswer:
@@ -107,6 +112,7 @@
                     free_connects=True,
                 )
             except _exchange.AnsweredWithFailure as error:
+                self._measures.answered(call, error.answer.status)
                 return _whole_answer(error.answer, error.body)
 
     def _attempt(
@@ -115,6 +121,8 @@
         tried: list[_place.Place],
         place: _place.Place,
     ) -> _caller_answer.CallerAnswer:
+        if not tried:
+            self._measures.sent(call)
         tried.append(place)
         with _logs.request_fields(replica=place.target.replica):
             answer = self._exchange.send(
@@ -171,6 +179,8 @@
         if failed and call.route.repeatable:
             raise _exchange.AnsweredWithFailure(answer, bytes(head))
         self._admission.release(place)
+        self._measures.first_byte(call)
+        self._measures.answered(call, answer.status)
         return _whole_answer(answer, bytes(head))
 
     def _long(
@@ -216,9 +226,11 @@
             answer=answer,
             tried=tried,
             resumer=self._resumer,
+            measures=self._measures,
             clock=self._clock,
         )
         first = relay.read_first(patience=self._patience(call, place, tried))
+        self._measures.first_byte(call)
         return _caller_answer.CallerAnswer(
             status=answer.status,
             headers=caller_fields(answer, keep_length=False),
--- a/src/topazlug/forwarding/_retry_share.py
+++ b/src/topazlug/forwarding/_retry_share.py
@@ -86,6 +86,12 @@
         count = retries.count(self._clock.monotonic())
         return count + 1 <= self.allowed(group)
 
+    def left(self, group: _ids.GroupName) -> int:
+        """Give the retries that could be made now."""
+        retries = self._window(self._retries_by_group, group)
+        count = retries.count(self._clock.monotonic())
+        return max(0, int(self.allowed(group) - count))
+
     def spend(self, group: _ids.GroupName) -> bool:
         """Take one retry out of the share; tell whether there was one."""
         if not self.has_left(group):
--- a/tests/topazlug_platform/platform_rig.py
+++ b/tests/topazlug_platform/platform_rig.py
@@ -64,6 +64,8 @@
                 callers=ANY,
                 health=ANY,
                 health_path="/v1/readiness",
+                metrics=ANY,
+                zone="z",
                 stop_seconds=8.0,
                 retry_ratio=0.2,
                 retry_extra=100.0,
@@ -113,7 +115,7 @@
         return self.daemon.callers_port
 
     def connect(self):
-        return socket.create_connection(("127.0.0.1", self.port))
+        return self._listening(self.port)
 
     def send(self, *fields, method="POST", path="/a/x?q=1", body=b"body"):
         """Send a request and read all that comes until its end or a cut."""
@@ -122,6 +124,19 @@
             with gevent.Timeout(10):
                 return read_all(sock)
 
+    def scrape(self):
+        """Give the daemon's metrics as text."""
+        with self._listening(self.daemon.metrics_port) as sock:
+            sock.sendall(
+                b"GET /metrics HTTP/1.1\r\nHost: x\r\n"
+                b"Connection: close\r\n\r\n"
+            )
+            with gevent.Timeout(10):
+                return read_all(sock)[2].decode()
+
+    def _listening(self, port):
+        return socket.create_connection(("127.0.0.1", port))
+
     def stop(self):
         self.daemon.halt()
         for one in self._servers:
--- a/tests/topazlug_platform/test_forwarding.py
+++ b/tests/topazlug_platform/test_forwarding.py
@@ -317,3 +317,15 @@
                 with gevent.Timeout(10):
                     assert sock.recv(1) == b""
                 stopping.get(timeout=10)
+
+
+class TestMetrics:
+    def test_scrape_shows_requests_by_team(self):
+        script = answering(platform_rig.answer())
+        with running(fixtures.route(), scripts=[script]) as rig:
+            rig.send()
+            rig.send(path="/b/")
+            text = rig.scrape()
+        assert 'team="udelar"' in text
+        assert 'code="path_not_found"' in text
+        assert "topazlug_requests_in_flight 0.0" in text
