Answer questions on a request from logs alone

Cause: on call there are only logs; what a daemon believed when it decided had to be looked up by hand. Change: topazlug explain-request ID (lines of the request, changes of belief of its daemons around it, stale inputs marked) and topazlug why-failed.

--- a/src/topazlug/cli/_main.py
+++ b/src/topazlug/cli/_main.py
@@ -8,6 +8,7 @@
 from topazlug.cli import _context
 from topazlug.cli import _fleet
 from topazlug.cli import _output
+from topazlug.cli import _request_logs
 from topazlug.cli import _rows
 from topazlug.cli import _secrets
 from topazlug.cli import _table
@@ -79,6 +80,8 @@
         _fleet.drain,
         _fleet.undrain,
         _fleet.explain,
+        _request_logs.explain_request,
+        _request_logs.why_failed,
     ):
         main.add_command(command)
 
--- /dev/null
+++ b/tests/topazlug/cli/test_request_logs.py
@@ -0,0 +1,89 @@
+"""From a request's id to its cause, out of logs alone."""
+
+import json
+
+from click import testing
+import pytest
+
+from topazlug.cli import _main
+
+LINES = [
+    {
+        "time": "2026-03-23T14:00:01.000Z",
+        "daemon": "d1",
+        "logger": "replicas",
+        "message": "r1 is held out for 1 s: 5 of 9 requests failed",
+    },
+    {
+        "time": "2026-03-23T14:00:02.000Z",
+        "daemon": "d1",
+        "logger": "forwarding",
+        "message": "placed at r2: load 3.0, mean 2.0",
+        "request_id": "a1",
+        "report_age": 3.5,
+    },
+    {
+        "time": "2026-03-23T14:00:02.500Z",
+        "daemon": "d1",
+        "logger": "forwarding",
+        "message": "failed with target_failed after 0.500 s: it broke",
+        "request_id": "a1",
+        "team": "udelar",
+        "code": "target_failed",
+        "why": "it broke",
+    },
+    {
+        "time": "2026-03-23T14:00:02.600Z",
+        "daemon": "d2",
+        "logger": "replicas",
+        "message": "of another daemon",
+    },
+]
+
+
+@pytest.fixture
+def run():
+    def invoke(*arguments):
+        text = "\n".join(["no record", *map(json.dumps, LINES)])
+        return testing.CliRunner().invoke(
+            _main.main, arguments, input=text, catch_exceptions=False
+        )
+
+    return invoke
+
+
+class TestExplainRequest:
+    def test_lines_beliefs_and_stale_inputs(self, run):
+        shown = run("explain-request", "a1").output
+        assert "r1 is held out" in shown
+        assert "stale: load report 3.5 s old" in shown
+        assert "failed with target_failed" in shown
+        assert "of another daemon" not in shown
+
+    def test_unknown_request(self, run):
+        result = run("explain-request", "a2")
+        assert result.exit_code == 1
+        assert "no line names request a2" in result.output
+
+    def test_json(self, run):
+        shown = run("--output", "json", "explain-request", "a1").stdout
+        assert [one["message"][:6] for one in json.loads(shown)] == [
+            "r1 is ",
+            "placed",
+            "failed",
+        ]
+
+
+class TestWhyFailed:
+    def test_causes_are_counted(self, run):
+        shown = run("--output", "json", "why-failed").stdout
+        (row,) = json.loads(shown)
+        assert row == {
+            "count": 1,
+            "code": "target_failed",
+            "why": "it broke",
+            "newest": "a1",
+        }
+
+    def test_other_team(self, run):
+        assert "(none)" in run("why-failed", "--team", "x").output
