--- a/src/topazlug/forwarding/_admission.py
+++ b/src/topazlug/forwarding/_admission.py
@@ -75,8 +75,8 @@
         _log.info(
             "placed at {replica}: load {load:.1f}, mean {mean:.1f}",
             replica=chosen,
-            load=self._views.of(chosen).load,
-            mean=self._mean(candidates),
+            load=round(self._views.of(chosen).load, 2),
+            mean=round(self._mean(candidates), 2),
             home=home,
             candidates=len(candidates),
             held_out=len(usable) - len(candidates),
--- a/src/topazlug/forwarding/_app.py
+++ b/src/topazlug/forwarding/_app.py
@@ -186,7 +186,7 @@
         _log.info(
             "answered with {status} after {seconds:.3f} s",
             status=answer.status,
-            seconds=self._clock.monotonic() - call.started,
+            seconds=round(self._clock.monotonic() - call.started, 3),
         )
         return answer
 
@@ -196,19 +196,21 @@
         attempt: _ids.RequestId,
         started: float,
     ) -> _caller_answer.CallerAnswer:
-        with _logs.request_fields(request_id=attempt):
+        answer = _caller_answer.of_error(error, attempt, whole_seconds=False)
+        if answer.status in _PROMISES and not _is_certain(error):
+            answer.status = int(HTTPStatus.BAD_GATEWAY)
+        with _logs.request_fields(request_id=attempt, status=answer.status):
             if isinstance(error, _caller_watch.CallerLeft):
                 _log.info("the caller left before its answer began")
             else:
                 _log.warning(
                     "failed with {code} after {seconds:.3f} s: {why}",
                     code=error.code.value,
-                    seconds=self._clock.monotonic() - started,
+                    seconds=round(self._clock.monotonic() - started, 3),
+                    outcome=getattr(error, "outcome", None),
+                    retry_after=getattr(error, "retry_after", None),
                     why=error.message,
                 )
-        answer = _caller_answer.of_error(error, attempt, whole_seconds=False)
-        if answer.status in _PROMISES and not _is_certain(error):
-            answer.status = int(HTTPStatus.BAD_GATEWAY)
         return answer
 
 
--- a/src/topazlug/forwarding/_replica_view.py
+++ b/src/topazlug/forwarding/_replica_view.py
@@ -75,7 +75,7 @@
         """Give the age of the replica's last report in seconds."""
         if self._reported_at == -math.inf:
             return None
-        return self._clock.monotonic() - self._reported_at
+        return round(self._clock.monotonic() - self._reported_at, 3)
 
     def note_report(self, held: int) -> None:
         """Take the replica's own word on how many requests it holds."""
--- /dev/null
+++ b/tests/topazlug_platform/test_boot_file.py
@@ -0,0 +1,101 @@
+"""The platform's settings file: what is used of it, and what is refused."""
+
+import json
+import pathlib
+import subprocess
+import sys
+
+import pytest
+from topazlug_platform import boot_file
+
+from topazlug import _errors
+
+ROOT = pathlib.Path(__file__).parents[2]
+FILE = {
+    "node_name": "edge-a-1",
+    "zone": "a",
+    "listeners_map": {
+        "frontend": "10.1.0.40:8227",
+        "ready": "10.1.0.40:8220",
+        "control_plane": "10.1.0.40:8229",
+    },
+    "internal_port_range": [7340, 7355],
+    "limits": {"file_descriptors": 4100, "link_capacity_mbps": 5.0},
+    "bounds": {
+        "connectivity_ms": 3000,
+        "drain_timeout_ms": 2500,
+        "config_propagation_ms": 2000,
+        "retry_budget_extra": 58,
+        "a_bound_to_come": 1,
+    },
+    "platform": {"address": "10.200.1.7:8223", "form": "table"},
+    "a_field_to_come": {"x": 1},
+}
+
+
+def write(folder, **changes):
+    path = folder / "boot.json"
+    path.write_text(json.dumps({**FILE, **changes}))
+    return path
+
+
+class TestBootFile:
+    def test_options(self, tmp_path):
+        options = boot_file.options_of(boot_file.load(write(tmp_path)))
+        assert (options.callers.host, options.callers.port) == (
+            "10.1.0.40",
+            8227,
+        )
+        assert options.peers.port == 7340
+        assert not options.relays
+        assert options.retry_extra == 58
+        assert options.max_connections == 1950
+        assert options.feed_seconds == pytest.approx(3.4)
+
+    @pytest.mark.parametrize(
+        "changes, named",
+        [
+            ({"listeners_map": {"ready": "x"}}, "frontend"),
+            ({"zone": 7}, "zone"),
+            ({"limits": {"file_descriptors": "many"}}, "file_descriptors"),
+        ],
+    )
+    def test_field_is_named(self, tmp_path, changes, named):
+        with pytest.raises(_errors.SettingsInvalid, match=named):
+            boot_file.load(write(tmp_path, **changes))
+
+    @pytest.mark.parametrize("text", ["", "host", "host:", "10.0.0.1:x"])
+    def test_address(self, text):
+        with pytest.raises(_errors.SettingsInvalid, match="IP:PORT"):
+            boot_file.address_of(text)
+
+
+class TestProgram:
+    def check(self, path):
+        return subprocess.run(
+            [sys.executable, "platform/topazlugd.py", "--check"],
+            cwd=ROOT,
+            env={"TOPAZLUG_CONFIG": str(path)},
+            capture_output=True,
+            text=True,
+        )
+
+    def test_check(self, tmp_path):
+        done = self.check(write(tmp_path))
+        assert (done.returncode, done.stderr) == (0, "")
+
+    def test_check_finds_a_mistake(self, tmp_path):
+        done = self.check(write(tmp_path, zone=7))
+        assert done.returncode == 2
+        assert "zone" in done.stderr
+
+    def test_standard_module_is_not_hidden(self):
+        """Symptom: libraries fail with "no attribute 'system'".
+
+        Cause: a package named platform at the root of the repository.
+        """
+        done = subprocess.run(
+            [sys.executable, "-c", "import platform; platform.system()"],
+            cwd=ROOT,
+        )
+        assert done.returncode == 0
--- /dev/null
+++ b/tests/topazlug_platform/test_documents.py
@@ -0,0 +1,97 @@
+"""Rows of the platform's store, translated."""
+
+import json
+
+import msgspec
+import pytest
+from topazlug_platform import documents
+
+from topazlug.forwarding import _table
+from topazlug.targets import _targets
+
+ROUTE = {
+    "name": "r1",
+    "host": "Chat.example",
+    "prefix": "/a/",
+    "route_kind": "streaming",
+    "timeout_ms": 8000,
+    "target_latency_ms": 300,
+    "itl_target_ms": 250,
+    "priority": 2,
+    "service": "s1",
+    "attempts": 2,
+    "sticky": True,
+    "resumable": True,
+}
+CONFIG = {
+    "version": 7,
+    "routes": [ROUTE],
+    "services": [{"name": "s1", "health_path": "/health"}],
+    "limits": {"idle_timeout_ms": 9000},
+    "tenants": [{"name": "t1", "api_keys": ["k1", "k2"], "priority": 1}],
+}
+
+
+def table(**changes):
+    return documents.table_of(json.dumps({**CONFIG, **changes}).encode())
+
+
+class TestConfig:
+    def test_route(self):
+        made = table()
+        route = made.route_of("chat.example", "/a/x")
+        assert made.version == 7
+        assert route.kind is _table.RequestKind.STREAM
+        assert (route.timeout, route.objective, route.longest_pause) == (
+            8.0,
+            0.3,
+            0.25,
+        )
+        assert route.has_context and route.resumable and route.repeatable
+        assert made.bounds.idle_timeout == 9.0
+        assert made.team_of(route, "k2") == _table.Team("t1", 1)
+
+    def test_split(self):
+        split = [
+            {"service": "s1", "weight": 90},
+            {"service": "s2", "weight": 10},
+        ]
+        route = {**ROUTE, "service": "", "traffic_split": split}
+        made = table(routes=[route]).route_of("chat.example", "/a/")
+        assert [share.group for share in made.shares] == ["s1", "s2"]
+
+    def test_kind_to_come_runs_at_most_once(self):
+        route = {**ROUTE, "route_kind": "of-tomorrow", "resumable": True}
+        made = table(routes=[route]).route_of("chat.example", "/a/")
+        assert not made.repeatable
+
+    def test_no_tenants_means_no_keys(self):
+        document = {k: v for k, v in CONFIG.items() if k != "tenants"}
+        made = documents.table_of(json.dumps(document).encode())
+        route = made.route_of("chat.example", "/a/")
+        assert made.team_of(route, None) is None
+
+    def test_unreadable(self):
+        with pytest.raises(msgspec.MsgspecError):
+            documents.table_of(b'{"version": "x"}')
+
+
+class TestReplica:
+    def test_entry(self):
+        made = documents.target_of(
+            "i-1",
+            json.dumps(
+                {
+                    "service": "s1",
+                    "address": "10.0.0.9:8080",
+                    "zone": "a",
+                    "slots": 64,
+                    "state": "draining",
+                    "phase": "prefill_decode",
+                    "sequence": 4,
+                }
+            ).encode(),
+        )
+        assert (made.host, made.port, made.slots) == ("10.0.0.9", 8080, 64)
+        assert made.leaving
+        assert made.kind is _targets.TargetKind.ENGINE
--- /dev/null
+++ b/tests/topazlug_platform/test_store.py
@@ -0,0 +1,105 @@
+"""The metadata store's protocol, against a small stand-in."""
+
+import base64
+import json
+
+from gevent import pywsgi
+import pytest
+from topazlug_platform import store as _store
+
+from topazlug import _clock
+from topazlug import _errors
+from topazlug.fleet import _table_source
+
+
+class StandIn:
+    """Answers calls from a script, and keeps what was asked."""
+
+    def __init__(self):
+        self.answers = []
+        self.asked = []
+        self.server = pywsgi.WSGIServer(("127.0.0.1", 0), self, log=None)
+        self.server.start()
+        self.store = _store.MetadataStore(
+            host="127.0.0.1",
+            port=self.server.server_port,
+            clock=_clock.SystemClock(),
+        )
+
+    def __call__(self, environ, start):
+        body = environ["wsgi.input"].read()
+        query = environ["QUERY_STRING"]
+        self.asked.append((environ["PATH_INFO"], query, body))
+        status, document = self.answers.pop(0)
+        data = json.dumps(document).encode()
+        start(status, [("Content-Length", str(len(data)))])
+        return [data]
+
+
+@pytest.fixture
+def stand_in():
+    made = StandIn()
+    yield made
+    made.server.stop(timeout=0)
+
+
+def row(key, data=b""):
+    return {"key": key, "data": base64.b64encode(data).decode()}
+
+
+class TestReading:
+    def test_all_pages(self, stand_in):
+        stand_in.answers = [
+            (
+                "200 OK",
+                {
+                    "rows": [row("a", b"1")],
+                    "truncated": True,
+                    "row_version": 5,
+                },
+            ),
+            ("200 OK", {"rows": [row("b", b"2")], "row_version": 6}),
+        ]
+        found = stand_in.store.rows("servers")
+        assert [(one.key, one.data) for one in found.rows] == [
+            ("a", b"1"),
+            ("b", b"2"),
+        ]
+        # What changed between the pages must come with the feed again.
+        assert found.version == 5
+        assert "source=a%00" in stand_in.asked[1][1]
+
+    def test_changes(self, stand_in):
+        dropped = {"key": "a", "deleted": True}
+        stand_in.answers = [("200 OK", {"rows": [dropped], "row_version": 9})]
+        found = stand_in.store.changes("op", after=7, wait=0.5)
+        assert found.rows == [_table_source.Row("a", b"", True)]
+        assert stand_in.asked[0][1] == "table=op&after=7&wait_time_ms=500"
+
+    def test_lost_history(self, stand_in):
+        stand_in.answers = [("410 Gone", {})]
+        with pytest.raises(_table_source.HistoryLost):
+            stand_in.store.changes("op", after=7, wait=0.5)
+
+    @pytest.mark.parametrize("status", ["429 Many", "503 Away", "500 Broken"])
+    def test_refused(self, stand_in, status):
+        stand_in.answers = [(status, {})]
+        with pytest.raises(_errors.StoreUnavailable):
+            stand_in.store.rows("op")
+
+    def test_unreadable_answer(self, stand_in):
+        stand_in.answers = [("200 OK", {"rows": 7})]
+        with pytest.raises(_errors.StoreUnavailable, match="can't be read"):
+            stand_in.store.rows("op")
+
+
+class TestWriting:
+    def test_condition(self, stand_in):
+        stand_in.answers = [("412 Precondition Failed", {"rows": []})]
+        with pytest.raises(_table_source.RowExists):
+            stand_in.store.write(
+                "fleet", [_table_source.Row("k", b"v")], new=["k"]
+            )
+        sent = json.loads(stand_in.asked[0][2])
+        assert sent["expected"][0]["row_version"] == 0
+        assert base64.b64decode(sent["write"][0]["data"]) == b"v"
