--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 KEEP ?=
 DEPLOYMENT ?= cooperativa
 PYTEST_ARGS ?=
-CHECKED := src platform standins bench tests schema .ci
+CHECKED := src platform standins bench soak tests schema .ci
 
 .PHONY: venv test lint demo up format generate clean
 
--- a/bench/processes.py
+++ b/bench/processes.py
@@ -53,11 +53,19 @@
         What follows the interpreter.
     folder : pathlib.Path
         Where its log goes.
+    environment : dict or None
+        Variables besides those of this process.
     """
 
     def __init__(
-        self, *, name: str, arguments: list[str], folder: pathlib.Path
+        self,
+        *,
+        name: str,
+        arguments: list[str],
+        folder: pathlib.Path,
+        environment: dict[str, str] | None = None,
     ) -> None:
+        self._environment = environment or {}
         self.name = name
         self._arguments = arguments
         self._log_path = folder / f"{name}.log"
@@ -83,6 +91,7 @@
                 stdout=log,
                 stderr=subprocess.STDOUT,
                 stdin=subprocess.DEVNULL,
+                env={**os.environ, **self._environment},
                 # Ctrl-C in a terminal goes to a whole process group. The
                 # platform would end before the daemons that still need it
                 # to leave the list; so whoever started them ends them.
--- /dev/null
+++ b/soak/_clients.py
@@ -0,0 +1,154 @@
+"""Callers: they keep connections open, and note what they saw."""
+
+import enum
+from http import client as http_client
+import random
+import time
+from typing import NamedTuple
+import uuid
+
+import gevent
+
+from soak import _expected
+
+PATIENCE = {_expected.ONCE: 2.0, _expected.READ: 2.0, _expected.STREAM: 4.0}
+_PAUSE_SECONDS = (0.005, 0.06)
+_LEAVES = 0.03
+HOST = "soak.example"
+
+
+class Seen(enum.Enum):
+    """How an attempt ended for its caller."""
+
+    ANSWERED = "answered"
+    CUT = "cut in the answer"
+    NOTHING = "ended without an answer"
+    NO_CONNECTION = "no connection"
+    LATE = "no end in time"
+    LEFT = "left on purpose"
+
+
+class Outcome(NamedTuple):
+    """One attempt, as its caller saw it.
+
+    Attributes
+    ----------
+    started, ended : float
+        Monotonic seconds.
+    reused : bool
+        Whether its connection had served another before.
+    """
+
+    attempt: str
+    path: str
+    daemon: int
+    started: float
+    ended: float
+    seen: Seen
+    status: int
+    body: bytes
+    signed: bool
+    reused: bool
+
+
+class Caller:
+    """One caller that asks again and again.
+
+    Parameters
+    ----------
+    addresses : list of (str, int)
+        The daemons' listeners.
+    key : str
+        API key.
+    seed : int
+        Decides what it asks and when it leaves.
+    """
+
+    def __init__(
+        self, *, addresses: list[tuple[str, int]], key: str, seed: int
+    ) -> None:
+        self._addresses = addresses
+        self._key = key
+        self._random = random.Random(seed)
+        self._kept: dict[int, http_client.HTTPConnection] = {}
+        self.outcomes: list[Outcome] = []
+
+    def run(self, until: float) -> None:
+        """Ask until a moment."""
+        while time.monotonic() < until:
+            daemon = self._random.randrange(len(self._addresses))
+            path = self._random.choice(list(PATIENCE))
+            leaves = self._random.random() < _LEAVES
+            self.outcomes.append(self.ask(daemon, path, leaves=leaves))
+            gevent.sleep(self._random.uniform(*_PAUSE_SECONDS))
+
+    def ask(self, daemon: int, path: str, *, leaves: bool = False) -> Outcome:
+        """Make one attempt."""
+        attempt = uuid.UUID(int=self._random.getrandbits(128)).hex
+        started = time.monotonic()
+        connection = self._kept.pop(daemon, None)
+        reused = connection is not None
+        if connection is None:
+            connection = http_client.HTTPConnection(
+                *self._addresses[daemon], timeout=PATIENCE[path] + 1.0
+            )
+        status, body, signed = 0, b"", False
+        try:
+            if connection.sock is None:
+                connection.connect()
+        except OSError:
+            seen = Seen.NO_CONNECTION
+        else:
+            seen, status, body, signed = self._exchange(
+                connection, daemon, attempt, path, leaves
+            )
+        return Outcome(
+            attempt=attempt,
+            path=path,
+            daemon=daemon,
+            started=started,
+            ended=time.monotonic(),
+            seen=seen,
+            status=status,
+            body=body,
+            signed=signed,
+            reused=reused,
+        )
+
+    def _exchange(
+        self,
+        connection: http_client.HTTPConnection,
+        daemon: int,
+        attempt: str,
+        path: str,
+        leaves: bool,
+    ) -> tuple[Seen, int, bytes, bool]:
+        fields = {
+            "Host": HOST,
+            "X-Attempt-Id": attempt,
+            "Authorization": f"Bearer {self._key}",
+            "X-Deadline-Ms": str(int(PATIENCE[path] * 1000)),
+        }
+        status, signed = 0, False
+        try:
+            connection.request("POST", f"{path}x", b"{}", fields)
+            if leaves:
+                gevent.sleep(0.01)
+                connection.close()
+                return Seen.LEFT, 0, b"", False
+            answer = connection.getresponse()
+            status = answer.status
+            signed = bool(answer.getheader("X-Response-Signature"))
+            body = answer.read()
+        except TimeoutError:
+            connection.close()
+            return Seen.LATE, status, b"", signed
+        except (OSError, http_client.HTTPException):
+            connection.close()
+            seen = Seen.CUT if status else Seen.NOTHING
+            return seen, status, b"", signed
+        if answer.will_close:
+            connection.close()
+        else:
+            self._kept[daemon] = connection
+        return Seen.ANSWERED, status, body, signed
--- /dev/null
+++ b/soak/_expected.py
@@ -0,0 +1,34 @@
+"""What a replica answers to an attempt, as callers expect it."""
+
+import hashlib
+from typing import Final
+
+ONCE: Final = "/once/"
+READ: Final = "/read/"
+STREAM: Final = "/stream/"
+SIGNATURE: Final = "soak"
+_LEAST_EVENTS = 3
+_EVENT_SPREAD = 12
+
+
+def body_of(attempt: str) -> bytes:
+    """Give the whole body of a plain answer."""
+    digest = hashlib.sha256(attempt.encode()).hexdigest()
+    return (digest * (1 + int(digest[0], 16))).encode()
+
+
+def count_of(attempt: str) -> int:
+    """Give the number of events of a stream."""
+    digest = hashlib.sha256(attempt.encode()).digest()
+    return _LEAST_EVENTS + digest[0] % _EVENT_SPREAD
+
+
+def event_of(attempt: str, number: int) -> bytes:
+    """Give one event, numbered from 1."""
+    return f"id: {number}\ndata: {attempt} {number}\n\n".encode()
+
+
+def stream_of(attempt: str) -> bytes:
+    """Give a whole stream."""
+    numbers = range(1, count_of(attempt) + 1)
+    return b"".join(event_of(attempt, number) for number in numbers)
--- /dev/null
+++ b/soak/_faults.py
@@ -0,0 +1,151 @@
+"""What goes wrong, when: drawn from a seed, in series and overlapping."""
+
+from collections.abc import Callable
+import random
+import time
+from typing import NamedTuple
+
+import gevent
+
+from soak import _store
+from soak import _world
+
+_PAUSE_SECONDS = (0.2, 1.2)
+_LASTS_SECONDS = (0.5, 2.5)
+_DELAY_SECONDS = 0.05
+
+
+class Happened(NamedTuple):
+    """One fault that was brought about."""
+
+    at: float
+    kind: str
+    subject: int
+
+
+class Faults:
+    """Brings about faults until a moment, then undoes all of them.
+
+    Parameters
+    ----------
+    world : World
+        Processes, links and the store.
+    seed : int
+        Decides what comes when.
+    """
+
+    def __init__(self, *, world: _world.World, seed: int) -> None:
+        self._world = world
+        self._random = random.Random(seed)
+        self._running: list[gevent.Greenlet] = []
+        self.happened: list[Happened] = []
+        self._kinds: dict[str, Callable[[int, float], None]] = {
+            "daemon-stopped": self._stop_daemon,
+            "daemon-killed": self._kill_daemon,
+            "daemon-frozen": self._freeze_daemon,
+            "replica-killed": self._kill_replica,
+            "replica-frozen": self._freeze_replica,
+            "replica-drained": self._drain_replica,
+            "link-cut": self._cut_link,
+            "link-silent": self._silence_link,
+            "link-slow": self._slow_link,
+            "store-silent": self._disturb_store(_store.Mode.SILENT),
+            "store-busy": self._disturb_store(_store.Mode.BUSY),
+            "store-reset": self._disturb_store(_store.Mode.RESET),
+            "store-forgets": self._forget,
+            "configuration": self._configure,
+        }
+
+    def run(self, until: float) -> None:
+        """Bring about faults until a moment, and wait for their ends."""
+        while time.monotonic() < until:
+            gevent.sleep(self._random.uniform(*_PAUSE_SECONDS))
+            kind = self._random.choice(list(self._kinds))
+            subject = self._random.randrange(100)
+            lasts = self._random.uniform(*_LASTS_SECONDS)
+            self.happened.append(Happened(time.monotonic(), kind, subject))
+            self._running.append(
+                gevent.spawn(self._kinds[kind], subject, lasts)
+            )
+        gevent.joinall(self._running, raise_error=True)
+
+    def _stop_daemon(self, subject: int, lasts: float) -> None:
+        daemon = self._world.daemon(subject)
+        if not daemon.process.is_running():
+            return
+        daemon.disturb()
+        # Another fault may end it too, and start it again.
+        before = daemon.process.pid
+        daemon.process.terminate()
+        while daemon.process.is_running() and daemon.process.pid == before:
+            gevent.sleep(0.05)
+        daemon.start()
+
+    def _kill_daemon(self, subject: int, lasts: float) -> None:
+        daemon = self._world.daemon(subject)
+        daemon.killed()
+        daemon.process.kill()
+        gevent.sleep(lasts / 2)
+        daemon.start()
+
+    def _freeze_daemon(self, subject: int, lasts: float) -> None:
+        daemon = self._world.daemon(subject)
+        daemon.disturb(lasts)
+        daemon.process.freeze()
+        gevent.sleep(lasts)
+        daemon.process.thaw()
+
+    def _kill_replica(self, subject: int, lasts: float) -> None:
+        replica = self._world.replica(subject)
+        replica.process.kill()
+        gevent.sleep(lasts)
+        self._world.replace(replica)
+
+    def _freeze_replica(self, subject: int, lasts: float) -> None:
+        replica = self._world.replica(subject)
+        replica.process.freeze()
+        gevent.sleep(lasts)
+        replica.process.thaw()
+
+    def _drain_replica(self, subject: int, lasts: float) -> None:
+        replica = self._world.replica(subject)
+        if replica.drained_at is not None:
+            return
+        replica.process.terminate()
+        replica.drained_at = time.monotonic()
+        while replica.process.is_running():
+            gevent.sleep(0.1)
+        self._world.replace(replica)
+
+    def _cut_link(self, subject: int, lasts: float) -> None:
+        self._fault_link(subject, lasts, cut=True)
+
+    def _silence_link(self, subject: int, lasts: float) -> None:
+        self._fault_link(subject, lasts, blackhole=True)
+
+    def _slow_link(self, subject: int, lasts: float) -> None:
+        self._fault_link(subject, lasts, delay=_DELAY_SECONDS)
+
+    def _fault_link(
+        self, subject: int, lasts: float, **faults: object
+    ) -> None:
+        link = self._world.replica(subject).link
+        link.set(**faults)
+        gevent.sleep(lasts)
+        link.set()
+
+    def _disturb_store(
+        self, mode: _store.Mode
+    ) -> Callable[[int, float], None]:
+        def disturb(subject: int, lasts: float) -> None:
+            self._world.store.disturb(mode)
+            gevent.sleep(lasts)
+            self._world.store.disturb(_store.Mode.NORMAL)
+
+        return disturb
+
+    def _forget(self, subject: int, lasts: float) -> None:
+        self._world.store.forget()
+
+    def _configure(self, subject: int, lasts: float) -> None:
+        self._world.change_configuration()
--- /dev/null
+++ b/soak/_promises.py
@@ -0,0 +1,98 @@
+"""Compares what callers and replicas saw with what is promised."""
+
+import collections
+from collections.abc import Iterator
+
+from soak import _clients
+from soak import _expected
+from soak import _world
+
+_PROMISES = frozenset({408, 421, 429, 503})
+# A caller may notice a kill this much later than it was sent.
+_KILL_SLACK_SECONDS = 0.5
+# The store's entry, the feed and a request on its way.
+_LEAVING_SECONDS = 2.0 + 0.5
+
+
+def broken(
+    world: _world.World, outcomes: list[_clients.Outcome]
+) -> Iterator[str]:
+    """Give each broken promise in words."""
+    runs = world.runs()
+    runs_by_attempt: dict[str, list[str]] = collections.defaultdict(list)
+    for _, replica, attempt in runs:
+        runs_by_attempt[attempt].append(replica)
+    for outcome in outcomes:
+        ran = runs_by_attempt[outcome.attempt]
+        yield from _answer_broken(outcome)
+        yield from _count_broken(outcome, ran)
+        yield from _silence(world, outcome, ran)
+    yield from _unasked(runs_by_attempt, outcomes)
+    yield from _after_leaving(world, runs)
+
+
+def _answer_broken(outcome: _clients.Outcome) -> Iterator[str]:
+    if outcome.seen is not _clients.Seen.ANSWERED:
+        return
+    if outcome.status != 200:
+        return
+    wanted = _expected.body_of(outcome.attempt)
+    if outcome.path == _expected.STREAM:
+        wanted = _expected.stream_of(outcome.attempt)
+    if outcome.body != wanted or not outcome.signed:
+        yield f"MIXED {outcome.attempt}: {outcome.body[:80]!r}"
+
+
+def _count_broken(outcome: _clients.Outcome, ran: list[str]) -> Iterator[str]:
+    if outcome.path == _expected.ONCE and len(ran) > 1:
+        yield f"TWICE {outcome.attempt}: ran at {ran}"
+    is_kept = outcome.path == _expected.ONCE
+    if outcome.status in _PROMISES and ran and is_kept:
+        yield f"REFUSED {outcome.attempt}: {outcome.status}, ran at {ran}"
+
+
+def _silence(
+    world: _world.World, outcome: _clients.Outcome, ran: list[str]
+) -> Iterator[str]:
+    """A request that was taken gets an answer, unless its daemon died."""
+    if outcome.path == _expected.STREAM:
+        return
+    if outcome.seen not in (_clients.Seen.NOTHING, _clients.Seen.CUT):
+        return
+    killed = world.daemons[outcome.daemon].killed_at
+    if any(
+        outcome.started - _KILL_SLACK_SECONDS
+        <= at
+        <= outcome.ended + _KILL_SLACK_SECONDS
+        for at in killed
+    ):
+        return
+    # A request that crosses the close of an idle connection was not taken.
+    if ran or not outcome.reused:
+        yield f"LOST {outcome.attempt}: {outcome.seen.value}, ran at {ran}"
+
+
+def _unasked(
+    runs_by_attempt: dict[str, list[str]], outcomes: list[_clients.Outcome]
+) -> Iterator[str]:
+    asked = {outcome.attempt for outcome in outcomes}
+    for attempt in runs_by_attempt.keys() - asked:
+        yield f"UNASKED {attempt}: ran at {runs_by_attempt[attempt]}"
+
+
+def _after_leaving(
+    world: _world.World, runs: list[tuple[float, str, str]]
+) -> Iterator[str]:
+    """No work reaches a replica long after it said that it leaves."""
+    drained = {
+        one.name: one.drained_at
+        for one in [*world.replicas, *world.gone]
+        if one.drained_at is not None
+    }
+    for at, replica, attempt in runs:
+        since = drained.get(replica)
+        if since is None or at < since + _LEAVING_SECONDS:
+            continue
+        # While the store does not tell, nobody can know.
+        if world.store.disturbed_at < since - 3.0:
+            yield f"DRAIN {attempt}: {at - since:.1f} s late at {replica}"
--- /dev/null
+++ b/soak/_store.py
@@ -0,0 +1,157 @@
+"""The platform's metadata store as daemons see it, with faults."""
+
+import base64
+import enum
+import json
+import time
+from typing import Any
+
+import gevent
+from gevent import event
+
+from standins import _http
+
+LAPSE_SECONDS = 1.2
+
+
+class Mode(enum.Enum):
+    """How the store answers daemons."""
+
+    NORMAL = "normal"
+    SILENT = "silent"
+    BUSY = "busy"
+    RESET = "reset"
+
+
+class StoreStandIn:
+    """Rows, their feed and transactions; heartbeats of replicas.
+
+    Attributes
+    ----------
+    mode : Mode
+        How daemons are answered; replicas and the operator always are.
+    url : str
+        Where it listens.
+    """
+
+    def __init__(self) -> None:
+        self.mode = Mode.NORMAL
+        self.disturbed_at = 0.0
+        self._version = 1
+        self._floor = 0
+        self._log: list[tuple[int, str, str, str | None]] = []
+        self._rows: dict[tuple[str, str], tuple[str, int]] = {}
+        self._beat_at: dict[str, float] = {}
+        self._news = event.Event()
+        self._server = _http.server(self._answer, 0)
+        self.port = int(self._server.server_port)
+        self.url = f"http://127.0.0.1:{self.port}"
+        self._sweeper = gevent.spawn(self._sweep)
+
+    def put(self, table: str, key: str, value: Any) -> None:
+        """Write a row, as the operator or a replica does."""
+        data = base64.b64encode(json.dumps(value).encode()).decode()
+        held = self._rows.get((table, key))
+        if held is None or held[0] != data:
+            self._write([(table, key, data)])
+
+    def forget(self) -> None:
+        """Drop the history: feeds that lag must read whole."""
+        self._floor = self._version
+
+    def disturb(self, mode: Mode) -> None:
+        """Change how daemons are answered."""
+        self.mode = mode
+        self.disturbed_at = time.monotonic()
+        self._wake()
+
+    def stop(self) -> None:
+        """Close the listener."""
+        self._sweeper.kill()
+        self._server.stop(timeout=0)
+
+    def _write(self, rows: list[tuple[str, str, str | None]]) -> None:
+        self._version += 1
+        for table, key, data in rows:
+            self._log.append((self._version, table, key, data))
+            if data is None:
+                self._rows.pop((table, key), None)
+            else:
+                self._rows[table, key] = (data, self._version)
+        self._wake()
+
+    def _wake(self) -> None:
+        self._news.set()
+        self._news.clear()
+
+    def _sweep(self) -> None:
+        while True:
+            gevent.sleep(LAPSE_SECONDS / 4)
+            now = time.monotonic()
+            for key, at in list(self._beat_at.items()):
+                if now - at > LAPSE_SECONDS:
+                    del self._beat_at[key]
+                    self._write([("servers", key, None)])
+
+    def _answer(self, request: _http.Request) -> _http.Answer:
+        if request.path == "/soak/beat":
+            beat = _http.decoded(request)
+            self._beat_at[beat["key"]] = time.monotonic()
+            self.put("servers", beat["key"], beat["entry"])
+            return _http.json_answer(200, {})
+        if self.mode is Mode.SILENT:
+            while self.mode is Mode.SILENT and not request.client_closed():
+                gevent.sleep(0.05)
+            raise _http.ConnectionCut()
+        if self.mode is Mode.RESET:
+            raise _http.ConnectionCut()
+        if self.mode is Mode.BUSY:
+            return _http.json_answer(503, {})
+        return self._serve(request)
+
+    def _serve(self, request: _http.Request) -> _http.Answer:
+        if request.path == "/v1/rows-get":
+            table = request.query["table"]
+            rows = [
+                {"key": key, "data": data, "row_version": version}
+                for (name, key), (data, version) in sorted(self._rows.items())
+                if name == table and key >= request.query.get("source", "")
+            ]
+            return self._rows_answer(rows)
+        if request.path == "/v1/rows-feed":
+            return self._feed(request)
+        if request.path == "/v1/rows-tx":
+            return self._transaction(_http.decoded(request))
+        return _http.json_answer(404, {})
+
+    def _rows_answer(self, rows: list[dict[str, Any]]) -> _http.Answer:
+        return _http.json_answer(
+            200, {"rows": rows, "row_version": self._version}
+        )
+
+    def _feed(self, request: _http.Request) -> _http.Answer:
+        table = request.query["table"]
+        after = int(request.query["after"])
+        end = time.monotonic() + int(request.query["wait_time_ms"]) / 1000
+        while True:
+            if after < self._floor:
+                return _http.json_answer(410, {})
+            rows = [
+                {"key": key, "data": data or "", "deleted": data is None}
+                for version, name, key, data in self._log
+                if name == table and version > after
+            ]
+            left = end - time.monotonic()
+            if rows or left <= 0 or self.mode is not Mode.NORMAL:
+                return self._rows_answer(rows)
+            self._news.wait(left)
+
+    def _transaction(self, given: dict[str, Any]) -> _http.Answer:
+        for row in given["expected"]:
+            held = self._rows.get((row["table"], row["key"]))
+            if (held[1] if held else 0) != row["row_version"]:
+                return _http.json_answer(412, {"rows": []})
+        self._write(
+            [(row["table"], row["key"], row["data"]) for row in given["write"]]
+        )
+        return _http.json_answer(200, {"row_version": self._version})
--- /dev/null
+++ b/soak/_world.py
@@ -0,0 +1,243 @@
+"""Daemons, replicas, links and the store of one run."""
+
+import json
+import pathlib
+import time
+from typing import Any
+
+from gevent import server as gevent_server
+
+from bench import processes
+from soak import _clients
+from soak import _expected
+from soak import _store
+from standins import _relay
+
+ROOT = pathlib.Path(__file__).parents[1]
+KEY = "soak-key"
+HOST = _clients.HOST
+SERVICE = "soak"
+_PEER_PORT = 7340
+
+
+class Link:
+    """A loopback proxy before one replica."""
+
+    def __init__(self, port: int) -> None:
+        self._relay = _relay.Relay(host="127.0.0.1", port=port)
+        self._server = gevent_server.StreamServer(
+            ("127.0.0.1", 0), self._relay.handle
+        )
+        self._server.start()
+        self.port = int(self._server.server_port)
+
+    def set(self, **faults: Any) -> None:
+        """Put these faults in force, and no others."""
+        self._relay.set_faults(_relay.Faults(**faults))
+
+    def stop(self) -> None:
+        """Close the listener."""
+        self._server.stop(timeout=0)
+
+
+class Replica:
+    """One replica's process and the link to it."""
+
+    def __init__(
+        self, *, name: str, folder: pathlib.Path, store: str, seed: int
+    ) -> None:
+        port = processes.free_port()
+        self.name = name
+        self.link = Link(port)
+        self.drained_at: float | None = None
+        settings = {
+            "id": name,
+            "service": SERVICE,
+            "port": port,
+            "address": f"127.0.0.1:{self.link.port}",
+            "store": store,
+            "ledger": str(folder / "runs.txt"),
+            "seed": seed,
+        }
+        self.process = processes.Process(
+            name=name,
+            arguments=["-m", "soak._replica", json.dumps(settings)],
+            folder=folder,
+        )
+        self.process.start()
+
+
+class Daemon:
+    """One daemon's process, on a loopback address of its own."""
+
+    def __init__(
+        self,
+        *,
+        number: int,
+        folder: pathlib.Path,
+        store_port: int,
+        seed: int,
+    ) -> None:
+        # Daemons of one deployment share their ports, so each has an address
+        # of its own, and so has each seed that is played at the same time.
+        network = f"127.{1 + seed // 250 % 250}.{seed % 250}"
+        self.host = f"{network}.{number + 2}"
+        self.port = processes.free_port()
+        self.ready_port = processes.free_port()
+        self.killed_at: list[float] = []
+        self.disturbed_until = 0.0
+        path = folder / f"boot-{number}.json"
+        path.write_text(json.dumps(self._settings(number, store_port)))
+        self.process = processes.Process(
+            name=f"daemon-{number}",
+            arguments=[str(ROOT / "platform" / "topazlugd.py")],
+            folder=folder,
+            environment={"TOPAZLUG_CONFIG": str(path)},
+        )
+
+    def _settings(self, number: int, store_port: int) -> dict[str, Any]:
+        return {
+            "node_name": f"daemon-{number}",
+            "zone": "z",
+            "listeners_map": {
+                "frontend": f"{self.host}:{self.port}",
+                "ready": f"{self.host}:{self.ready_port}",
+            },
+            "internal_port_range": [_PEER_PORT, _PEER_PORT + 15],
+            "limits": {"file_descriptors": 1024},
+            "bounds": {
+                "retry_budget_ratio": 0.2,
+                "retry_budget_extra": 60,
+                "grace_period_s": 8,
+            },
+            "platform": {"address": f"127.0.0.1:{store_port}"},
+        }
+
+    def start(self) -> None:
+        """Start it, unless another fault already has."""
+        if not self.process.is_running():
+            self.process.start()
+        self.disturb()
+
+    def disturb(self, seconds: float = 0.0) -> None:
+        """Note that bounds on time don't hold for it just now."""
+        until = time.monotonic() + seconds + 3.0
+        self.disturbed_until = max(self.disturbed_until, until)
+
+    def killed(self) -> None:
+        """Note that it is about to be killed."""
+        self.killed_at.append(time.monotonic())
+        self.disturb()
+
+
+class World:
+    """All of one run.
+
+    Parameters
+    ----------
+    folder : pathlib.Path
+        Logs, settings and the ledger of runs.
+    daemons, replicas : int
+        How many.
+    seed : int
+        Decides the replicas' own faults.
+    """
+
+    def __init__(
+        self, *, folder: pathlib.Path, daemons: int, replicas: int, seed: int
+    ) -> None:
+        self._folder = folder
+        self._seed = seed
+        self._started = 0
+        self._version = 1
+        self.store = _store.StoreStandIn()
+        self.replicas: list[Replica] = []
+        self.gone: list[Replica] = []
+        self.change_configuration()
+        for _ in range(replicas):
+            self.replicas.append(self._new_replica())
+        self.daemons = [
+            Daemon(
+                number=number,
+                folder=folder,
+                store_port=self.store.port,
+                seed=seed,
+            )
+            for number in range(daemons)
+        ]
+        for daemon in self.daemons:
+            daemon.start()
+
+    def _new_replica(self) -> Replica:
+        self._started += 1
+        return Replica(
+            name=f"i-{self._started}",
+            folder=self._folder,
+            store=self.store.url,
+            seed=self._seed + self._started,
+        )
+
+    def daemon(self, subject: int) -> Daemon:
+        """Give the daemon that a fault is about."""
+        return self.daemons[subject % len(self.daemons)]
+
+    def replica(self, subject: int) -> Replica:
+        """Give the replica that a fault is about."""
+        return self.replicas[subject % len(self.replicas)]
+
+    def replace(self, old: Replica) -> None:
+        """Start a new replica for one that has ended."""
+        if old not in self.replicas:
+            return
+        self.replicas[self.replicas.index(old)] = self._new_replica()
+        self.gone.append(old)
+
+    def change_configuration(self) -> None:
+        """Write a newer configuration with the same routes."""
+        self._version += 3
+        kinds = {
+            _expected.ONCE: ("non_idempotent", False),
+            _expected.READ: ("idempotent", False),
+            _expected.STREAM: ("streaming", True),
+        }
+        routes = [
+            {
+                "name": prefix.strip("/"),
+                "host": HOST,
+                "prefix": prefix,
+                "route_kind": kind,
+                "timeout_ms": 4000,
+                "target_latency_ms": 300,
+                "itl_target_ms": 300,
+                "service": SERVICE,
+                "attempts": 3,
+                "resumable": resumable,
+                "sticky": resumable,
+            }
+            for prefix, (kind, resumable) in kinds.items()
+        ]
+        self.store.put(
+            "op",
+            "config",
+            {
+                "version": self._version,
+                "routes": routes,
+                "tenants": [{"name": "soak", "api_keys": [KEY]}],
+            },
+        )
+
+    def runs(self) -> list[tuple[float, str, str]]:
+        """Give all runs: moment, replica, attempt."""
+        path = self._folder / "runs.txt"
+        lines = path.read_text().splitlines() if path.exists() else []
+        split = [line.split() for line in lines]
+        return [(float(one[0]), one[1], one[2]) for one in split]
+
+    def stop(self) -> None:
+        """End every process that this run started."""
+        for daemon in self.daemons:
+            daemon.process.kill()
+        for replica in [*self.replicas, *self.gone]:
+            replica.process.kill()
+            replica.link.stop()
+        self.store.stop()
--- a/standins/_relay.py
+++ b/standins/_relay.py
@@ -50,13 +50,21 @@
         if request.path != "/faults":
             return _http.error_answer(404, "no_path", request.path)
         answer = _http.faults_answer(self.faults, request)
+        self._apply()
+        return answer
+
+    def set_faults(self, faults: Faults) -> None:
+        """Put faults in force, instead of those before."""
+        self.faults = faults
+        self._apply()
+
+    def _apply(self) -> None:
         if self.faults.blackhole:
             self._passing.clear()
         else:
             self._passing.set()
         if self.faults.cut:
             self._close_all()
-        return answer
 
     def handle(self, client: Any, _: Any) -> None:
         """Relay one accepted connection until either end closes."""
--- /dev/null
+++ b/tests/soak/test_promises.py
@@ -0,0 +1,95 @@
+"""Each promise, when broken, is noticed."""
+
+import types
+
+import pytest
+
+from soak import _clients
+from soak import _expected
+from soak import _promises
+
+SEEN = _clients.Seen
+ATTEMPT = "a1"
+
+
+def outcome(**changes):
+    values = {
+        "attempt": ATTEMPT,
+        "path": _expected.ONCE,
+        "daemon": 0,
+        "started": 10.0,
+        "ended": 10.5,
+        "seen": SEEN.ANSWERED,
+        "status": 200,
+        "body": _expected.body_of(ATTEMPT),
+        "signed": True,
+        "reused": False,
+    }
+    return _clients.Outcome(**{**values, **changes})
+
+
+def world(*, runs=(), killed=(), drained=None, disturbed_at=0.0):
+    replica = types.SimpleNamespace(name="i-1", drained_at=drained)
+    return types.SimpleNamespace(
+        runs=lambda: list(runs),
+        daemons=[types.SimpleNamespace(killed_at=list(killed))],
+        replicas=[replica],
+        gone=[],
+        store=types.SimpleNamespace(disturbed_at=disturbed_at),
+    )
+
+
+def found(one, **options):
+    return [
+        line.split()[0] for line in _promises.broken(world(**options), [one])
+    ]
+
+
+RUN = (10.1, "i-1", ATTEMPT)
+
+
+class TestPromises:
+    def test_nothing_is_broken(self):
+        assert found(outcome(), runs=[RUN]) == []
+
+    @pytest.mark.parametrize(
+        "changes", [{"body": b"other"}, {"signed": False}]
+    )
+    def test_wrong_answer(self, changes):
+        assert found(outcome(**changes), runs=[RUN]) == ["MIXED"]
+
+    def test_stream_with_an_event_missing(self):
+        whole = _expected.stream_of(ATTEMPT)
+        torn = whole.replace(_expected.event_of(ATTEMPT, 2), b"")
+        for body, wanted in ((whole, []), (torn, ["MIXED"])):
+            one = outcome(path=_expected.STREAM, body=body)
+            assert found(one, runs=[RUN]) == wanted
+
+    def test_two_runs(self):
+        assert found(outcome(), runs=[RUN, RUN]) == ["TWICE"]
+
+    @pytest.mark.parametrize("status", [408, 421, 429, 503])
+    def test_false_refusal(self, status):
+        assert found(outcome(status=status), runs=[RUN]) == ["REFUSED"]
+
+    def test_failure_promises_nothing(self):
+        assert found(outcome(status=502), runs=[RUN]) == []
+
+    def test_silence(self):
+        one = outcome(seen=SEEN.NOTHING, status=0)
+        assert found(one, runs=[RUN]) == ["LOST"]
+        assert found(one, runs=[RUN], killed=[10.2]) == []
+
+    def test_close_that_crosses_a_request(self):
+        one = outcome(seen=SEEN.NOTHING, status=0, reused=True)
+        assert found(one) == []
+
+    def test_run_that_nobody_asked_for(self):
+        assert found(outcome(), runs=[RUN, (10.2, "i-1", "x")]) == ["UNASKED"]
+
+    def test_work_after_leaving(self):
+        assert found(outcome(), runs=[RUN], drained=7.0) == ["DRAIN"]
+        assert found(outcome(), runs=[RUN], drained=8.0) == []
+        assert (
+            found(outcome(), runs=[RUN], drained=7.0, disturbed_at=6.0) == []
+        )
