Name no replica that is down as a source, and spread calls to the store

Cause: a chat's next replica was told to copy its context from a home that takes no connection; daemons of a large fleet turned to the store in one moment when relays lost it (1,000 calls in a second at 62 daemons). Ruled out: waiting for the relays instead of asking the store (a daemon cut off from all relays would pass the bound on configuration).

--- a/src/topazlug/fleet/_fleet.py
+++ b/src/topazlug/fleet/_fleet.py
@@ -163,6 +163,7 @@
             store=store,
             links=self._links,
             relays=self.directory.relays_for_me,
+            daemons=lambda: self.size,
             clock=self._clock,
         )
 
--- a/src/topazlug/fleet/_table_relay.py
+++ b/src/topazlug/fleet/_table_relay.py
@@ -9,6 +9,7 @@
 
 import base64
 from collections.abc import Callable
+import random
 from typing import Any
 from typing import final
 import zlib
@@ -32,7 +33,11 @@
 _SLACK_SECONDS = 0.5
 # A relay that failed is passed over for this long.
 _AVOID_SECONDS = 3.0
-# While no relay answers, the store is asked as if there were none.
+# All relays may lose the store in the same moment, and all daemons turn to it.
+# Their calls are spread so that so many come in a second: half of the rate of
+# the smallest store known.
+_DIRECT_CALLS_A_SECOND = 1000.0
+_TABLES = 3
 _ROWS = msgspec.msgpack.Decoder(list[_table_source.Row])
 
 
@@ -92,6 +97,8 @@
         Streams to peers.
     relays : callable
         Gives the relays to ask, in order; none where the store is asked.
+    daemons : callable
+        Gives the number of daemons in the fleet.
     clock : Clock
         Time.
     """
@@ -102,11 +109,13 @@
         store: _table_source.TableSource,
         links: _peers.PeerLinks,
         relays: Callable[[], list[_ids.DaemonId]],
+        daemons: Callable[[], int],
         clock: _clock.Clock,
     ) -> None:
         self._store = store
         self._links = links
         self._relays = relays
+        self._daemons = daemons
         self._clock = clock
         self._avoid_until: dict[_ids.DaemonId, float] = {}
 
@@ -128,8 +137,14 @@
             self._avoid(relay, table)
         if relays:
             wait = min(wait, _WAIT_SECONDS)
+            self._spread()
         return self._store.changes(table, after=after, wait=wait)
 
+    def _spread(self) -> None:
+        """Wait for this daemon's moment to ask the store itself."""
+        longest = self._daemons() * _TABLES / _DIRECT_CALLS_A_SECOND
+        self._clock.sleep(random.uniform(0, longest))
+
     def _is_avoided(self, relay: _ids.DaemonId) -> bool:
         until = self._avoid_until.get(relay, 0.0)
         return self._clock.monotonic() < until
--- a/src/topazlug/forwarding/_context.py
+++ b/src/topazlug/forwarding/_context.py
@@ -91,7 +91,7 @@
         remembered = self._remembered(chat)
         if remembered == chosen.replica:
             return None
-        if remembered is not None and self._is_known(remembered, chosen):
+        if remembered is not None and self._can_copy(remembered, chosen):
             return self._targets.target_by_replica[remembered]
         return self._by_rank(chat, chosen)
 
@@ -103,11 +103,15 @@
             return None
         return last.replica
 
-    def _is_known(
+    def _can_copy(
         self, replica: _ids.ReplicaId, chosen: _targets.Target
     ) -> bool:
         target = self._targets.target_by_replica.get(replica)
-        return target is not None and target.group == chosen.group
+        if target is None or target.group != chosen.group:
+            return False
+        # A replica that is down answers no copy either: the request would
+        # wait for it before it is read. One that is leaving still does.
+        return target.leaving or self._targets.is_usable(replica)
 
     def _by_rank(
         self, chat: _ids.ChatHash, chosen: _targets.Target
@@ -123,4 +127,7 @@
         home = _ranking.first(before, chat)
         if home is None or home == chosen.replica:
             return None
-        return self._targets.target_by_replica[_ids.ReplicaId(home)]
+        replica = _ids.ReplicaId(home)
+        if not self._can_copy(replica, chosen):
+            return None
+        return self._targets.target_by_replica[replica]
--- a/tests/topazlug/fleet/test_table_relay.py
+++ b/tests/topazlug/fleet/test_table_relay.py
@@ -38,6 +38,7 @@
             store=self.direct,
             links=self.reader,
             relays=lambda: [RELAY],
+            daemons=lambda: 20,
             clock=self.clock,
         )
         routing_fixtures.wait_until(lambda: self.feed.in_contact)
@@ -98,3 +99,33 @@
         rig.direct.put(TABLE, "config", b"8")
         found = rig.source.changes(TABLE, after=0, wait=1.0)
         assert [row.data for row in found.rows] == [b"8"]
+
+    def test_calls_to_the_store_are_spread(self, rig):
+        """Symptom: the store refuses calls when relays lose it.
+
+        Sequence: all relays lose the store at once; hundreds of daemons
+        turn to it in the same moment. Cause: nothing spread their calls.
+        """
+
+        class Clock:
+            slept = []
+
+            monotonic = _clock.SystemClock().monotonic
+
+            def sleep(self, seconds):
+                self.slept.append(seconds)
+
+        sources = [
+            _table_relay.RelayedTables(
+                store=rig.direct,
+                links=rig.reader,
+                relays=lambda: [_ids.DaemonId("gone")],
+                daemons=lambda: 880,
+                clock=Clock(),
+            )
+            for _ in range(200)
+        ]
+        for source in sources:
+            source.changes(TABLE, after=0, wait=0.0)
+        assert max(Clock.slept) > 2.0
+        assert sum(one < 0.5 for one in Clock.slept) < 80
--- a/tests/topazlug/forwarding/test_context.py
+++ b/tests/topazlug/forwarding/test_context.py
@@ -90,3 +90,18 @@
         world.memory.note_read(chat, home)
         world.list([name for name in NAMES if name != home])
         assert world.source(chat, second) is None
+
+    def test_replica_that_takes_no_connection_is_no_source(self):
+        """Symptom: requests stall when a replica goes dark.
+
+        Sequence: a chat's home goes dark; the next replica of its rank gets
+        the request, with the home as the source of its context, and waits.
+        """
+        world = World()
+        world.list(NAMES)
+        chat = _ranking.chat_hash("c")
+        home, second = _ranking.rank(NAMES, chat, count=2)
+        world.memory.note_read(chat, home)
+        assert world.source(chat, second) == home
+        world.targets.avoid(_ids.ReplicaId(home))
+        assert world.source(chat, second) is None
