Note the store's return at once, not with the first change

Cause: after a loss the feed's first call waited for news; contact counted from its answer. A replica that left 3.5 s after the store's return was then kept for 2.2 s as one whose entry had lapsed with the store, and got a request 2,118 ms after it left (bound 2,000). Ruled out: a slow feed (the daemon's line on the list is 11 ms after the store's).

--- a/src/topazlug/callers/_callers.py
+++ b/src/topazlug/callers/_callers.py
@@ -94,19 +94,12 @@
             environ=environ, limits=self._limits, clock=self._clock
         )
         self.in_progress += 1
-        body = _wsgi.AnswerBody(ended=self._ended)
-        try:
-            answer = self._answer(request)
-            body.pieces = answer.body
-            start(_caller_answer.status_line(answer.status), answer.headers)
-        except BaseException:
-            body.close()
-            raise
-        if request.method == "HEAD":
-            # Bytes after this head would be read as the next answer.
-            body.close()
-            return _wsgi.AnswerBody()
-        return body
+        return _wsgi.respond(
+            lambda: self._answer(request),
+            start,
+            is_head=request.method == "HEAD",
+            ended=self._ended,
+        )
 
     def _ended(self) -> None:
         self.in_progress -= 1
--- a/src/topazlug/callers/_wsgi.py
+++ b/src/topazlug/callers/_wsgi.py
@@ -1,10 +1,13 @@
 """What WSGI applications of this project share."""
 
 from collections.abc import Callable
+from collections.abc import Iterable
 from collections.abc import Iterator
 from typing import Any
 from typing import final
 
+from topazlug.callers import _caller_answer
+
 StartResponse = Callable[[str, list[tuple[str, str]]], Any]
 
 
@@ -29,3 +32,38 @@
         finally:
             if ended is not None:
                 ended()
+
+
+def respond(
+    answer: Callable[[], _caller_answer.CallerAnswer],
+    start: StartResponse,
+    *,
+    is_head: bool,
+    ended: Callable[[], None],
+) -> Iterable[bytes]:
+    """Hand an answer to the WSGI server.
+
+    Parameters
+    ----------
+    answer : callable
+        Makes the answer.
+    start : callable
+        The server's ``start_response``.
+    is_head : bool
+        Whether the request asks for the head only.
+    ended : callable
+        Called once when the answer has ended, however.
+    """
+    body = AnswerBody(ended=ended)
+    try:
+        made = answer()
+        body.pieces = made.body
+        start(_caller_answer.status_line(made.status), made.headers)
+    except BaseException:
+        body.close()
+        raise
+    if is_head:
+        # Bytes after this head would be read as the next answer.
+        body.close()
+        return AnswerBody()
+    return body
--- a/src/topazlug/fleet/_table_feed.py
+++ b/src/topazlug/fleet/_table_feed.py
@@ -115,8 +115,12 @@
         if not self._is_read:
             self._read_whole()
             return
+        # After a loss the first call must not wait for news: whoever keeps
+        # entries that lapsed with the store counts from its return, and
+        # would count from the first change instead.
+        wait = self._wait() if self._lost_at is None else 0.0
         answer = self._source.changes(
-            self.table, after=self.version, wait=self._wait()
+            self.table, after=self.version, wait=wait
         )
         self._note_contact()
         for row in answer.rows:
--- a/src/topazlug/fleet/_table_relay.py
+++ b/src/topazlug/fleet/_table_relay.py
@@ -131,7 +131,7 @@
         for relay in relays:
             if self._is_avoided(relay):
                 continue
-            found = self._ask(relay, table, after)
+            found = self._ask(relay, table, after, min(wait, _WAIT_SECONDS))
             if found is not None:
                 return found
             self._avoid(relay, table)
@@ -154,10 +154,10 @@
         _log.info("{relay} has no news of {table}", relay=relay, table=table)
 
     def _ask(
-        self, relay: _ids.DaemonId, table: str, after: int
+        self, relay: _ids.DaemonId, table: str, after: int, wait: float
     ) -> _table_source.TableChanges | None:
-        ask = messages.ChangesAsk(table=table, after=after, wait=_WAIT_SECONDS)
-        timeout = _WAIT_SECONDS + _SLACK_SECONDS
+        ask = messages.ChangesAsk(table=table, after=after, wait=wait)
+        timeout = wait + _SLACK_SECONDS
         try:
             answer = self._links.call(relay, ask, timeout=timeout)
         except _errors.PeerUnreachable as error:
--- a/src/topazlug/forwarding/_app.py
+++ b/src/topazlug/forwarding/_app.py
@@ -84,19 +84,12 @@
     ) -> Iterable[bytes]:
         """Answer one request, as WSGI asks."""
         self.in_progress += 1
-        body = _wsgi.AnswerBody(ended=self._ended)
-        try:
-            answer = self._answer(environ)
-            body.pieces = answer.body
-            start(_caller_answer.status_line(answer.status), answer.headers)
-        except BaseException:
-            body.close()
-            raise
-        if environ["REQUEST_METHOD"] == "HEAD":
-            # Bytes after this head would be read as the next answer.
-            body.close()
-            return _wsgi.AnswerBody()
-        return body
+        return _wsgi.respond(
+            lambda: self._answer(environ),
+            start,
+            is_head=environ["REQUEST_METHOD"] == "HEAD",
+            ended=self._ended,
+        )
 
     def _ended(self) -> None:
         self.in_progress -= 1
--- a/src/topazlug/forwarding/_daemon.py
+++ b/src/topazlug/forwarding/_daemon.py
@@ -1,13 +1,11 @@
 """A daemon that forwards: its parts, put together, started and stopped."""
 
 from collections.abc import Callable
-from collections.abc import Mapping
 from typing import final
 
 import gevent
 from gevent import event
 from gevent import pywsgi
-import msgspec
 
 from topazlug import _clock
 from topazlug import _ids
@@ -27,6 +25,7 @@
 from topazlug.forwarding import _exchange
 from topazlug.forwarding import _forwarder
 from topazlug.forwarding import _measures
+from topazlug.forwarding import _options
 from topazlug.forwarding import _replica_list
 from topazlug.forwarding import _replica_view
 from topazlug.forwarding import _retry_share
@@ -60,53 +59,6 @@
 _IDLE_PER_REPLICA = 2
 
 
-@final
-class ForwardingOptions(msgspec.Struct, frozen=True, kw_only=True):
-    """What a forwarding daemon is told at its start.
-
-    Attributes
-    ----------
-    daemon : DaemonId
-        Its name.
-    callers, health : AddressSettings
-        Listeners for callers, and for the balancer's question.
-    health_path : str
-        Path of that question.
-    metrics : AddressSettings
-        Listener for scrapes of `/metrics`.
-    zone : str
-        Its availability zone.
-    stop_seconds : float
-        Seconds that a planned stop may take.
-    retry_ratio, retry_extra, retry_window : float
-        Bound on retries over the whole fleet: a part of requests and a
-        fixed number, in any window of so many seconds.
-    peers : AddressSettings
-        Listener for other daemons.
-    relays : bool
-        Whether its link carries news for other daemons.
-    feed_seconds : float
-        Seconds that one call to the store waits for changes.
-    max_connections : int
-        Callers' connections served at once.
-    """
-
-    daemon: _ids.DaemonId
-    callers: _settings_types.AddressSettings
-    health: _settings_types.AddressSettings
-    health_path: str
-    metrics: _settings_types.AddressSettings
-    zone: str
-    stop_seconds: float
-    retry_ratio: float
-    retry_extra: float
-    retry_window: float
-    peers: _settings_types.AddressSettings
-    relays: bool
-    feed_seconds: float
-    max_connections: int
-
-
 @final
 class _NoSigns:
     """Peers are not told of targets: each reads the list itself."""
@@ -127,7 +79,7 @@
 
     Parameters
     ----------
-    options : ForwardingOptions
+    options : _options.ForwardingOptions
         What it is told.
     caller_wire, replica_wire
         Names on the wire.
@@ -147,7 +99,7 @@
     def __init__(
         self,
         *,
-        options: ForwardingOptions,
+        options: _options.ForwardingOptions,
         caller_wire: _wire.CallerWire,
         replica_wire: _wire.ReplicaWire,
         new_store: Callable[[], _table_source.TableStore],
@@ -303,13 +255,25 @@
         _log.info("table {version} is in force", version=table.version)
 
     def _take_replicas(self, targets: list[_targets.Target]) -> None:
-        _log_changes(self.targets.target_by_replica, targets)
+        _replica_list.log_changes(self.targets.target_by_replica, targets)
         self.targets.take_list(targets)
         names = [target.replica for target in targets]
         self.views.forget_all_but(names)
         self.contexts.note_replicas(names)
         self._knows_replicas = True
 
+    def apply(self, options: _options.ForwardingOptions) -> None:
+        """Take over what may change while the daemon runs.
+
+        Addresses and the daemon's name don't: those come with a start.
+        """
+        self._options = options
+        self.budget.set_bounds(
+            ratio=options.retry_ratio,
+            extra=options.retry_extra,
+            window=options.retry_window,
+        )
+
     def _take_size(self, daemons: int) -> None:
         # Rows of daemons that are gone stay, so this is never too low once
         # all have joined; before, the fleet may still be growing.
@@ -418,26 +382,3 @@
         self._connections.close()
         self._fleet.stop()
         self.stopped.set()
-
-
-def _log_changes(
-    before: Mapping[_ids.ReplicaId, _targets.Target],
-    listed: list[_targets.Target],
-) -> None:
-    fresh = {target.replica: target for target in listed}
-    joined = sorted(fresh.keys() - before.keys())
-    gone = sorted(before.keys() - fresh.keys())
-    leaving = sorted(
-        replica
-        for replica, target in fresh.items()
-        if target.leaving
-        and (replica not in before or not before[replica].leaving)
-    )
-    if joined or gone or leaving:
-        _log.info(
-            "{n} replicas listed",
-            n=len(fresh),
-            joined=joined,
-            leaving=leaving,
-            gone=gone,
-        )
--- /dev/null
+++ b/src/topazlug/forwarding/_options.py
@@ -0,0 +1,55 @@
+"""What a forwarding daemon is told at its start."""
+
+from typing import final
+
+import msgspec
+
+from topazlug import _ids
+from topazlug._generated import settings as _settings_types
+
+
+@final
+class ForwardingOptions(msgspec.Struct, frozen=True, kw_only=True):
+    """What a forwarding daemon is told at its start.
+
+    Attributes
+    ----------
+    daemon : DaemonId
+        Its name.
+    callers, health : AddressSettings
+        Listeners for callers, and for the balancer's question.
+    health_path : str
+        Path of that question.
+    metrics : AddressSettings
+        Listener for scrapes of `/metrics`.
+    zone : str
+        Its availability zone.
+    stop_seconds : float
+        Seconds that a planned stop may take.
+    retry_ratio, retry_extra, retry_window : float
+        Bound on retries over the whole fleet: a part of requests and a
+        fixed number, in any window of so many seconds.
+    peers : AddressSettings
+        Listener for other daemons.
+    relays : bool
+        Whether its link carries news for other daemons.
+    feed_seconds : float
+        Seconds that one call to the store waits for changes.
+    max_connections : int
+        Callers' connections served at once.
+    """
+
+    daemon: _ids.DaemonId
+    callers: _settings_types.AddressSettings
+    health: _settings_types.AddressSettings
+    health_path: str
+    metrics: _settings_types.AddressSettings
+    zone: str
+    stop_seconds: float
+    retry_ratio: float
+    retry_extra: float
+    retry_window: float
+    peers: _settings_types.AddressSettings
+    relays: bool
+    feed_seconds: float
+    max_connections: int
--- a/src/topazlug/forwarding/_replica_list.py
+++ b/src/topazlug/forwarding/_replica_list.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from collections.abc import Iterable
+from collections.abc import Mapping
 from typing import final
 
 import gevent
@@ -84,3 +85,27 @@
 
     def _tell(self) -> None:
         self._changed([*self._listed.values(), *self._lapsed.values()])
+
+
+def log_changes(
+    before: Mapping[_ids.ReplicaId, _targets.Target],
+    listed: list[_targets.Target],
+) -> None:
+    """Write which replicas joined, are leaving or have gone."""
+    fresh = {target.replica: target for target in listed}
+    joined = sorted(fresh.keys() - before.keys())
+    gone = sorted(before.keys() - fresh.keys())
+    leaving = sorted(
+        replica
+        for replica, target in fresh.items()
+        if target.leaving
+        and (replica not in before or not before[replica].leaving)
+    )
+    if joined or gone or leaving:
+        _log.info(
+            "{n} replicas listed",
+            n=len(fresh),
+            joined=joined,
+            leaving=leaving,
+            gone=gone,
+        )
--- a/src/topazlug/forwarding/_retry_share.py
+++ b/src/topazlug/forwarding/_retry_share.py
@@ -73,6 +73,15 @@
         self._requests_by_group: dict[_ids.GroupName, _Window] = {}
         self._retries_by_group: dict[_ids.GroupName, _Window] = {}
 
+    def set_bounds(self, *, ratio: float, extra: float, window: float) -> None:
+        """Change the bounds; a window of another length starts empty."""
+        if window != self._seconds:
+            self._requests_by_group.clear()
+            self._retries_by_group.clear()
+        self._ratio = ratio
+        self._extra = extra
+        self._seconds = window
+
     def earn(self, group: _ids.GroupName) -> None:
         """Note a request of a caller."""
         window = self._window(self._requests_by_group, group)
--- a/src/topazlug/forwarding/_wire.py
+++ b/src/topazlug/forwarding/_wire.py
@@ -13,7 +13,7 @@
 
 from topazlug import _ids
 from topazlug.targets import _target_answer
-from topazlug.targets import _target_client
+from topazlug.targets import _target_wire
 from topazlug.targets import _targets
 
 Field = tuple[str, str]
@@ -112,7 +112,7 @@
     slots: int
 
 
-class ReplicaWire(_target_client.TargetWire, Protocol):
+class ReplicaWire(_target_wire.TargetWire, Protocol):
     """Encodes requests for replicas and decodes their answers."""
 
     def encode(self, head: CallHead, sending: Sending) -> list[Field]:
--- a/src/topazlug/targets/_target_client.py
+++ b/src/topazlug/targets/_target_client.py
@@ -10,7 +10,6 @@
 import functools
 import math
 import socket as _plain_socket
-from typing import Protocol
 from typing import final
 
 import gevent
@@ -23,14 +22,12 @@
 from topazlug import _ids
 from topazlug import _logs
 from topazlug.targets import _target_answer
+from topazlug.targets import _target_wire
 from topazlug.targets import _targets
 
 _log = _logs.logger("targets")
 _MAX_HEAD = 65536
 _MAX_SKIPPED = 65536
-REQUEST_ID = "X-Request-Id"
-NOT_RUN = "X-Not-Run"
-TARGET_STATE = "X-Target-State"
 _HEAD_END = b"\r\n\r\n"
 # A body up to this many bytes fits the kernel's buffers of both ends; it is
 # sent in one call. A longer one is sent beside the reading of the answer.
@@ -61,58 +58,6 @@
     is_probe: bool = False
 
 
-class TargetWire(Protocol):
-    """The names that targets of one kind use.
-
-    Attributes
-    ----------
-    id_header : str
-        Header that names a request; targets echo it.
-    repeats_answers : bool
-        Whether a target may answer a request a second time, before it
-        answers the connection's next one.
-    """
-
-    id_header: str
-    repeats_answers: bool
-
-    def refusal(
-        self, answer: _target_answer.TargetAnswer
-    ) -> _errors.TargetRefused | None:
-        """Give the error for an answer that says "did not run"."""
-
-    def idle_seconds(
-        self, answer: _target_answer.TargetAnswer
-    ) -> float | None:
-        """Give how long the target keeps an idle connection, if it says."""
-
-
-@final
-class ProductWire:
-    """The names of the project's own interface to targets."""
-
-    id_header = REQUEST_ID
-    repeats_answers = False
-
-    def refusal(
-        self, answer: _target_answer.TargetAnswer
-    ) -> _errors.TargetRefused | None:
-        """Give the error for an answer that says "did not run"."""
-        if answer.status != 503 or answer.header(NOT_RUN) != "true":
-            return None
-        leaving = answer.header(TARGET_STATE) == "leaving"
-        return _errors.TargetRefused(
-            "the target is leaving" if leaving else "the target refused",
-            retry_after=1.0,
-        )
-
-    def idle_seconds(
-        self, answer: _target_answer.TargetAnswer
-    ) -> float | None:
-        """Give None: these targets don't say."""
-        return None
-
-
 @final
 class ConnectFailed(_errors.TopazlugError):
     """No connection: not a byte of the request was sent."""
@@ -141,13 +86,13 @@
         *,
         connect_timeout: float,
         clock: _clock.Clock,
-        wire: TargetWire | None = None,
+        wire: _target_wire.TargetWire | None = None,
         idle_per_target: int = _target_answer.IDLE_PER_TARGET,
     ) -> None:
         self._idle_per_target = idle_per_target
         self._connect_timeout = connect_timeout
         self._clock = clock
-        self._wire = wire or ProductWire()
+        self._wire = wire or _target_wire.ProductWire()
         self._heard_at: dict[_ids.ReplicaId, float] = {}
         self._idle_by_address: dict[
             tuple[str, int], _target_answer.IdleConnections
--- a/tests/topazlug/fleet/test_table_feed.py
+++ b/tests/topazlug/fleet/test_table_feed.py
@@ -13,14 +13,14 @@
 
 
 class Rig:
-    def __init__(self):
-        self.store = store_fakes.FakeTables()
+    def __init__(self, *, store=None, wait=0.02):
+        self.store = store or store_fakes.FakeTables()
         self.seen = []
         self.regained = 0
         self.feed = _table_feed.TableFeed(
             source=self.store,
             table=TABLE,
-            wait=lambda: 0.02,
+            wait=lambda: wait,
             follower=_table_feed.TableFollower(
                 changed=lambda data: self.seen.append(dict(data)),
                 regained=self._count,
@@ -86,6 +86,34 @@
         assert {"a": b"1"} not in rig.seen[1:]
 
 
+class TestAfterALoss:
+    def test_first_call_does_not_wait(self):
+        """Symptom: a replica gets requests 2.1 s after it left.
+
+        Sequence: the store is back after an outage and has no news; the
+        feed's call waits 3 s for some, until a replica leaves. Only then
+        the feed notes that the store is back, and keeps the replica for
+        two seconds as one whose entry may have lapsed with the store.
+        Cause: contact was noted with the answer to a call that waits.
+        """
+        waits = []
+
+        class Tables(store_fakes.FakeTables):
+            def changes(self, table, *, after, wait):
+                waits.append(wait)
+                return super().changes(table, after=after, wait=wait)
+
+        rig = Rig(store=Tables(), wait=0.5)
+        rig.wait_for({})
+        rig.store.is_away = True
+        routing_fixtures.wait_until(lambda: not rig.feed.in_contact)
+        waits.clear()
+        rig.store.is_away = False
+        routing_fixtures.wait_until(lambda: rig.regained == 1)
+        assert 0.0 in waits
+        rig.greenlet.kill()
+
+
 class TestForOthers:
     def test_waits_for_news(self, rig):
         rig.store.put(TABLE, "a", b"1")
--- a/tests/topazlug/forwarding/test_retry_share.py
+++ b/tests/topazlug/forwarding/test_retry_share.py
@@ -49,3 +49,10 @@
         assert budget.spend(GROUP)
         assert not budget.spend(GROUP)
         assert budget.spend(_ids.GroupName("bookings"))
+
+    def test_bounds_that_change_are_kept_at_once(self):
+        budget = share(claim_fakes.FakeClock(), extra=0.0)
+        assert not budget.spend(GROUP)
+        budget.set_bounds(ratio=0.2, extra=2.0, window=10.0)
+        assert budget.spend(GROUP)
+        assert not budget.spend(GROUP)
--- a/tests/topazlug/targets/test_target_client.py
+++ b/tests/topazlug/targets/test_target_client.py
@@ -9,6 +9,7 @@
 from topazlug import _errors
 from topazlug import _ids
 from topazlug.targets import _target_client
+from topazlug.targets import _target_wire
 
 CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 UNKNOWN = _errors.Outcome.UNKNOWN
@@ -164,7 +165,7 @@
         Cause: the late answer was taken for a failure of the next request.
         """
 
-        class Wire(_target_client.ProductWire):
+        class Wire(_target_wire.ProductWire):
             repeats_answers = True
 
         made = _target_client.TargetConnections(
--- a/tests/topazlug_platform/platform_rig.py
+++ b/tests/topazlug_platform/platform_rig.py
@@ -12,6 +12,7 @@
 from topazlug import _ids
 from topazlug._generated import settings
 from topazlug.forwarding import _daemon
+from topazlug.forwarding import _options
 
 ANY = settings.AddressSettings(host="127.0.0.1", port=0)
 SIGNED = "X-Response-Signature: s1"
@@ -59,7 +60,7 @@
         self.requests = []
         self._servers = []
         self.daemon = _daemon.ForwardingDaemon(
-            options=_daemon.ForwardingOptions(
+            options=_options.ForwardingOptions(
                 daemon=_ids.DaemonId("d1"),
                 callers=ANY,
                 health=ANY,
--- a/tests/topazlug_platform/test_boot_file.py
+++ b/tests/topazlug_platform/test_boot_file.py
@@ -7,7 +7,9 @@
 
 import pytest
 from topazlug_platform import boot_file
+from topazlug_platform import program
 
+from topazlug import _clock
 from topazlug import _errors
 
 ROOT = pathlib.Path(__file__).parents[2]
@@ -32,6 +34,11 @@
     "a_field_to_come": {"x": 1},
 }
 
+RELOADED = {
+    "listeners_map": {"frontend": "127.0.0.1:0", "ready": "127.0.0.1:0"},
+    "bounds": {"retry_budget_extra": 5800},
+}
+
 
 def write(folder, **changes):
     path = folder / "boot.json"
@@ -99,3 +106,25 @@
             cwd=ROOT,
         )
         assert done.returncode == 0
+
+
+class TestReload:
+    @pytest.fixture
+    def made(self, tmp_path):
+        loopback = {"frontend": "127.0.0.1:0", "ready": "127.0.0.1:0"}
+        path = write(tmp_path, listeners_map=loopback)
+        return program.Program(path=path, clock=_clock.SystemClock())
+
+    def test_bounds_that_changed_are_in_force(self, made, tmp_path):
+        assert not made.daemon.budget.has_left("engines")
+        write(tmp_path, **RELOADED)
+        made.reload()
+        assert made.daemon.budget.has_left("engines")
+
+    def test_bad_file_leaves_the_last_in_force(self, made, tmp_path):
+        """Symptom: a daemon ends when its settings file is half written."""
+        write(tmp_path, **RELOADED)
+        made.reload()
+        (tmp_path / "boot.json").write_text('{"node_name": ')
+        made.reload()
+        assert made.daemon.budget.has_left("engines")
