Count reports of load for longer in a large fleet

Ruled out: a change of small fleets (there a report comes each second; unchanged). The new test fails before. Also: a deadline of 0 ms is 0, not the default.

--- a/src/topazlug/fleet/_fleet_directory.py
+++ b/src/topazlug/fleet/_fleet_directory.py
@@ -25,7 +25,7 @@
 _RELAYS = _ranking.chat_hash("relays")
 # Below this many daemons each reads the store itself: that costs less than
 # a hundredth of what the calls of 60 daemons do, and is one step shorter.
-_SMALL_FLEET = 16
+SMALL_FLEET = 16
 # One relay serves about a dozen daemons: a change of 100 KB for each of them
 # passes a link of 100 Mbit/s in a tenth of a second.
 _DAEMONS_A_RELAY = 12
@@ -122,7 +122,7 @@
     @property
     def is_small(self) -> bool:
         """Say whether each daemon reads the store itself."""
-        return len(self.daemons_by_id) <= _SMALL_FLEET
+        return len(self.daemons_by_id) <= SMALL_FLEET
 
     def relays(self) -> list[_ids.DaemonId]:
         """Give the daemons that read the store for others, if any."""
--- a/src/topazlug/forwarding/_app.py
+++ b/src/topazlug/forwarding/_app.py
@@ -133,7 +133,10 @@
         path = environ[_caller_request.RAW_PATH]
         route = table.route_of(environ.get("HTTP_HOST", ""), path)
         team = table.team_of(route, head.key)
-        patience = min(head.patience or _DEFAULT_PATIENCE, route.timeout)
+        patience = (
+            _DEFAULT_PATIENCE if head.patience is None else head.patience
+        )
+        patience = min(patience, route.timeout)
         body = _caller_request.read_body(
             environ,
             limit=table.bounds.max_body_bytes,
--- a/src/topazlug/forwarding/_daemon.py
+++ b/src/topazlug/forwarding/_daemon.py
@@ -16,6 +16,7 @@
 from topazlug.callers import _caller_server
 from topazlug.calls import _attempts
 from topazlug.fleet import _fleet
+from topazlug.fleet import _fleet_directory
 from topazlug.fleet import _table_feed
 from topazlug.fleet import _table_source
 from topazlug.forwarding import _admission
@@ -278,6 +279,10 @@
         # Rows of daemons that are gone stay, so this is never too low once
         # all have joined; before, the fleet may still be growing.
         self.budget.daemons = max(_FLEET_LEAST, daemons)
+        seconds = _replica_view.REPORT_SECONDS
+        if daemons > _fleet_directory.SMALL_FLEET:
+            seconds = _replica_view.LARGE_FLEET_REPORT_SECONDS
+        self.views.count_reports_for(seconds)
 
     def follow(self, table: str, follower: _table_feed.TableFollower) -> None:
         """Follow a table of the platform's store from now on."""
--- a/src/topazlug/forwarding/_replica_view.py
+++ b/src/topazlug/forwarding/_replica_view.py
@@ -18,9 +18,12 @@
 
 _log = _logs.logger("replicas")
 # A report is as old as the answer that brought it. After this many seconds
-# the others' part is taken to have ended: it is about the length of a
-# stream.
-_REPORT_SECONDS = 2.0
+# the others' part is taken to have ended: about the length of a stream.
+REPORT_SECONDS = 2.0
+# In a large fleet each daemon hears of a replica every 7 s or so. A replica
+# that was full would look empty most of the time, and more than 3 in 100
+# requests reach replicas above twice the mean load (seen at 81 daemons).
+LARGE_FLEET_REPORT_SECONDS = 6.0
 # Outcomes older than this say nothing of a replica's health now.
 _OUTCOME_SECONDS = 6.0
 _MAX_OUTCOMES = 40
@@ -47,12 +50,17 @@
     ----------
     in_flight : int
         This daemon's own requests in progress.
+    report_seconds : float
+        Seconds for which a report of its load counts.
     latency : float
         Moving mean of the seconds to an answer's first byte; 0 unknown.
     """
 
-    def __init__(self, *, clock: _clock.Clock) -> None:
+    def __init__(
+        self, *, clock: _clock.Clock, report_seconds: float = REPORT_SECONDS
+    ) -> None:
         self._clock = clock
+        self.report_seconds = report_seconds
         self.in_flight = 0
         self.latency = 0.0
         self._others = 0
@@ -67,7 +75,7 @@
     def load(self) -> float:
         """Give the requests that the replica holds, by all daemons."""
         age = self._clock.monotonic() - self._reported_at
-        fresh = max(0.0, 1.0 - age / _REPORT_SECONDS)
+        fresh = max(0.0, 1.0 - age / self.report_seconds)
         return self.in_flight + self._others * fresh
 
     @property
@@ -139,16 +147,25 @@
 
     def __init__(self, *, clock: _clock.Clock) -> None:
         self._clock = clock
+        self._report_seconds = REPORT_SECONDS
         self._view_by_replica: dict[_ids.ReplicaId, ReplicaView] = {}
 
     def of(self, replica: _ids.ReplicaId) -> ReplicaView:
         """Give the view of a replica, a new one if there is none."""
         view = self._view_by_replica.get(replica)
         if view is None:
-            view = ReplicaView(clock=self._clock)
+            view = ReplicaView(
+                clock=self._clock, report_seconds=self._report_seconds
+            )
             self._view_by_replica[replica] = view
         return view
 
+    def count_reports_for(self, seconds: float) -> None:
+        """Change for how long reports of load count."""
+        self._report_seconds = seconds
+        for view in self._view_by_replica.values():
+            view.report_seconds = seconds
+
     def forget_all_but(self, replicas: Iterable[_ids.ReplicaId]) -> None:
         """Drop the views of replicas that are gone and hold nothing."""
         kept = set(replicas)
--- a/tests/topazlug/forwarding/test_replica_view.py
+++ b/tests/topazlug/forwarding/test_replica_view.py
@@ -63,3 +63,20 @@
         assert view.load == 6
         clock.advance(5.0)
         assert view.load == 2
+
+    def test_reports_count_for_longer_in_a_large_fleet(self):
+        """Symptom: replicas above twice the mean load get more requests.
+
+        Sequence: 81 daemons; each hears of a replica every 7 s; a replica
+        was full 3 s ago. Cause: its report had faded to nothing.
+        """
+        clock = claim_fakes.FakeClock()
+        views = _replica_view.ReplicaViews(clock=clock)
+        views.of(ONE).note_report(12)
+        clock.advance(3.0)
+        assert views.of(ONE).load == 0
+        views.count_reports_for(_replica_view.LARGE_FLEET_REPORT_SECONDS)
+        assert views.of(ONE).load == 6
+        views.of(TWO).note_report(12)
+        clock.advance(3.0)
+        assert views.of(TWO).load == 6
