Make two tests notice when their protection is gone

Cause: 15 protections were taken out one by one on a scratch clone, to see whether the tests named in GUARANTEES.md notice. Two did not: test_older_copy_is_refused went on before the stale copy was read, and test_cuts_off_nothing let the answers come before the daemon had stopped listening. Before: both pass with the protection taken out.

--- a/tests/topazlug/fleet/store_fakes.py
+++ b/tests/topazlug/fleet/store_fakes.py
@@ -18,6 +18,7 @@
         self.forgotten = 0
         self.is_away = False
         self.stale = None
+        self.stale_reads = 0
         self.calls = 0
         self._news = event.Event()
 
@@ -53,6 +54,7 @@
     def rows(self, table):
         self._call()
         if self.stale is not None:
+            self.stale_reads += 1
             return self.stale
         return _table_source.TableChanges(
             self.version, list(self._held(table).values())
--- a/tests/topazlug/fleet/test_table_feed.py
+++ b/tests/topazlug/fleet/test_table_feed.py
@@ -79,7 +79,8 @@
             1, [_table_source.Row("a", b"1")]
         )
         rig.store.forgotten = rig.store.version + 1
-        routing_fixtures.wait_until(lambda: not rig.feed.in_contact)
+        # Two reads: the first was refused, or else taken and told.
+        routing_fixtures.wait_until(lambda: rig.store.stale_reads >= 2)
         rig.store.stale = None
         rig.store.forgotten = 0
         rig.store.put(TABLE, "b", b"2")
--- a/tests/topazlug_platform/test_forwarding.py
+++ b/tests/topazlug_platform/test_forwarding.py
@@ -3,6 +3,7 @@
 import contextlib
 
 import gevent
+import gevent.socket
 import pytest
 
 from tests.topazlug import routing_fixtures
@@ -38,6 +39,15 @@
     return script
 
 
+def is_closed(port):
+    """Say whether nobody listens on a port any more."""
+    try:
+        gevent.socket.create_connection(("127.0.0.1", port)).close()
+    except OSError:
+        return True
+    return False
+
+
 class TestRequest:
     def test_reaches_the_replica_as_it_was_sent(self):
         script = answering(platform_rig.answer())
@@ -303,6 +313,11 @@
             routing_fixtures.wait_until(lambda: not rig.daemon.is_ready())
             late_one = gevent.spawn(rig.send)
             routing_fixtures.wait_until(lambda: len(rig.requests) == 2)
+            # The answers come only after the daemon takes nobody any more.
+            port = rig.port
+            routing_fixtures.wait_until(lambda: is_closed(port))
+            gevent.sleep(0)
+            assert not stopping.ready()
             go_on.set()
             assert running_one.get(timeout=10)[0] == 200
             assert late_one.get(timeout=10)[0] == 200
