Split asking owners from finding a place

The forwarding daemon needs the first alone. Ruled out: a subclass of OwnersAdmission, which would queue and refuse where the forwarding daemon must decide by itself. No behaviour is meant to change.

--- a/src/topazlug/routing/_admission.py
+++ b/src/topazlug/routing/_admission.py
@@ -6,12 +6,10 @@
 """
 
 from collections.abc import Callable
-import itertools
 import math
 from typing import NamedTuple
 from typing import final
 
-from gevent import event
 import logbook
 
 from topazlug import _clock
@@ -21,6 +19,7 @@
 from topazlug._generated import settings as _settings_types
 from topazlug.routing import _holdings
 from topazlug.routing import _owner
+from topazlug.routing import _owner_asks
 from topazlug.routing import _ownership
 from topazlug.routing import _place
 from topazlug.routing import _ranking
@@ -28,8 +27,6 @@
 
 _log = logbook.Logger("admission")
 
-_SILENT_SECONDS = 1.0
-_FIRST_SILENT_SECONDS = 0.1
 # A returning chat waits so long for the replica that holds its context.
 # Recomputing the context costs more, and where places come free often, as
 # each 70 ms at 15 requests/s, most such waits end with one.
@@ -121,27 +118,21 @@
         clock: _clock.Clock,
         fleet_size: Callable[[], int],
     ) -> None:
-        self._daemon = daemon
-        self._owner = owner
-        self._ownership = ownership
         self._targets = targets
-        self._links = links
         self._routing = routing
         self._clock = clock
         self._fleet_size = fleet_size
-        self._numbers = itertools.count(1)
-        self._silent_until: dict[_ids.DaemonId, float] = {}
-        self._silences: dict[_ids.DaemonId, int] = {}
-        self.holdings = _holdings.Holdings(
+        self._asks = _owner_asks.OwnerAsks(
             daemon=daemon,
             owner=owner,
             ownership=ownership,
             links=links,
+            timeout=routing.owner_timeout,
             clock=clock,
         )
+        self.holdings = self._asks.holdings
         self._full: dict[_ids.ReplicaId, _Full] = {}
         self.decided_alone = 0
-        self.passed_over = 0
 
     def admit(self, request: _place.PlaceRequest) -> _place.Place:
         """Find a place, asking the owners in the chat's rank.
@@ -157,7 +148,9 @@
             search = self._search(request)
             if search.place is not None:
                 self.holdings.place_by_ask[search.place.ask] = search.place
-                self._note_displacement(search.place, search)
+                self._asks.note_displacement(
+                    search.place, home=search.ranked[0], seat=search.seat
+                )
                 return search.place
             if not search.is_worth_repeating:
                 break
@@ -215,7 +208,7 @@
             return None
         is_home = replica == search.ranked[0]
         has_context = replica == (search.seat or search.ranked[0])
-        answer = self._ask(
+        answer = self._asks.ask(
             request,
             replica,
             home=is_home and redirects > 0,
@@ -269,7 +262,7 @@
         if wait <= 0:
             raise _errors.DeadlineExceeded("no place before the deadline")
         replicas = len(self._targets.usable(request.group))
-        answer = self._ask(
+        answer = self._asks.ask(
             request,
             replica,
             home=False,
@@ -289,91 +282,6 @@
         search.note(replica, reply)
         return None
 
-    def _ask(
-        self,
-        request: _place.PlaceRequest,
-        replica: _ids.ReplicaId,
-        *,
-        home: bool,
-        wait: float = 0.0,
-        total: int = 0,
-    ) -> tuple[_ids.AskNumber, _ids.DaemonId, messages.AdmitReply] | None:
-        owner = self._ownership.owner_of(replica)
-        if owner is None:
-            return None
-        now = self._clock.monotonic()
-        if now < self._silent_until.get(owner, 0.0):
-            self.passed_over += 1
-            return None
-        ask = _ids.AskNumber(next(self._numbers))
-        message = messages.AdmitAsk(
-            ask=ask,
-            group=request.group,
-            replica=replica,
-            chat=request.chat,
-            team=request.team,
-            batch=request.batch,
-            weight=request.weight,
-            home=home,
-            wait=wait,
-            total=total,
-        )
-        self.holdings.pending_by_ask[ask] = owner
-        try:
-            reply = self._exchange(owner, message, wait)
-        except BaseException:
-            # The caller left while its ask waited: a turn that comes later
-            # would be granted to nobody and its slot lost.
-            self.holdings.send_release(owner, ask)
-            raise
-        finally:
-            del self.holdings.pending_by_ask[ask]
-        if reply is None:
-            self._pass_over(owner, ask, waited=wait > 0)
-            return None
-        self._silences.pop(owner, None)
-        return ask, owner, reply
-
-    def _exchange(
-        self, owner: _ids.DaemonId, message: messages.AdmitAsk, wait: float
-    ) -> messages.AdmitReply | None:
-        timeout = self._routing.owner_timeout + wait
-        if owner == self._daemon:
-            result = event.AsyncResult()
-            self._owner.ask(self._daemon, message, result.set)
-            result.wait(timeout=timeout)
-            if not result.ready():
-                return None
-            reply: messages.AdmitReply = result.get()
-            return reply
-        try:
-            answer = self._links.call(owner, message, timeout=timeout)
-        except _errors.PeerUnreachable:
-            return None
-        if isinstance(answer, messages.AdmitReply):
-            return answer
-        return None
-
-    def _pass_over(
-        self, owner: _ids.DaemonId, ask: _ids.AskNumber, *, waited: bool
-    ) -> None:
-        """Leave an owner that did not answer alone for a moment.
-
-        A frozen owner takes bytes and says nothing. If each request waited
-        for it in turn, every caller whose home it owns would lose the whole
-        timeout; after a silence the others go straight on, for longer each
-        time. One slow answer alone must not send all chats of the owner's
-        replicas away from their context for a second.
-        """
-        self.passed_over += 1
-        if not waited:
-            silences = self._silences.get(owner, 0)
-            self._silences[owner] = silences + 1
-            pause = _FIRST_SILENT_SECONDS * 2 ** min(silences, 8)
-            pause = min(pause, _SILENT_SECONDS)
-            self._silent_until[owner] = self._clock.monotonic() + pause
-        self.holdings.send_release(owner, ask)
-
     def _decide_alone(
         self, request: _place.PlaceRequest, ranked: list[_ids.ReplicaId]
     ) -> _place.Place | None:
@@ -392,7 +300,7 @@
             if held.get(replica, 0) >= share:
                 continue
             self.decided_alone += 1
-            ask = _ids.AskNumber(next(self._numbers))
+            ask = self._asks.new_number()
             home = replica == ranked[0]
             return self._new_place(request, replica, ask, None, home=home)
         return None
@@ -415,29 +323,6 @@
             target=target, ask=ask, owner=owner, request=request, home=home
         )
 
-    def _note_displacement(self, place: _place.Place, search: _Round) -> None:
-        """Tell the home's owner where its chat went.
-
-        Only a chat that moved is told: one that is at home, or still at
-        the seat that the owner remembers, costs no message.
-        """
-        replica = place.target.replica
-        unmoved = replica == search.seat or (place.home and not search.seat)
-        if unmoved or place.request.excluded:
-            return
-        home = search.ranked[0]
-        owner = self._ownership.owner_of(home)
-        note = messages.Displaced(
-            group=place.request.group,
-            home=home,
-            chat=place.request.chat,
-            replica="" if place.home else replica,
-        )
-        if owner == self._daemon:
-            self._owner.displaced.note(note)
-        elif owner is not None:
-            self.holdings.send(owner, note)
-
     def release(self, place: _place.Place) -> None:
         """Give a place back; a second time does nothing."""
         self.holdings.release(place)
--- /dev/null
+++ b/src/topazlug/routing/_owner_asks.py
@@ -0,0 +1,233 @@
+"""Asking owners for places, and what is owed to them afterwards.
+
+An owner that says nothing is passed over for a moment: whoever asks decides
+what to do without its word.
+"""
+
+import itertools
+from typing import NamedTuple
+from typing import final
+
+from gevent import event
+
+from topazlug import _clock
+from topazlug import _errors
+from topazlug import _ids
+from topazlug._generated import messages
+from topazlug.routing import _holdings
+from topazlug.routing import _owner
+from topazlug.routing import _ownership
+from topazlug.routing import _place
+
+_SILENT_SECONDS = 1.0
+_FIRST_SILENT_SECONDS = 0.1
+
+
+class OwnerAnswer(NamedTuple):
+    """What an owner said to one ask."""
+
+    ask: _ids.AskNumber
+    owner: _ids.DaemonId
+    reply: messages.AdmitReply
+
+
+@final
+class OwnerAsks:
+    """Asks owners, each for one place on one replica.
+
+    Parameters
+    ----------
+    daemon : DaemonId
+        This daemon.
+    owner : Owner
+        This daemon's own ledgers.
+    ownership : Ownership
+        Who owns what.
+    links : Links
+        Streams to peers.
+    timeout : float
+        Longest wait in seconds for an owner's word.
+    clock : Clock
+        Time.
+
+    Attributes
+    ----------
+    holdings : Holdings
+        Places that this daemon holds of owners.
+    passed_over : int
+        Asks that got no word of an owner.
+    """
+
+    def __init__(
+        self,
+        *,
+        daemon: _ids.DaemonId,
+        owner: _owner.Owner,
+        ownership: _ownership.Ownership,
+        links: _holdings.Links,
+        timeout: float,
+        clock: _clock.Clock,
+    ) -> None:
+        self._daemon = daemon
+        self._owner = owner
+        self._ownership = ownership
+        self._links = links
+        self._timeout = timeout
+        self._clock = clock
+        self._numbers = itertools.count(1)
+        self._silent_until: dict[_ids.DaemonId, float] = {}
+        self._silences: dict[_ids.DaemonId, int] = {}
+        self.holdings = _holdings.Holdings(
+            daemon=daemon,
+            owner=owner,
+            ownership=ownership,
+            links=links,
+            clock=clock,
+        )
+        self.passed_over = 0
+
+    def new_number(self) -> _ids.AskNumber:
+        """Give the number of a new ask."""
+        return _ids.AskNumber(next(self._numbers))
+
+    def ask(
+        self,
+        request: _place.PlaceRequest,
+        replica: _ids.ReplicaId,
+        *,
+        home: bool,
+        wait: float = 0.0,
+        total: int = 0,
+    ) -> OwnerAnswer | None:
+        """Ask a replica's owner for a place.
+
+        Parameters
+        ----------
+        request : PlaceRequest
+            What needs a place.
+        replica : ReplicaId
+            Where.
+        home : bool
+            Whether the owner may name the chat's displaced seat instead.
+        wait : float
+            Seconds that the ask may wait in the owner's queue.
+        total : int
+            Load of the whole group if it is known, else 0.
+
+        Returns
+        -------
+        OwnerAnswer or None
+            None if there is no owner, or no word of it.
+        """
+        owner = self._ownership.owner_of(replica)
+        if owner is None:
+            return None
+        now = self._clock.monotonic()
+        if now < self._silent_until.get(owner, 0.0):
+            self.passed_over += 1
+            return None
+        ask = self.new_number()
+        message = messages.AdmitAsk(
+            ask=ask,
+            group=request.group,
+            replica=replica,
+            chat=request.chat,
+            team=request.team,
+            batch=request.batch,
+            weight=request.weight,
+            home=home,
+            wait=wait,
+            total=total,
+        )
+        self.holdings.pending_by_ask[ask] = owner
+        try:
+            reply = self._exchange(owner, message, wait)
+        except BaseException:
+            # The caller left while its ask waited: a turn that comes later
+            # would be granted to nobody and its slot lost.
+            self.holdings.send_release(owner, ask)
+            raise
+        finally:
+            del self.holdings.pending_by_ask[ask]
+        if reply is None:
+            self._pass_over(owner, ask, waited=wait > 0)
+            return None
+        self._silences.pop(owner, None)
+        return OwnerAnswer(ask, owner, reply)
+
+    def _exchange(
+        self, owner: _ids.DaemonId, message: messages.AdmitAsk, wait: float
+    ) -> messages.AdmitReply | None:
+        timeout = self._timeout + wait
+        if owner == self._daemon:
+            result = event.AsyncResult()
+            self._owner.ask(self._daemon, message, result.set)
+            result.wait(timeout=timeout)
+            if not result.ready():
+                return None
+            reply: messages.AdmitReply = result.get()
+            return reply
+        try:
+            answer = self._links.call(owner, message, timeout=timeout)
+        except _errors.PeerUnreachable:
+            return None
+        if isinstance(answer, messages.AdmitReply):
+            return answer
+        return None
+
+    def _pass_over(
+        self, owner: _ids.DaemonId, ask: _ids.AskNumber, *, waited: bool
+    ) -> None:
+        """Leave an owner that did not answer alone for a moment.
+
+        A frozen owner takes bytes and says nothing. If each request waited
+        for it in turn, every caller whose home it owns would lose the whole
+        timeout; after a silence the others go straight on, for longer each
+        time. One slow answer alone must not send all chats of the owner's
+        replicas away from their context for a second.
+        """
+        self.passed_over += 1
+        if not waited:
+            silences = self._silences.get(owner, 0)
+            self._silences[owner] = silences + 1
+            pause = _FIRST_SILENT_SECONDS * 2 ** min(silences, 8)
+            pause = min(pause, _SILENT_SECONDS)
+            self._silent_until[owner] = self._clock.monotonic() + pause
+        self.holdings.send_release(owner, ask)
+
+    def note_displacement(
+        self,
+        place: _place.Place,
+        *,
+        home: _ids.ReplicaId,
+        seat: _ids.ReplicaId | None,
+    ) -> None:
+        """Tell the home's owner where its chat went.
+
+        Only a chat that moved is told: one that is at home, or still at
+        the seat that the owner remembers, costs no message.
+
+        Parameters
+        ----------
+        place : Place
+            Where it is now.
+        home : ReplicaId
+            First of its rank.
+        seat : ReplicaId or None
+            The seat that the owner remembered.
+        """
+        replica = place.target.replica
+        unmoved = replica == seat or (place.home and not seat)
+        if unmoved or place.request.excluded:
+            return
+        owner = self._ownership.owner_of(home)
+        note = messages.Displaced(
+            group=place.request.group,
+            home=home,
+            chat=place.request.chat,
+            replica="" if place.home else replica,
+        )
+        if owner == self._daemon:
+            self._owner.displaced.note(note)
+        elif owner is not None:
+            self.holdings.send(owner, note)
