--- /dev/null
+++ b/tests/bench/test_other_sites.py
@@ -0,0 +1,80 @@
+"""Sites of other shapes, made out of one."""
+
+import copy
+
+import pytest
+
+from bench import other_sites
+
+SITE = {
+    "name": "s",
+    "zones": [{"name": "a", "region": "r"}, {"name": "b", "region": "r"}],
+    "machines": [
+        {"zone": "a", "cpu_share": 0.5, "memory_mb": 300, "count": 3},
+        {"zone": "b", "cpu_share": 0.5, "memory_mb": 300, "count": 2},
+    ],
+    "services": [
+        {
+            "name": "llm",
+            "model": "llm",
+            "servers": [{"zone": "a", "count": 2}, {"zone": "b", "count": 4}],
+        },
+        {"name": "app", "servers": [{"zone": "b", "count": 1}]},
+    ],
+    "classes": [
+        {"name": "chat", "service": "llm", "aim_ms": 100, "deadline_ms": 900},
+        {"name": "read", "service": "app", "aim_ms": 200, "deadline_ms": 500},
+    ],
+    "tenants": {"count": 10},
+    "troubles": [{"kind": "srv_crash", "service": "app"}, {"kind": "burst"}],
+    "day": [
+        {
+            "plan": [{"kind": "release", "service": "llm"}],
+            "faults": [
+                {"kind": "lossy", "zone": "b"},
+                {"kind": "hot_key", "class": "read"},
+            ],
+            "traffic": [{"zone": "b", "mix": {"chat": 1.0, "read": 2.0}}],
+        }
+    ],
+}
+
+
+def shaped(shape):
+    return other_sites.shaped(SITE, shape)
+
+
+class TestShapes:
+    @pytest.mark.parametrize("shape", other_sites.SHAPE_BY_NAME)
+    def test_first_site_stays(self, shape):
+        before = copy.deepcopy(SITE)
+        assert shaped(shape)["name"] == f"s-{shape}"
+        assert SITE == before
+
+    def test_one_zone_holds_all(self):
+        site = shaped("one-zone")
+        assert [zone["name"] for zone in site["zones"]] == ["a"]
+        assert [one["count"] for one in site["machines"]] == [5]
+        assert site["services"][0]["servers"] == [{"zone": "a", "count": 6}]
+        assert site["day"][0]["faults"][0]["zone"] == "a"
+        assert site["day"][0]["traffic"][0]["zone"] == "a"
+
+    def test_engines_only_has_nothing_of_services(self):
+        site = shaped("engines-only")
+        assert [one["name"] for one in site["services"]] == ["llm"]
+        assert [one["name"] for one in site["classes"]] == ["chat"]
+        assert site["troubles"] == [{"kind": "burst"}]
+        assert site["day"][0]["faults"] == [{"kind": "lossy", "zone": "b"}]
+        assert site["day"][0]["traffic"][0]["mix"] == {"chat": 1.0}
+
+    def test_services_only_has_nothing_of_engines(self):
+        site = shaped("services-only")
+        assert [one["name"] for one in site["services"]] == ["app"]
+        assert site["day"][0]["plan"] == []
+        assert site["day"][0]["traffic"][0]["mix"] == {"read": 2.0}
+
+    def test_deadlines_stay_above_the_objective(self):
+        deadlines = [
+            one["deadline_ms"] for one in shaped("short-deadlines")["classes"]
+        ]
+        assert deadlines == [300, 400]
