Hold an engine's report against what was held since the last one

With the owner's refusals in the log: pool-4 had load 0 and a limit of 1, and refused as over its bound. An engine is asked once a second how much it runs; short turns of one chat were counted by it three times in a row and had each ended when the answer was taken, so they passed for places that another owner had granted. Ruled out: turns whose release is late (places_of_chat=0), silent owners, deaths of other replicas. Change: a report is held against the highest load since the report before. Refusals of an owner are logged with load, limit, mean and the chat's places. Test: failed before (seen_load 1 for an idle replica).

--- a/src/topazlug/routing/_ledger.py
+++ b/src/topazlug/routing/_ledger.py
@@ -103,6 +103,8 @@
         self._reports: collections.deque[int] = collections.deque(
             maxlen=_REPORTS_KEPT
         )
+        # Highest load since the last report.
+        self._peak = 0
         self._counts: collections.deque[int] = collections.deque(
             maxlen=_REPORTS_KEPT
         )
@@ -168,9 +170,10 @@
     def _foreign_load(self) -> int:
         """Load that the engine keeps reporting beyond what is counted.
 
-        While daemons disagree on the owner, another one admits too. Single
-        reports lag, so only what every recent report shows beyond every
-        recent count is taken for real.
+        While daemons disagree on the owner, another one admits too. Reports
+        lag: places that they count may have been given back when they are
+        taken. So only what every recent report shows beyond all that was
+        held since the report before it is taken for real.
         """
         if len(self._reports) < _REPORTS_KEPT:
             return 0
@@ -179,7 +182,8 @@
     def take_report(self, running: int) -> None:
         """Note the engine's own lagging figure."""
         self._reports.append(running)
-        self._counts.append(self.load)
+        self._counts.append(self._peak)
+        self._peak = self.load
 
     def forget_reports(self) -> None:
         """Drop figures that say nothing of now."""
@@ -192,6 +196,7 @@
             return
         self.held_by_key[key] = held
         self.load += held.weight
+        self._peak = max(self._peak, self.load)
         if held.batch:
             self.batch_load += held.weight
 
@@ -201,8 +206,11 @@
         Only one is overlooked: a caller that sends many turns of one chat
         at once must not get past the bound with them.
         """
-        same = [h for h in self.held_by_key.values() if h.chat == chat]
-        return len(same) == 1
+        return self.places_of(chat) == 1
+
+    def places_of(self, chat: _ids.ChatHash) -> int:
+        """Give how many places are a chat's."""
+        return sum(held.chat == chat for held in self.held_by_key.values())
 
     def release(self, key: PlaceKey, *, now: float) -> bool:
         """Free a place, or take its ask out of the queue.
--- a/src/topazlug/routing/_owner.py
+++ b/src/topazlug/routing/_owner.py
@@ -12,10 +12,10 @@
 from typing import final
 
 import gevent
-import logbook
 
 from topazlug import _clock
 from topazlug import _ids
+from topazlug import _logs
 from topazlug._generated import messages
 from topazlug._generated import settings as _settings_types
 from topazlug.routing import _displaced
@@ -24,7 +24,7 @@
 from topazlug.routing import _ownership
 from topazlug.targets import _targets
 
-_log = logbook.Logger("owner")
+_log = _logs.logger("owner")
 
 CAREFUL_SECONDS = 2.5
 _SHORT_WAIT = 1.0
@@ -155,10 +155,11 @@
         total = self.accounts.total(ledger.group)
         if ask.total > total.load:
             total = total._replace(load=ask.total)
+        limit = self.accounts.limit(ledger.group, total)
         judgement = ledger.judge(
             weight=ask.weight,
             batch=ask.batch,
-            limit=self.accounts.limit(ledger.group, total),
+            limit=limit,
             now=self._clock.monotonic(),
             mean=total.mean,
         )
@@ -170,6 +171,18 @@
             self._answer(reply, messages.Verdict.granted, load=ledger.load)
             return
         if ask.wait <= 0:
+            _log.info(
+                "no room at {replica} for {daemon}: load {load}, "
+                "limit {limit}",
+                replica=ledger.replica,
+                daemon=sender,
+                load=ledger.load,
+                limit=limit,
+                mean=round(total.mean, 2),
+                home=ask.home,
+                places_of_chat=ledger.places_of(held.chat),
+                judgement=judgement.name.lower(),
+            )
             verdict = messages.Verdict.full
             if judgement is _ledger.Judgement.OVER_BOUND:
                 verdict = messages.Verdict.over_bound
--- a/tests/topazlug/routing/test_ledger.py
+++ b/tests/topazlug/routing/test_ledger.py
@@ -212,3 +212,28 @@
         for ask in range(3):
             Waiter(ledger, ask)
         assert ledger.demand() == 3
+
+
+class TestEngineReports:
+    def test_turns_that_ended_before_their_report_came(self):
+        """Symptom: a chat is sent away from an idle replica.
+
+        Sequence: a chat's short turns follow each other; the engine counts
+        one each time it is asked, and each has ended when its answer is
+        taken. Cause: the report is held against the count of that moment,
+        and three in a row pass for places that another owner granted.
+        """
+        ledger = make()
+        for ask in range(6):
+            ledger.hold(key("d1", ask), held())
+            ledger.release(key("d1", ask), now=100.0)
+            ledger.take_report(1)
+        assert ledger.seen_load() == 0
+
+    def test_places_that_another_owner_granted_count(self):
+        ledger = make()
+        for ask in range(3):
+            ledger.hold(key("d1", ask), held())
+            ledger.release(key("d1", ask), now=100.0)
+            ledger.take_report(3)
+        assert ledger.seen_load() == 2
