Say which daemon of a fleet under test has ended

Ruled out: nothing yet; that two fleets got the same free port is suspected, not shown. Change: waiting ends with the name and log of a daemon that has ended.

--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -327,15 +327,31 @@
         end = time.monotonic() + seconds
         for daemon in self.daemons:
             _wait_until(
-                lambda: _is_serving(
-                    daemon,
-                    daemons=len(self.daemons),
-                    targets=len(self.engines) + len(self.services),
-                ),
+                lambda: self._is_serving(daemon),
                 end,
                 daemon.process,
             )
 
+    def _is_serving(self, daemon: DaemonProcess) -> bool:
+        """Say whether a daemon sees all others.
+
+        Raises
+        ------
+        NotReady
+            Some daemon has ended, so none will ever see them all. Without
+            its log only the wait of another one would show.
+        """
+        for one in self.daemons:
+            if not one.process.is_running():
+                raise processes.NotReady(
+                    f"{one.process.name} has ended: {one.process.log[-3000:]}"
+                )
+        return _is_serving(
+            daemon,
+            daemons=len(self.daemons),
+            targets=len(self.engines) + len(self.services),
+        )
+
     def stop(self) -> None:
         """End everything that this fleet started."""
         started = list(self._started)
@@ -369,8 +385,6 @@
 
 
 def _is_serving(daemon: DaemonProcess, *, daemons: int, targets: int) -> bool:
-    if not daemon.process.is_running():
-        raise processes.NotReady(daemon.process.log[-3000:])
     try:
         text = get(f"{daemon.administration_url}/metrics").decode()
     except OSError:
