Let first requests wait for what a starting daemon reads

Cause: after all daemons were killed or without power, callers connect some milliseconds before the first table and list are read (20 to 30 ms after the listeners open). They got 503 with half a second to wait, and spent their one retry. Ruled out: opening the listener later, since connections would be reset. Test: failed before with 503.

--- a/src/topazlug/forwarding/_app.py
+++ b/src/topazlug/forwarding/_app.py
@@ -17,6 +17,7 @@
 from topazlug.forwarding import _call
 from topazlug.forwarding import _forwarder
 from topazlug.forwarding import _measures
+from topazlug.forwarding import _start_gate
 from topazlug.forwarding import _table
 from topazlug.forwarding import _wire
 from topazlug.telemetry import _metrics
@@ -52,6 +53,8 @@
         The table in force.
     wire : CallerWire
         Names on the wire.
+    gate : StartGate
+        Holds requests up while the daemon starts.
     measures : Measures
         What is counted.
     clock : Clock
@@ -69,9 +72,11 @@
         forwarder: _forwarder.Forwarder,
         tables: _table.TableHolder,
         wire: _wire.CallerWire,
+        gate: _start_gate.StartGate,
         measures: _measures.Measures,
         clock: _clock.Clock,
     ) -> None:
+        self._gate = gate
         self._forwarder = forwarder
         self._tables = tables
         self._wire = wire
@@ -124,6 +129,7 @@
         started: float,
     ) -> _call.ForwardedCall:
         """Find a request's route and team, and read its body."""
+        self._gate.wait()
         table = self._tables.current
         if table is None:
             raise _errors.NotReady(
--- a/src/topazlug/forwarding/_daemon.py
+++ b/src/topazlug/forwarding/_daemon.py
@@ -32,6 +32,7 @@
 from topazlug.forwarding import _replica_list
 from topazlug.forwarding import _replica_view
 from topazlug.forwarding import _retry_share
+from topazlug.forwarding import _start_gate
 from topazlug.forwarding import _table
 from topazlug.forwarding import _wire
 from topazlug.peers import _peers
@@ -116,6 +117,7 @@
         self._knows_replicas = False
         self._greenlets: list[gevent.Greenlet] = []
         self.stopped = event.Event()
+        self._gate = _start_gate.StartGate(clock=clock)
         self.tables = _table.TableHolder()
         self.targets = _targets.TargetDirectory(
             clock=clock, flap_window=_FLAP_SECONDS
@@ -168,6 +170,7 @@
             forwarder=self._build_forwarder(replica_wire),
             tables=self.tables,
             wire=caller_wire,
+            gate=self._gate,
             measures=self._measures,
             clock=clock,
         )
@@ -261,6 +264,7 @@
                 held=self.tables.version,
             )
             return
+        self._open_gate()
         self._callers.head_seconds = table.bounds.head_timeout
         self._callers.idle_seconds = table.bounds.idle_timeout
         _log.info("table {version} is in force", version=table.version)
@@ -272,6 +276,11 @@
         self.views.forget_all_but(names)
         self.contexts.note_replicas(names)
         self._knows_replicas = True
+        self._open_gate()
+
+    def _open_gate(self) -> None:
+        if self.is_ready():
+            self._gate.open()
 
     def apply(self, options: _options.ForwardingOptions) -> None:
         """Take over what may change while the daemon runs.
--- a/tests/topazlug_platform/test_forwarding.py
+++ b/tests/topazlug_platform/test_forwarding.py
@@ -115,6 +115,23 @@
         assert ended == [b""]
 
 
+class TestStart:
+    def test_request_that_comes_before_the_table_is_served(self):
+        """Symptom: after all daemons were killed, callers get 503 and late.
+
+        Sequence: a daemon listens; a caller's request comes some
+        milliseconds before the first table. Cause: it is refused at once,
+        and may come back half a second later only.
+        """
+        script = answering(platform_rig.answer())
+        with running() as rig:
+            asked = gevent.spawn(rig.send)
+            gevent.sleep(0.02)
+            rig.list(script)
+            rig.daemon.take_table(fixtures.table(fixtures.route()))
+            assert asked.get(timeout=10)[0] == 200
+
+
 class TestRefusals:
     def test_no_table(self):
         with running() as rig:
