Serve requests that cross the end of an idle connection

Also, the library's shutdown breaks off a read that waits: with bytes in the socket the connection was closed unread. Change: the reading side is shut at the socket itself, so that what is there is still read; such a request is not watched. Ruled out: closing later (callers keep connections open until they are told). Test: failed before with an empty answer, and with the watch alone put back.

--- a/src/topazlug/callers/_caller_connection.py
+++ b/src/topazlug/callers/_caller_connection.py
@@ -35,6 +35,7 @@
     """The library's handler, with bounds on time and the socket at hand."""
 
     _refusal: _errors.RequestError | None = None
+    _is_read_to_its_end = False
 
     def handle(self) -> None:
         """Serve one connection."""
@@ -55,8 +56,11 @@
 
     def end_reading(self) -> None:
         """Take no further request than one that is already here."""
+        self._is_read_to_its_end = True
         try:
-            self.socket.shutdown(_plain_socket.SHUT_RD)
+            # The library's own shutdown breaks off a read that waits, and
+            # bytes that have just arrived would be thrown away with it.
+            self.socket._sock.shutdown(_plain_socket.SHUT_RD)
         except OSError:
             return
 
@@ -100,7 +104,10 @@
     def get_environ(self) -> dict[str, Any]:
         """Give the WSGI environment and the connection."""
         environ = super().get_environ()
-        environ[_caller_request.SOCKET] = self.socket
+        # The end of reading looks like a caller that hangs up; a request
+        # that had just arrived would be given up while it runs.
+        is_watched = not self._is_read_to_its_end
+        environ[_caller_request.SOCKET] = self.socket if is_watched else None
         environ[_caller_request.RAW_PATH] = self.path.partition("?")[0]
         environ[_caller_request.FIELDS] = self.headers.items()
         environ[_caller_request.TARGET] = self.path
--- a/tests/topazlug_platform/test_forwarding.py
+++ b/tests/topazlug_platform/test_forwarding.py
@@ -341,6 +341,28 @@
             stopping.get(timeout=10)
             assert rig.daemon.stopped.is_set()
 
+    def test_request_that_crosses_the_end_of_its_idle_connection(self):
+        """Symptom: callers get 500 while a daemon is replaced.
+
+        Sequence: the daemon stops and ends its idle connections; on one of
+        them a request has just arrived. It is read and sent to a replica.
+        Cause: the end of reading, made by the daemon itself, was taken for
+        a caller that hangs up.
+        """
+
+        def script(sock):
+            gevent.sleep(0.05)
+            sock.sendall(platform_rig.answer())
+
+        with running(fixtures.route(), scripts=[script]) as rig:
+            callers = rig.daemon._callers
+            with rig.connect() as sock:
+                routing_fixtures.wait_until(lambda: callers.idle_handlers)
+                sock.sendall(platform_rig.request())
+                callers.end_idle()
+                with gevent.Timeout(10):
+                    assert platform_rig.read_all(sock)[0] == 200
+
     def test_idle_connections_are_ended(self, monkeypatch):
         monkeypatch.setattr(_daemon, "_STILL_FOUND_SECONDS", 0.05)
         with running(fixtures.route()) as rig:
