Put what places forwarded requests into a package of its own

Change: moves only. placement holds owners' counts, own views, contexts and the list of replicas; the retry share is with the other limits; tests follow.

--- a/src/topazlug/forwarding/_daemon.py
+++ b/src/topazlug/forwarding/_daemon.py
@@ -19,23 +19,23 @@
 from topazlug.fleet import _fleet_directory
 from topazlug.fleet import _table_feed
 from topazlug.fleet import _table_source
-from topazlug.forwarding import _admission
 from topazlug.forwarding import _app
-from topazlug.forwarding import _context
 from topazlug.forwarding import _event_relay
 from topazlug.forwarding import _exchange
 from topazlug.forwarding import _forwarder
 from topazlug.forwarding import _measures
 from topazlug.forwarding import _options
-from topazlug.forwarding import _owned_admission
-from topazlug.forwarding import _owners
-from topazlug.forwarding import _replica_list
-from topazlug.forwarding import _replica_view
-from topazlug.forwarding import _retry_share
 from topazlug.forwarding import _start_gate
 from topazlug.forwarding import _table
 from topazlug.forwarding import _wire
+from topazlug.limits import _retry_share
 from topazlug.peers import _peers
+from topazlug.placement import _context
+from topazlug.placement import _owned_admission
+from topazlug.placement import _owners
+from topazlug.placement import _replica_list
+from topazlug.placement import _replica_view
+from topazlug.placement import _view_admission
 from topazlug.routing import _place
 from topazlug.targets import _target_client
 from topazlug.targets import _targets
@@ -137,7 +137,7 @@
             changed=self._take_replicas, clock=clock
         )
         self._admission = _owned_admission.OwnedAdmission(
-            alone=_admission.ViewAdmission(
+            alone=_view_admission.ViewAdmission(
                 targets=self.targets, views=self.views
             ),
             targets=self.targets,
--- a/src/topazlug/forwarding/_event_relay.py
+++ b/src/topazlug/forwarding/_event_relay.py
@@ -16,8 +16,8 @@
 from topazlug.forwarding import _call
 from topazlug.forwarding import _exchange
 from topazlug.forwarding import _measures
-from topazlug.forwarding import _replica_view
-from topazlug.forwarding import _retry_share
+from topazlug.limits import _retry_share
+from topazlug.placement import _replica_view
 from topazlug.routing import _place
 from topazlug.targets import _target_answer
 from topazlug.targets import _target_client
--- a/src/topazlug/forwarding/_exchange.py
+++ b/src/topazlug/forwarding/_exchange.py
@@ -5,9 +5,9 @@
 from topazlug import _clock
 from topazlug import _errors
 from topazlug.forwarding import _call
-from topazlug.forwarding import _context
-from topazlug.forwarding import _replica_view
 from topazlug.forwarding import _wire
+from topazlug.placement import _context
+from topazlug.placement import _replica_view
 from topazlug.routing import _place
 from topazlug.targets import _target_answer
 from topazlug.targets import _target_client
--- a/src/topazlug/forwarding/_owned_admission.py
+++ b/src/topazlug/placement/_owned_admission.py
@@ -11,8 +11,8 @@
 from topazlug import _ids
 from topazlug import _logs
 from topazlug._generated import messages
-from topazlug.forwarding import _admission
-from topazlug.forwarding import _replica_view
+from topazlug.placement import _replica_view
+from topazlug.placement import _view_admission
 from topazlug.routing import _owner_asks
 from topazlug.routing import _place
 from topazlug.routing import _ranking
@@ -47,7 +47,7 @@
     def __init__(
         self,
         *,
-        alone: _admission.ViewAdmission,
+        alone: _view_admission.ViewAdmission,
         targets: _targets.TargetDirectory,
         views: _replica_view.ReplicaViews,
     ) -> None:
--- a/src/topazlug/forwarding/_admission.py
+++ b/src/topazlug/placement/_view_admission.py
@@ -11,7 +11,7 @@
 from topazlug import _errors
 from topazlug import _ids
 from topazlug import _logs
-from topazlug.forwarding import _replica_view
+from topazlug.placement import _replica_view
 from topazlug.routing import _place
 from topazlug.routing import _ranking
 from topazlug.targets import _targets
--- a/tests/topazlug/forwarding/test_retry_share.py
+++ b/tests/topazlug/limits/test_retry_share.py
@@ -5,7 +5,7 @@
 
 from tests.topazlug import claim_fakes
 from topazlug import _ids
-from topazlug.forwarding import _retry_share
+from topazlug.limits import _retry_share
 
 GROUP = _ids.GroupName("engines")
 
--- a/tests/topazlug/forwarding/owner_fixtures.py
+++ b/tests/topazlug/placement/owner_fixtures.py
@@ -6,11 +6,11 @@
 from tests.topazlug.forwarding import forwarding_fixtures as fixtures
 from topazlug import _errors
 from topazlug import _ids
-from topazlug.forwarding import _admission
-from topazlug.forwarding import _owned_admission
-from topazlug.forwarding import _owners
-from topazlug.forwarding import _replica_view
 from topazlug.peers import _peers
+from topazlug.placement import _owned_admission
+from topazlug.placement import _owners
+from topazlug.placement import _replica_view
+from topazlug.placement import _view_admission
 from topazlug.routing import _place
 from topazlug.targets import _targets
 
@@ -87,7 +87,7 @@
             clock=fleet.clock,
         )
         self.admission = _owned_admission.OwnedAdmission(
-            alone=_admission.ViewAdmission(
+            alone=_view_admission.ViewAdmission(
                 targets=self.targets, views=self.views
             ),
             targets=self.targets,
--- a/tests/topazlug/forwarding/test_context.py
+++ b/tests/topazlug/placement/test_context.py
@@ -3,7 +3,7 @@
 from tests.topazlug import claim_fakes
 from tests.topazlug.forwarding import forwarding_fixtures as fixtures
 from topazlug import _ids
-from topazlug.forwarding import _context
+from topazlug.placement import _context
 from topazlug.routing import _ranking
 from topazlug.targets import _targets
 
--- a/tests/topazlug/forwarding/test_owned_admission.py
+++ b/tests/topazlug/placement/test_owned_admission.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from tests.topazlug.forwarding import owner_fixtures
+from tests.topazlug.placement import owner_fixtures
 from topazlug import _ids
 from topazlug._generated import messages
 from topazlug.routing import _ranking
--- a/tests/topazlug/forwarding/test_replica_list.py
+++ b/tests/topazlug/placement/test_replica_list.py
@@ -3,7 +3,7 @@
 from tests.topazlug import routing_fixtures
 from tests.topazlug.forwarding import forwarding_fixtures as fixtures
 from topazlug import _clock
-from topazlug.forwarding import _replica_list
+from topazlug.placement import _replica_list
 
 
 class Rig:
--- a/tests/topazlug/forwarding/test_replica_view.py
+++ b/tests/topazlug/placement/test_replica_view.py
@@ -2,7 +2,7 @@
 
 from tests.topazlug import claim_fakes
 from topazlug import _ids
-from topazlug.forwarding import _replica_view
+from topazlug.placement import _replica_view
 
 ONE = _ids.ReplicaId("one")
 TWO = _ids.ReplicaId("two")
