--- a/src/topazlug/forwarding/_daemon.py
+++ b/src/topazlug/forwarding/_daemon.py
@@ -5,7 +5,6 @@
 
 import gevent
 from gevent import event
-from gevent import pywsgi
 
 from topazlug import _clock
 from topazlug import _ids
@@ -25,6 +24,7 @@
 from topazlug.forwarding import _forwarder
 from topazlug.forwarding import _measures
 from topazlug.forwarding import _options
+from topazlug.forwarding import _probes
 from topazlug.forwarding import _start_gate
 from topazlug.forwarding import _table
 from topazlug.forwarding import _wire
@@ -180,19 +180,8 @@
             max_connections=options.max_connections,
         )
         self._watch_metrics()
-        self._scrapes = pywsgi.WSGIServer(
-            (options.metrics.host, options.metrics.port),
-            self._answer_scrape,
-            log=None,
-            error_log=None,
-            environ={"SERVER_NAME": options.metrics.host},
-        )
-        self._health = pywsgi.WSGIServer(
-            (options.health.host, options.health.port),
-            self._answer_health,
-            log=None,
-            error_log=None,
-            environ={"SERVER_NAME": options.health.host},
+        self._probes = _probes.Probes(
+            options=options, is_ready=self.is_ready, metrics=self.metrics
         )
 
     def _build_forwarder(
@@ -322,8 +311,7 @@
 
     def start(self) -> None:
         """Start both listeners."""
-        self._health.start()
-        self._scrapes.start()
+        self._probes.start()
         self._callers.start()
         self.spawn(self._sweep)
         self.spawn(self._fleet.run)
@@ -341,7 +329,7 @@
     @property
     def metrics_port(self) -> int:
         """Give the port of the metrics."""
-        return int(self._scrapes.server_port)
+        return self._probes.metrics_port
 
     def spawn(self, task: Callable[[], None]) -> None:
         """Run a task for as long as the daemon does."""
@@ -358,21 +346,6 @@
             return False
         return self._knows_replicas
 
-    def _answer_health(self, environ, start):  # type: ignore
-        found = environ["PATH_INFO"] == self._options.health_path
-        status = "200 OK" if self.is_ready() else "503 Service Unavailable"
-        start(status if found else "404 Not Found", [("Content-Length", "0")])
-        return [b""]
-
-    def _answer_scrape(self, environ, start):  # type: ignore
-        if environ["PATH_INFO"] != "/metrics":
-            start("404 Not Found", [("Content-Length", "0")])
-            return [b""]
-        body = self.metrics.exposition()
-        headers = [("Content-Type", _metrics.CONTENT_TYPE)]
-        start("200 OK", [*headers, ("Content-Length", str(len(body)))])
-        return [body]
-
     def stop(self) -> None:
         """Stop as planned: cut off nothing that is in progress.
 
@@ -413,8 +386,7 @@
     def halt(self) -> None:
         """End all greenlets and connections at once."""
         self._callers.stop(timeout=0)
-        self._health.stop(timeout=0)
-        self._scrapes.stop(timeout=0)
+        self._probes.stop()
         gevent.killall(self._greenlets, block=False)
         self._connections.close()
         self._fleet.stop()
