Let chats and calls to services take one path

Cause: both took a ticket, ran attempts, gave the ticket back, sent to the target and counted the end in code of their own, the same but for names. Change: CallPath does these once; the two kinds keep what they send and how they read answers. Ruled out: one class with two kinds of reading (streams and claims share nothing there).

--- a/src/topazlug/calls/_chat_calls.py
+++ b/src/topazlug/calls/_chat_calls.py
@@ -18,6 +18,7 @@
 from topazlug.callers import _caller_request
 from topazlug.callers import _caller_watch
 from topazlug.calls import _call_parts
+from topazlug.calls import _call_path
 from topazlug.calls import _chat_body
 from topazlug.calls import _chat_stream
 from topazlug.configuration import _configuration
@@ -48,9 +49,7 @@
 
     @property
     def request_class(self) -> table.RequestClass:
-        if self.caller.batch:
-            return table.RequestClass.batch
-        return table.RequestClass.interactive
+        return _call_path.class_of(self.caller)
 
 
 @final
@@ -72,6 +71,7 @@
         spawn: Callable[..., object],
     ) -> None:
         self._parts = parts
+        self._path = _call_path.CallPath(parts=parts, log=_log)
         self._spawn = spawn
 
     def serve(
@@ -115,18 +115,12 @@
     def _run(
         self, call: _Call, wanted: _place.PlaceRequest
     ) -> _caller_answer.CallerAnswer:
-        ticket = self._parts.quotas.take(
-            call.caller.team, deadline=wanted.deadline
+        return self._path.run(
+            wanted,
+            call.caller,
+            lambda place, ticket: self._attempt(call, place, ticket),
+            repeatable=True,
         )
-        try:
-            return self._parts.attempts.run(
-                wanted,
-                lambda place: self._attempt(call, place, ticket),
-                repeatable=True,
-            )
-        except BaseException:
-            ticket.give_back()
-            raise
 
     def _attempt(
         self, call: _Call, place: _place.Place, ticket: _quotas.Ticket
@@ -151,11 +145,8 @@
             call.caller.name, call.request_class, waited
         )
         call.request.remaining()
-        answer = self._parts.connections.exchange(
-            place.target,
-            _engine_request(call),
-            head_timeout=self._parts.limits.first_byte_timeout,
-            deadline=call.request.deadline,
+        answer = self._path.exchange(
+            place, _engine_request(call), call.request
         )
         if answer.status == 200 and call.streamed:
             return self._stream(call, place, answer, ticket)
@@ -304,18 +295,13 @@
             self._parts.metrics.count_reuse(hit, cached or 0, prompt)
 
     def _note_end(self, call: _Call, place: _place.Place, status: int) -> None:
-        seconds = self._parts.clock.monotonic() - call.request.started
-        self._parts.metrics.observe_total(
-            call.caller.name, call.request_class, seconds
+        self._path.ended(
+            call.caller,
+            call.request,
+            status=status,
+            code=None if status == 200 else _errors.Code.TARGET_FAILED,
+            fields=_log_fields(call, place),
         )
-        with _log_fields(call, place):
-            _log.info(
-                "answered with {status} in {seconds:.3f} s",
-                status=status,
-                seconds=seconds,
-            )
-        code = None if status == 200 else _errors.Code.TARGET_FAILED
-        self._count(call, code, _errors.Outcome.RAN)
 
     def _count(
         self,
--- a/src/topazlug/calls/_service_calls.py
+++ b/src/topazlug/calls/_service_calls.py
@@ -14,6 +14,7 @@
 from topazlug.callers import _caller_answer
 from topazlug.callers import _caller_request
 from topazlug.calls import _call_parts
+from topazlug.calls import _call_path
 from topazlug.calls import _service_wire
 from topazlug.claims import _claim_rows
 from topazlug.claims import _claims
@@ -77,6 +78,7 @@
         claims: Claims,
     ) -> None:
         self._parts = parts
+        self._path = _call_path.CallPath(parts=parts, log=_log)
         self._claims = claims
 
     def serve(
@@ -153,25 +155,15 @@
             deadline=call.request.deadline,
         )
         try:
-            ticket = self._parts.quotas.take(
-                call.caller.team, deadline=call.request.deadline
-            )
-        except _errors.RequestError as error:
-            _end_claim(call, error)
-            raise
-        try:
-            return self._parts.attempts.run(
+            return self._path.run(
                 wanted,
-                lambda place: self._attempt(call, place, ticket),
+                call.caller,
+                lambda place, ticket: self._attempt(call, place, ticket),
                 repeatable=call.repeatable,
             )
         except _errors.RequestError as error:
-            ticket.give_back()
             _end_claim(call, error)
             raise
-        except BaseException:
-            ticket.give_back()
-            raise
 
     def _attempt(
         self, call: _Call, place: _place.Place, ticket: _quotas.Ticket
@@ -179,11 +171,8 @@
         call.request.remaining()
         if call.claim is not None:
             call.claim.may_send()
-        answer = self._parts.connections.exchange(
-            place.target,
-            _target_request(call),
-            head_timeout=self._parts.limits.first_byte_timeout,
-            deadline=call.request.deadline,
+        answer = self._path.exchange(
+            place, _target_request(call), call.request
         )
         chunks = answer.chunks(
             silence=self._parts.limits.target_silence,
@@ -284,25 +273,18 @@
     ) -> None:
         self._parts.admission.release(place)
         ticket.give_back()
-        request_class = table.RequestClass(call.caller.class_name)
-        now = self._parts.clock.monotonic()
-        self._parts.metrics.observe_total(
-            call.caller.name, request_class, now - call.request.started
-        )
-        self._parts.metrics.count_request(
-            call.caller.name, request_class, None, _errors.Outcome.RAN
+        self._path.ended(
+            call.caller,
+            call.request,
+            status=status,
+            code=None,
+            fields=_logs.request_fields(
+                request_id=call.request.request_id,
+                team=call.caller.name,
+                service=call.row.name,
+                replica=place.target.replica,
+            ),
         )
-        with _logs.request_fields(
-            request_id=call.request.request_id,
-            team=call.caller.name,
-            service=call.row.name,
-            replica=place.target.replica,
-        ):
-            _log.info(
-                "answered with {status} in {seconds:.3f} s",
-                status=status,
-                seconds=now - call.request.started,
-            )
 
 
 def _route(
