Let the test of grouped causes use a line that failed

Change: the line of the failed request. The test passes; without the grouping it fails with two rows.

--- a/tests/topazlug/cli/test_request_logs.py
+++ b/tests/topazlug/cli/test_request_logs.py
@@ -93,7 +93,7 @@
         """
         lines = [
             {
-                **LINES[1],
+                **LINES[2],
                 "code": "path_not_found",
                 "why": f"no route for {p!r}",
             }
