Take no place on a replica that left while its owner was asked

Cause, found by reading: an ask to an owner lets other greenlets run; when the replica falls off the list meanwhile, taking the place failed with KeyError, a 500 for the caller and a place counted by its owner for as long as the daemon lives. A replica that began to leave would have got the request. Change: the list is looked at again; the owner is told, and the daemon's own view finds another replica. Test: failed before with KeyError.

--- a/src/topazlug/placement/_owned_admission.py
+++ b/src/topazlug/placement/_owned_admission.py
@@ -94,9 +94,9 @@
                 return None
             verdict = answer.reply.verdict
             if verdict is messages.Verdict.granted:
-                place = self._take(request, replica, answer, home)
-                asks.holdings.place_by_ask[place.ask] = place
-                asks.note_displacement(place, home=home, seat=seat)
+                place = self._take(asks, request, replica, answer, home)
+                if place is not None:
+                    asks.note_displacement(place, home=home, seat=seat)
                 return place
             if verdict is messages.Verdict.elsewhere:
                 seat = _ids.ReplicaId(answer.reply.replica)
@@ -124,17 +124,25 @@
             return None
         replica = min(refusals, key=lambda one: refusals[one].reply.load)
         answer = refusals[replica]._replace(ask=asks.new_number())
-        place = self._take(request, replica, answer, home)
-        asks.holdings.place_by_ask[place.ask] = place
-        return place
+        return self._take(asks, request, replica, answer, home)
 
     def _take(
         self,
+        asks: _owner_asks.OwnerAsks,
         request: _place.PlaceRequest,
         replica: _ids.ReplicaId,
         answer: _owner_asks.OwnerAnswer,
         home: _ids.ReplicaId,
-    ) -> _place.Place:
+    ) -> _place.Place | None:
+        """Take a place; None if the replica has left meanwhile.
+
+        While owners were asked the list may have changed. The place would
+        be taken on a replica that is leaving or gone, and with a fault here
+        its owner would count it for as long as this daemon lives.
+        """
+        if not self._targets.is_usable(replica):
+            asks.holdings.send_release(answer.owner, answer.ask)
+            return None
         _log.info(
             "placed at {replica}: its owner {owner} counts {load}",
             replica=replica,
@@ -144,13 +152,15 @@
             home=replica == home,
         )
         self._views.of(replica).in_flight += 1
-        return _place.Place(
+        place = _place.Place(
             target=self._targets.target_by_replica[replica],
             ask=answer.ask,
             owner=answer.owner,
             request=request,
             home=replica == home,
         )
+        asks.holdings.place_by_ask[place.ask] = place
+        return place
 
     def release(self, place: _place.Place) -> None:
         """Give a place back; a second time does nothing."""
--- a/tests/topazlug/placement/owner_fixtures.py
+++ b/tests/topazlug/placement/owner_fixtures.py
@@ -24,12 +24,15 @@
         Daemons that take bytes and never answer.
     sent : list
         Messages between daemons, in their order.
+    before_answer : callable
+        Called when a message was handled, before its answer arrives.
     """
 
     def __init__(self, *names, replicas, slots=64):
         self.clock = claim_fakes.FakeClock()
         self.silent = set()
         self.sent = []
+        self.before_answer = lambda: None
         self.targets = [
             fixtures.target(name, slots=slots) for name in replicas
         ]
@@ -137,3 +140,4 @@
         links = self._fleet.daemon_by_name[to].links
         links.handlers[type(message)](self._name, message, reply)
         gevent.sleep(0)
+        self._fleet.before_answer()
--- a/tests/topazlug/placement/test_owned_admission.py
+++ b/tests/topazlug/placement/test_owned_admission.py
@@ -179,6 +179,24 @@
         assert fleet.sent == []
 
 
+class TestReplicaThatLeavesMeanwhile:
+    def test_request_goes_elsewhere_and_its_place_is_freed(self, fleet):
+        """Symptom: requests fail with 500 while replicas are replaced.
+
+        Sequence: an owner grants a place; before its word arrives, the
+        replica falls off this daemon's list. Cause: the place was taken on
+        what the list said before the owner was asked.
+        """
+        chat, owner = chat_owned_by_another(fleet, "d0")
+        daemon = fleet.daemon_by_name["d0"]
+        left = [one for one in fleet.targets if one.replica != home_of(chat)]
+        fleet.before_answer = lambda: daemon.targets.take_list(left)
+        place = daemon.admit(chat)
+        assert place.target.replica != home_of(chat)
+        released = [m for m in fleet.sent if isinstance(m, messages.Release)]
+        assert len(released) == 1
+
+
 class TestIllReplica:
     def test_gets_nothing_though_its_owner_would_admit(self, fleet):
         daemon = fleet.daemon_by_name["d0"]
