--- a/bench/trouble_days.py
+++ b/bench/trouble_days.py
@@ -15,7 +15,7 @@
 from typing import Any
 from typing import NamedTuple
 
-FOLDER = pathlib.Path(__file__).parent / "days"
+FOLDER = pathlib.Path(__file__).parents[1] / "deploy" / "days"
 _FIRST_AT = 4.0
 _SECOND_AT = 19.0
 _SEED = 20261
