Rank requests by team and route together

Hypothesis: with the team's priority alone, the most and the least urgent routes of a team wait in one line at an engine (kingston: 99 of 978 heads of the most urgent route came at the first rank, 780 of the others).

Change: the table orders all pairs of a team's and a route's priority, the team's first, and engines get the place of the pair.

--- a/src/topazlug/forwarding/_app.py
+++ b/src/topazlug/forwarding/_app.py
@@ -157,6 +157,7 @@
             route=route,
             team=team,
             group=route.group_for(chat),
+            rank=table.rank_of(route, team),
             chat=chat,
             started=started,
             deadline=started + patience,
--- a/src/topazlug/forwarding/_call.py
+++ b/src/topazlug/forwarding/_call.py
@@ -30,6 +30,8 @@
         Who calls.
     group : GroupName
         Service that runs it.
+    rank : int
+        Its place among all that the table knows, 0 first.
     chat : ChatHash
         Hash of the last shared part of its prompt.
     started, deadline : float
@@ -45,18 +47,12 @@
     route: _table.Route
     team: _table.Team | None
     group: _ids.GroupName
+    rank: int
     chat: _ids.ChatHash
     started: float
     deadline: float
     socket: Any
 
-    @property
-    def priority(self) -> int:
-        """Give its rank: the team's own goes before the route's."""
-        if self.team is not None and self.team.priority is not None:
-            return self.team.priority
-        return self.route.priority
-
     @property
     def team_name(self) -> _ids.TeamName:
         """Give the team's name, empty where no key is asked for."""
--- a/src/topazlug/forwarding/_exchange.py
+++ b/src/topazlug/forwarding/_exchange.py
@@ -127,7 +127,7 @@
             replica=place.target.replica,
             team=call.team.name if call.team else None,
             is_generation=call.route.has_context,
-            priority=min(9, max(0, call.priority)),
+            priority=call.rank,
             resume_after=resume_after,
             context_source=source,
         )
--- a/src/topazlug/forwarding/_table.py
+++ b/src/topazlug/forwarding/_table.py
@@ -4,8 +4,10 @@
 request is served by one version from its route to its last byte.
 """
 
+from collections.abc import Iterable
 from collections.abc import Mapping
 import enum
+from typing import NamedTuple
 from typing import final
 
 import msgspec
@@ -14,6 +16,10 @@
 from topazlug import _ids
 
 
+# Replicas know ten ranks.
+LAST_RANK = 9
+
+
 class RequestKind(enum.Enum):
     """What may be repeated, by the route."""
 
@@ -150,6 +156,18 @@
         for found in self.routes_by_host.values():
             found.sort(key=lambda route: len(route.prefix), reverse=True)
 
+        self._rank_by_claim = _ranks(routes, teams_by_key)
+
+    def rank_of(self, route: Route, team: Team | None) -> int:
+        """Give a request's rank among all that the table knows, 0 first.
+
+        A team's priority goes before the route's, and where it is the same
+        the route's decides. Engines and owners know ranks only: with the
+        team's priority alone, the most and the least urgent routes of a team
+        wait in one line.
+        """
+        return self._rank_by_claim[_claim(route, team)]
+
     def route_of(self, host: str, path: str) -> Route:
         """Give the route with the longest prefix of a path.
 
@@ -180,6 +198,40 @@
         return team
 
 
+class _Claim(NamedTuple):
+    """What decides who comes first, the smaller the earlier."""
+
+    priority: int
+    route_priority: int
+
+
+def _claim(route: Route, team: Team | None) -> _Claim:
+    if team is None or team.priority is None:
+        return _Claim(route.priority, route.priority)
+    return _Claim(team.priority, route.priority)
+
+
+def _ranks(
+    routes: Iterable[Route], teams_by_key: Mapping[str, Team] | None
+) -> dict[_Claim, int]:
+    """Give the rank of each claim that a request of this table may have."""
+    teams: set[Team | None] = {None, *(teams_by_key or {}).values()}
+    route_by_priority = {route.priority: route for route in routes}
+    claims = sorted(
+        {
+            _claim(route, team)
+            for route in route_by_priority.values()
+            for team in teams
+        }
+    )
+    last = max(1, len(claims) - 1)
+    # Where there are more claims than ranks, neighbours share one.
+    steps = min(LAST_RANK, last)
+    return {
+        claim: place * steps // last for place, claim in enumerate(claims)
+    }
+
+
 @final
 class TableHolder:
     """The table in force; versions only grow.
