Leave out who has an address that a later replica took over

Change: of two entries with one address the one that was first seen later counts; of two that were first seen together both do.

Ruled out: going by the start in the entry (these entries have none); asking the replica (priced as a probe, and late).

--- a/src/topazlug/placement/_replica_list.py
+++ b/src/topazlug/placement/_replica_list.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Mapping
+import itertools
 from typing import final
 
 import gevent
@@ -21,6 +22,8 @@
 # Ended starts remembered of a replica; entries are seconds late, and no
 # replica starts more often meanwhile.
 _ENDED_STARTS = 8
+# Ids remembered by when they were first seen, also of those that are gone.
+_MOST_ORDERS = 20000
 
 
 @final
@@ -51,6 +54,11 @@
         self._lapsed: dict[_ids.ReplicaId, _targets.Target] = {}
         self._lenient_until = 0.0
         self._timer: gevent.Greenlet | None = None
+        # In the order in which they were first seen.
+        self._order_by_replica: collections.OrderedDict[_ids.ReplicaId, int]
+        self._order_by_replica = collections.OrderedDict()
+        self._orders = itertools.count(1)
+        self._hidden: frozenset[_ids.ReplicaId] = frozenset()
         self._ended_by_replica: dict[
             _ids.ReplicaId, collections.deque[int]
         ] = {}
@@ -67,6 +75,7 @@
             self._keep_lapsed(fresh, self._lenient_until - now)
         for replica in fresh:
             self._lapsed.pop(replica, None)
+        fresh = self._without_predecessors(fresh)
         self._listed = fresh
         for replica in self._ended_by_replica.keys() - fresh.keys():
             del self._ended_by_replica[replica]
@@ -90,6 +99,47 @@
         ended.append(held.incarnation)
         return target
 
+    def _without_predecessors(
+        self, fresh: dict[_ids.ReplicaId, _targets.Target]
+    ) -> dict[_ids.ReplicaId, _targets.Target]:
+        """Leave out who has an address that a later replica has taken over.
+
+        A replica that crashed behind a cut and started again has a new id
+        at its old address, and the last heartbeat of the old start may reach
+        the store after that. Its entry then stays for seconds; each request
+        sent by it is refused by the new start.
+        """
+        self._note_order(fresh)
+        newest_by_address: dict[tuple[str, int], int] = {}
+        for replica, target in fresh.items():
+            address = (target.host, target.port)
+            newest = newest_by_address.get(address, 0)
+            newest_by_address[address] = max(newest, self._order_of(replica))
+        # Of those first seen together nobody knows which is the later one.
+        kept = {
+            replica
+            for replica, target in fresh.items()
+            if self._order_of(replica)
+            == newest_by_address[(target.host, target.port)]
+        }
+        for replica in fresh.keys() - kept - self._hidden:
+            _log.info(
+                "{replica} is left out: its address is another's now",
+                replica=replica,
+            )
+        self._hidden = frozenset(fresh.keys() - kept)
+        return {one: fresh[one] for one in fresh if one in kept}
+
+    def _note_order(self, replicas: Iterable[_ids.ReplicaId]) -> None:
+        order = next(self._orders)
+        for replica in replicas:
+            self._order_by_replica.setdefault(replica, order)
+        while len(self._order_by_replica) > _MOST_ORDERS:
+            self._order_by_replica.popitem(last=False)
+
+    def _order_of(self, replica: _ids.ReplicaId) -> int:
+        return self._order_by_replica.get(replica, 0)
+
     def _keep_lapsed(
         self, fresh: dict[_ids.ReplicaId, _targets.Target], seconds: float
     ) -> None:
--- a/tests/topazlug/placement/test_replica_list.py
+++ b/tests/topazlug/placement/test_replica_list.py
@@ -19,7 +19,8 @@
 
     def take(self, *names, leaving=()):
         self.list.take(
-            fixtures.target(name, leaving=name in leaving) for name in names
+            fixtures.target(name, leaving=name in leaving, port=ord(name))
+            for name in names
         )
 
 
@@ -84,3 +85,44 @@
         for start in (5, 3):
             rig.list.take([fixtures.target("a", incarnation=start)])
         assert seen[-1][0].incarnation == 3
+
+    def test_entry_at_an_address_that_was_taken_over_is_left(
+        self, monkeypatch
+    ):
+        """Symptom: requests are refused with 421 for seconds after a cut.
+
+        Sequence: a replica crashes behind a cut and starts again with a new
+        id at its address; then the old start's last heartbeat is written.
+        Cause: two entries of one address were both believed.
+        """
+        rig = Rig(monkeypatch, 60.0)
+        old = fixtures.target("old", port=7)
+        new = fixtures.target("new", port=7)
+        other = fixtures.target("other", port=8)
+        seen = []
+        rig.list._changed = seen.append
+        for entries in (
+            [old, other],
+            [other],
+            [other, new],
+            [old, other, new],
+        ):
+            rig.list.take(entries)
+        assert {target.replica for target in seen[-1]} == {"new", "other"}
+
+    def test_replica_that_comes_back_alone_counts(self, monkeypatch):
+        rig = Rig(monkeypatch, 60.0)
+        seen = []
+        rig.list._changed = seen.append
+        old = fixtures.target("old", port=7)
+        for entries in ([old], [], [old]):
+            rig.list.take(entries)
+        assert seen[-1] == [old]
+
+    def test_two_that_were_first_seen_together_both_count(self, monkeypatch):
+        """Symptom: a daemon that has just started leaves a live one out."""
+        rig = Rig(monkeypatch, 60.0)
+        seen = []
+        rig.list._changed = seen.append
+        rig.list.take([fixtures.target(name, port=7) for name in "ab"])
+        assert len(seen[-1]) == 2
