--- a/src/topazlug/telemetry/_batches.py
+++ b/src/topazlug/telemetry/_batches.py
@@ -6,14 +6,24 @@
 milliseconds, and other greenlets run between them.
 """
 
+from __future__ import annotations
+
 from collections.abc import Collection
 from collections.abc import Iterator
 from collections.abc import Sequence
 from typing import Protocol
+from typing import TYPE_CHECKING
 from typing import TypeVar
 
-from opentelemetry.sdk.metrics import export
-from prometheus_client import core
+from topazlug import _lazy_module
+
+if TYPE_CHECKING:
+    from opentelemetry.sdk.metrics import export
+    from prometheus_client import core
+else:
+    export = _lazy_module.LazyModule("opentelemetry.sdk.metrics.export")
+    core = _lazy_module.LazyModule("prometheus_client.core")
+
 
 BATCH_SERIES = 10
 # Not 0: a pause of 0 lets only those greenlets run that are ready already,
--- a/src/topazlug/telemetry/_counters.py
+++ b/src/topazlug/telemetry/_counters.py
@@ -1,15 +1,23 @@
 """Counts by labels that cost little to raise."""
 
+from __future__ import annotations
+
 from collections.abc import Iterator
 from collections.abc import Sequence
 import time
+from typing import TYPE_CHECKING
 from typing import final
 
-from opentelemetry.sdk.metrics import export
-from prometheus_client import core
-
+from topazlug import _lazy_module
 from topazlug.telemetry import _batches
 
+if TYPE_CHECKING:
+    from opentelemetry.sdk.metrics import export
+    from prometheus_client import core
+else:
+    export = _lazy_module.LazyModule("opentelemetry.sdk.metrics.export")
+    core = _lazy_module.LazyModule("prometheus_client.core")
+
 
 @final
 class Counter:
--- a/src/topazlug/telemetry/_exposition.py
+++ b/src/topazlug/telemetry/_exposition.py
@@ -1,14 +1,23 @@
 """The Prometheus text of many series, written a part at a time."""
 
+from __future__ import annotations
+
 from collections.abc import Iterable
+from typing import TYPE_CHECKING
 from typing import final
 
 import gevent
-import prometheus_client
-from prometheus_client import core
 
+from topazlug import _lazy_module
 from topazlug.telemetry import _batches
 
+if TYPE_CHECKING:
+    import prometheus_client
+    from prometheus_client import core
+else:
+    prometheus_client = _lazy_module.LazyModule("prometheus_client")
+    core = _lazy_module.LazyModule("prometheus_client.core")
+
 COMMENT = b"#"
 
 
--- a/src/topazlug/telemetry/_histograms.py
+++ b/src/topazlug/telemetry/_histograms.py
@@ -4,21 +4,29 @@
 points, or into Prometheus' families, only when a reader collects.
 """
 
+from __future__ import annotations
+
 import bisect
 from collections.abc import Iterator
 from collections.abc import Sequence
 import itertools
 import math
 import time
+from typing import TYPE_CHECKING
 from typing import final
 
-from opentelemetry.sdk.metrics import export
-from prometheus_client import core
-
 from topazlug import _ids
+from topazlug import _lazy_module
 from topazlug._generated import table
 from topazlug.telemetry import _batches
 
+if TYPE_CHECKING:
+    from opentelemetry.sdk.metrics import export
+    from prometheus_client import core
+else:
+    export = _lazy_module.LazyModule("opentelemetry.sdk.metrics.export")
+    core = _lazy_module.LazyModule("prometheus_client.core")
+
 OTHER_TEAM = "other"
 
 _Label = tuple[str, table.RequestClass]
--- a/src/topazlug/telemetry/_metrics.py
+++ b/src/topazlug/telemetry/_metrics.py
@@ -5,6 +5,8 @@
 token may, and a daemon observes one gap for each token that it relays.
 """
 
+from __future__ import annotations
+
 from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Mapping
@@ -12,26 +14,40 @@
 import enum
 import itertools
 from typing import Any
+from typing import NamedTuple
+from typing import TYPE_CHECKING
 from typing import final
 
-from opentelemetry import metrics as api
-from opentelemetry.exporter import prometheus
-from opentelemetry.sdk import metrics as sdk
-from opentelemetry.sdk import resources
-from opentelemetry.sdk.metrics import export
-import prometheus_client
-
 from topazlug import _errors
 from topazlug import _ids
+from topazlug import _lazy_module
 from topazlug._generated import settings
 from topazlug._generated import table
 from topazlug.telemetry import _batches
 from topazlug.telemetry import _counters
 from topazlug.telemetry import _exposition
 from topazlug.telemetry import _histograms
-from topazlug.telemetry import _push
 
-CONTENT_TYPE = prometheus_client.CONTENT_TYPE_LATEST
+if TYPE_CHECKING:
+    from opentelemetry import metrics as api
+    from opentelemetry.exporter import prometheus
+    from opentelemetry.sdk import metrics as sdk
+    from opentelemetry.sdk import resources
+    from opentelemetry.sdk.metrics import export
+    import prometheus_client
+
+    from topazlug.telemetry import _push
+else:
+    api = _lazy_module.LazyModule("opentelemetry.metrics")
+    prometheus = _lazy_module.LazyModule("opentelemetry.exporter.prometheus")
+    sdk = _lazy_module.LazyModule("opentelemetry.sdk.metrics")
+    resources = _lazy_module.LazyModule("opentelemetry.sdk.resources")
+    export = _lazy_module.LazyModule("opentelemetry.sdk.metrics.export")
+    prometheus_client = _lazy_module.LazyModule("prometheus_client")
+    _push = _lazy_module.LazyModule("topazlug.telemetry._push")
+
+# Of the Prometheus text format, as prometheus_client writes it.
+CONTENT_TYPE = "text/plain; version=1.0.0; charset=utf-8"
 OK = "ok"
 NO_TEAM = _ids.TeamName("none")
 STOP_TIMEOUT_MILLISECONDS = 2000.0
@@ -87,6 +103,21 @@
 ReadByGroup = Callable[[], Mapping[_ids.GroupName, float]]
 
 
+class _Watched(NamedTuple):
+    """A number that a callback gives at each collection."""
+
+    what: Gauge | Total
+    callback: Any
+
+
+class _Sdk(NamedTuple):
+    """What OpenTelemetry and Prometheus need."""
+
+    registry: prometheus_client.CollectorRegistry
+    provider: sdk.MeterProvider
+    meter: api.Meter
+
+
 @final
 class Metrics:
     """All that one daemon measures.
@@ -161,18 +192,36 @@
             self._total,
             self._queueing,
         )
-        self._registry = prometheus_client.CollectorRegistry()
-        self._provider = sdk.MeterProvider(
-            self._readers(metrics_settings),
-            resource=_resource(daemon_id, zone),
+        self._settings = metrics_settings
+        self._daemon_id = daemon_id
+        self._zone = zone
+        self._watched: list[_Watched] = []
+        self._sdk: _Sdk | None = None
+        if metrics_settings.otlp_endpoint:
+            self._built()
+
+    def _built(self) -> _Sdk:
+        """Give the SDK's part, made when it is first needed."""
+        if self._sdk is None:
+            self._sdk = self._build()
+            for watched in self._watched:
+                self._create(self._sdk, watched)
+        return self._sdk
+
+    def _build(self) -> _Sdk:
+        registry = prometheus_client.CollectorRegistry()
+        provider = sdk.MeterProvider(
+            self._readers(registry),
+            resource=_resource(self._daemon_id, self._zone),
             exemplar_filter=sdk.AlwaysOffExemplarFilter(),
             shutdown_on_exit=False,
         )
-        self._meter = self._provider.get_meter(_push.SCOPE.name)
+        meter = provider.get_meter(_push.SCOPE.name)
         # The SDK gives nothing to readers while it has no number at all.
-        self._meter.create_observable_gauge(
+        meter.create_observable_gauge(
             "topazlug.up", callbacks=[lambda _: [api.Observation(1)]]
         )
+        return _Sdk(registry, provider, meter)
 
     def observe_first_token(
         self,
@@ -288,13 +337,16 @@
 
         Other greenlets run while it is written.
         """
-        watched = list(self._registry.collect())
+        watched = list(self._built().registry.collect())
         kept = (item.families() for item in self._instruments)
         return _exposition.text_of(itertools.chain(watched, *kept))
 
     def stop(self) -> None:
         """Push once more, within a short bound, and end the push thread."""
-        self._provider.shutdown(timeout_millis=STOP_TIMEOUT_MILLISECONDS)
+        if self._sdk is not None:
+            self._sdk.provider.shutdown(
+                timeout_millis=STOP_TIMEOUT_MILLISECONDS
+            )
 
     def _histogram(
         self,
@@ -311,22 +363,30 @@
         )
 
     def _observe(self, what: Gauge | Total, callback: Any) -> None:
-        create: Any = self._meter.create_observable_gauge
+        watched = _Watched(what, callback)
+        self._watched.append(watched)
+        if self._sdk is not None:
+            self._create(self._sdk, watched)
+
+    def _create(self, built: _Sdk, watched: _Watched) -> None:
+        what = watched.what
+        create: Any = built.meter.create_observable_gauge
         if isinstance(what, Total):
-            create = self._meter.create_observable_counter
+            create = built.meter.create_observable_counter
         create(
             what.value,
-            callbacks=[callback],
+            callbacks=[watched.callback],
             unit=_UNITS.get(what, "") if isinstance(what, Total) else "",
             description=_DESCRIPTIONS[what],
         )
 
     def _readers(
-        self, metrics_settings: settings.MetricsSettings
+        self, registry: prometheus_client.CollectorRegistry
     ) -> list[export.MetricReader]:
+        metrics_settings = self._settings
         readers: list[export.MetricReader] = [
             prometheus.PrometheusMetricReader(
-                scope_info_enabled=False, registry=self._registry
+                scope_info_enabled=False, registry=registry
             )
         ]
         if metrics_settings.otlp_endpoint:
