Let each mechanism be switched off by a word; leave the urgent half their room

An unknown word ends the start with what is known.

Returns to a kept place leave half of the margin of the more urgent. Cause: in a new test of nine daemons before six full replicas, requests that wait for a kept place filled all that was left for the urgent, who were all refused.

Own views refuse what the least loaded replica has no slot for: while no owner says a word all was sent on until the replicas' queues refused it.

--- a/src/topazlug/capacity/_rank_room.py
+++ b/src/topazlug/capacity/_rank_room.py
@@ -31,6 +31,10 @@
 # On a day of four times the usual load, leaving nothing made the most urgent
 # wait as long as the rest.
 _MARGIN_PART = 1 / 8
+# Part of that margin that is left by who comes back to a kept place. With no
+# margin the least urgent returns fill the room of the urgent; with all of it
+# they are refused again, and the places kept for them stay empty.
+_DUE_PART = 1 / 2
 # Part of the limit that a rank may hold beside all margins, so that the least
 # urgent are served too.
 _SHARE_PART = 1 / 12
@@ -129,18 +133,20 @@
         promised : int
             Places that are kept for requests which come back.
         is_due : bool
-            Whether one of those places is its own: then it leaves no more
-            room than what is kept for more urgent returns.
+            Whether it comes back to a place of its own: then it leaves the
+            more urgent half of the room.
         now : float
             Monotonic seconds.
         """
         free = self._limit - load - promised
-        if free < 1 or is_due:
-            return free >= 1
+        if free < 1:
+            return False
         share = max(1.0, self._limit * _SHARE_PART)
         if self._held_by_rank[rank] < share:
             return True
         margin = self._limit * _MARGIN_PART * self._more_urgent(rank, now)
+        if is_due:
+            margin *= _DUE_PART
         return free - margin >= 1
 
     def _more_urgent(self, rank: int, now: float) -> int:
--- a/src/topazlug/forwarding/_daemon.py
+++ b/src/topazlug/forwarding/_daemon.py
@@ -31,6 +31,7 @@
 from topazlug.limits import _retry_share
 from topazlug.peers import _peers
 from topazlug.placement import _context
+from topazlug.placement import _mechanisms
 from topazlug.placement import _owned_admission
 from topazlug.placement import _owners
 from topazlug.placement import _replica_list
@@ -122,7 +123,9 @@
         self.targets = _targets.TargetDirectory(
             clock=clock, flap_window=_FLAP_SECONDS
         )
-        self.views = _replica_view.ReplicaViews(clock=clock)
+        self.views = _replica_view.ReplicaViews(
+            clock=clock, without=options.without
+        )
         self.contexts = _context.ContextMemory(
             targets=self.targets, clock=clock
         )
@@ -143,6 +146,7 @@
             targets=self.targets,
             views=self.views,
             clock=clock,
+            without=options.without,
         )
         self._owners: _owners.FleetOwners | None = None
         self._fleet = _fleet.Fleet(
@@ -196,6 +200,7 @@
             contexts=self.contexts,
             wire=wire,
             note_head=admission.note_head,
+            without=self._options.without,
             clock=self._clock,
         )
         attempts = _attempts.Attempts(
@@ -211,6 +216,7 @@
             exchange=exchange,
             budget=self.budget,
             views=self.views,
+            without=self._options.without,
             clock=self._clock,
         )
         return _forwarder.Forwarder(
@@ -221,6 +227,7 @@
             views=self.views,
             budget=self.budget,
             measures=self._measures,
+            without=self._options.without,
             clock=self._clock,
         )
 
@@ -315,7 +322,8 @@
         )
         self._owners.take_daemons(self._fleet.directory.daemons_by_id)
         self._greenlets += self._owners.start()
-        self._admission.asks = self._owners.asks
+        if _mechanisms.Mechanism.OWNERS not in self._options.without:
+            self._admission.asks = self._owners.asks
 
     def _take_size(self, daemons: int) -> None:
         if self._owners is not None:
--- a/src/topazlug/forwarding/_event_relay.py
+++ b/src/topazlug/forwarding/_event_relay.py
@@ -17,6 +17,7 @@
 from topazlug.forwarding import _exchange
 from topazlug.forwarding import _measures
 from topazlug.limits import _retry_share
+from topazlug.placement import _mechanisms
 from topazlug.placement import _replica_view
 from topazlug.routing import _place
 from topazlug.targets import _target_answer
@@ -44,6 +45,13 @@
         Gets outcomes.
     clock : Clock
         Time.
+    without : frozenset of Mechanism
+        What is switched off.
+
+    Attributes
+    ----------
+    is_off : bool
+        Whether streams end where they break.
     """
 
     def __init__(
@@ -54,7 +62,9 @@
         budget: _retry_share.RetryShare,
         views: _replica_view.ReplicaViews,
         clock: _clock.Clock,
+        without: _mechanisms.Without = _mechanisms.NONE,
     ) -> None:
+        self.is_off = _mechanisms.Mechanism.RESUMPTION in without
         self._admission = admission
         self._exchange = exchange
         self._budget = budget
@@ -256,6 +266,8 @@
 
     def _may_go_on(self) -> bool:
         route = self._call.route
+        if self._resumer.is_off:
+            return False
         return route.resumable and self._tried < route.max_replicas
 
     def _go_on(self, error: _errors.RequestError) -> bool:
--- a/src/topazlug/forwarding/_exchange.py
+++ b/src/topazlug/forwarding/_exchange.py
@@ -8,6 +8,7 @@
 from topazlug.forwarding import _call
 from topazlug.forwarding import _wire
 from topazlug.placement import _context
+from topazlug.placement import _mechanisms
 from topazlug.placement import _replica_view
 from topazlug.routing import _place
 from topazlug.targets import _target_answer
@@ -57,6 +58,8 @@
         an answer, and the seconds that this took.
     clock : Clock
         Time.
+    without : frozenset of Mechanism
+        What is switched off.
     """
 
     def __init__(
@@ -69,7 +72,9 @@
         wire: _wire.ReplicaWire,
         note_head: Callable[[_place.Place, int, int, float], None],
         clock: _clock.Clock,
+        without: _mechanisms.Without = _mechanisms.NONE,
     ) -> None:
+        self._copies = _mechanisms.Mechanism.COPIES not in without
         self._note_head = note_head
         self._connections = connections
         self._targets = targets
@@ -126,7 +131,7 @@
         resume_after: int | None,
     ) -> _target_client.TargetRequest:
         source = None
-        if call.route.has_context:
+        if call.route.has_context and self._copies:
             source = self._contexts.source(call.chat, place.target)
         sending = _wire.Sending(
             left=call.deadline - self._clock.monotonic(),
--- a/src/topazlug/forwarding/_forwarder.py
+++ b/src/topazlug/forwarding/_forwarder.py
@@ -16,6 +16,7 @@
 from topazlug.forwarding import _measures
 from topazlug.forwarding import _wire
 from topazlug.limits import _retry_share
+from topazlug.placement import _mechanisms
 from topazlug.placement import _replica_view
 from topazlug.routing import _place
 from topazlug.targets import _target_answer
@@ -69,6 +70,8 @@
         What is counted.
     clock : Clock
         Time.
+    without : frozenset of Mechanism
+        What is switched off.
     """
 
     def __init__(
@@ -82,7 +85,9 @@
         budget: _retry_share.RetryShare,
         measures: _measures.Measures,
         clock: _clock.Clock,
+        without: _mechanisms.Without = _mechanisms.NONE,
     ) -> None:
+        self._second_tries = _mechanisms.Mechanism.SECOND_TRIES not in without
         self._attempts = attempts
         self._admission = admission
         self._exchange = exchange
@@ -149,6 +154,8 @@
         """
         left = call.deadline - self._clock.monotonic()
         route = call.route
+        if not self._second_tries:
+            return left
         if not route.repeatable or tried >= route.max_replicas:
             return left
         if not self._budget.has_left(call.group):
--- a/src/topazlug/forwarding/_options.py
+++ b/src/topazlug/forwarding/_options.py
@@ -6,6 +6,7 @@
 
 from topazlug import _ids
 from topazlug._generated import settings as _settings_types
+from topazlug.placement import _mechanisms
 
 
 @final
@@ -37,6 +38,8 @@
         Seconds that one call to the store waits for changes.
     max_connections : int
         Callers' connections served at once.
+    without : frozenset of Mechanism
+        What is switched off.
     """
 
     daemon: _ids.DaemonId
@@ -53,3 +56,4 @@
     relays: bool
     feed_seconds: float
     max_connections: int
+    without: _mechanisms.Without = _mechanisms.NONE
--- /dev/null
+++ b/src/topazlug/placement/_mechanisms.py
@@ -0,0 +1,48 @@
+"""What a daemon may be told to do without.
+
+Each word switches off one mechanism, so that its worth can be measured on a
+deployment, and so that it can be taken out of service should it do harm.
+"""
+
+from collections.abc import Iterable
+import enum
+
+from topazlug import _errors
+
+
+class Mechanism(enum.Enum):
+    """A mechanism that can be switched off."""
+
+    COPIES = "copies"
+    CONTEXT_READS = "context-reads"
+    DISPLACED = "displaced"
+    HOLDING_OUT = "holding-out"
+    KEPT_PLACES = "kept-places"
+    OWNERS = "owners"
+    RANK_LIMITS = "rank-limits"
+    RESUMPTION = "resumption"
+    SECOND_TRIES = "second-tries"
+    WAITING = "waiting"
+
+
+Without = frozenset[Mechanism]
+NONE: Without = frozenset()
+
+
+def without_of(words: Iterable[str]) -> Without:
+    """Give the mechanisms that words name.
+
+    Raises
+    ------
+    SettingsInvalid
+        A word names none.
+    """
+    known = {mechanism.value: mechanism for mechanism in Mechanism}
+    named = [word.strip() for word in words if word.strip()]
+    unknown = sorted(set(named) - set(known))
+    if unknown:
+        raise _errors.SettingsInvalid(
+            f"{', '.join(unknown)} can't be switched off; "
+            f"what can: {', '.join(sorted(known))}"
+        )
+    return frozenset(known[word] for word in named)
--- a/src/topazlug/placement/_owned_admission.py
+++ b/src/topazlug/placement/_owned_admission.py
@@ -8,11 +8,14 @@
 
 from typing import final
 
+import msgspec
+
 from topazlug import _clock
 from topazlug import _errors
 from topazlug import _ids
 from topazlug import _logs
 from topazlug._generated import messages
+from topazlug.placement import _mechanisms
 from topazlug.placement import _replica_view
 from topazlug.placement import _view_admission
 from topazlug.routing import _owner_asks
@@ -67,6 +70,8 @@
         Their load and health as seen here.
     clock : Clock
         Time.
+    without : frozenset of Mechanism
+        What is switched off.
 
     Attributes
     ----------
@@ -81,8 +86,10 @@
         targets: _targets.TargetDirectory,
         views: _replica_view.ReplicaViews,
         clock: _clock.Clock,
+        without: _mechanisms.Without = _mechanisms.NONE,
     ) -> None:
         self._clock = clock
+        self._without = without
         self._alone = alone
         self._targets = targets
         self._views = views
@@ -90,6 +97,10 @@
         # Replicas whose last answer told that work waits there.
         self._queueing: set[_ids.ReplicaId] = set()
 
+    @property
+    def _forgets_displaced(self) -> bool:
+        return _mechanisms.Mechanism.DISPLACED in self._without
+
     def admit(self, request: _place.PlaceRequest) -> _place.Place:
         """Find a place.
 
@@ -103,6 +114,8 @@
         asks = self.asks
         if asks is None or not request.keeps_context:
             return self._alone.admit(request)
+        if _mechanisms.Mechanism.RANK_LIMITS in self._without:
+            request = msgspec.structs.replace(request, rank=-1)
         place = self._ask_in_time(asks, request)
         return self._alone.admit(request) if place is None else place
 
@@ -117,12 +130,14 @@
         repeat that most callers make.
         """
         longest = request.context_wait * _WAIT_PART
+        if _mechanisms.Mechanism.WAITING in self._without:
+            longest = 0.0
         try:
             return self._ask(asks, request)
         except _Full as full:
             if full.seconds > longest:
                 raise self._turned_away(asks, request, full) from full
-            asks.note_turned_away(request, full.home, seconds=full.seconds)
+            self._keep_place(asks, request, full.home, full.seconds)
             self._clock.sleep(full.seconds)
         try:
             return self._ask(asks, request)
@@ -144,12 +159,22 @@
         """
         seconds = max(_SOONEST_RETURN_SECONDS, full.seconds)
         if seconds <= request.context_wait:
-            asks.note_turned_away(request, full.home, seconds=seconds)
+            self._keep_place(asks, request, full.home, seconds)
         return _errors.Overloaded(
             f"no replica of {request.group} has room for rank {request.rank}",
             retry_after=seconds,
         )
 
+    def _keep_place(
+        self,
+        asks: _owner_asks.OwnerAsks,
+        request: _place.PlaceRequest,
+        home: _ids.ReplicaId,
+        seconds: float,
+    ) -> None:
+        if _mechanisms.Mechanism.KEPT_PLACES not in self._without:
+            asks.note_turned_away(request, home, seconds=seconds)
+
     def _ask(
         self, asks: _owner_asks.OwnerAsks, request: _place.PlaceRequest
     ) -> _place.Place | None:
@@ -175,7 +200,7 @@
             verdict = answer.reply.verdict
             if verdict is messages.Verdict.granted:
                 place = self._take(asks, request, replica, answer, home)
-                if place is not None:
+                if place is not None and not self._forgets_displaced:
                     asks.note_displacement(place, home=home, seat=seat)
                 return place
             if verdict is messages.Verdict.elsewhere:
@@ -202,9 +227,11 @@
         first. Who has waited for as long as it may goes ahead.
         """
         started = self._clock.monotonic()
+        longest = request.context_wait
+        if _mechanisms.Mechanism.CONTEXT_READS in self._without:
+            longest = 0.0
         while True:
-            waited = self._clock.monotonic() - started
-            left = request.context_wait - waited
+            left = longest - (self._clock.monotonic() - started)
             answer = asks.ask(request, replica, home=home, may_wait=left > 0)
             if answer is None:
                 return None
--- a/src/topazlug/placement/_replica_view.py
+++ b/src/topazlug/placement/_replica_view.py
@@ -15,6 +15,7 @@
 from topazlug import _clock
 from topazlug import _ids
 from topazlug import _logs
+from topazlug.placement import _mechanisms
 from topazlug.targets import _targets
 
 _log = _logs.logger("replicas")
@@ -144,10 +145,18 @@
     ----------
     clock : Clock
         Time.
+    without : frozenset of Mechanism
+        What is switched off.
     """
 
-    def __init__(self, *, clock: _clock.Clock) -> None:
+    def __init__(
+        self,
+        *,
+        clock: _clock.Clock,
+        without: _mechanisms.Without = _mechanisms.NONE,
+    ) -> None:
         self._clock = clock
+        self._without = without
         self._report_seconds = REPORT_SECONDS
         self._view_by_replica: dict[_ids.ReplicaId, ReplicaView] = {}
         self._start_by_replica: dict[_ids.ReplicaId, int] = {}
@@ -212,6 +221,8 @@
         other would pile all requests on the last.
         """
         named = list(replicas)
+        if _mechanisms.Mechanism.HOLDING_OUT in self._without:
+            return named
         self._hold_ill(named)
         sound = [one for one in named if not self.of(one).is_held]
         return sound if len(sound) * 2 >= len(named) else named
--- a/src/topazlug/placement/_view_admission.py
+++ b/src/topazlug/placement/_view_admission.py
@@ -25,6 +25,9 @@
 # A replica of which no latency is known is taken to be as fast as this.
 _UNKNOWN_LATENCY = 0.02
 _NO_TARGET_SECONDS = 0.3
+# A view is some seconds old in part; it must show more than all slots taken
+# before a request is refused by it alone.
+_FULL = 1.25
 
 
 @final
@@ -56,6 +59,8 @@
         ------
         NoTarget
             The group has no usable replica that was not tried.
+        Overloaded
+            All replicas seem full.
         """
         candidates = self.candidates(request)
         if request.keeps_context:
@@ -107,15 +112,36 @@
         candidates: list[_ids.ReplicaId],
     ) -> tuple[_ids.ReplicaId, bool]:
         loads = {one: self._views.of(one).load for one in candidates}
+        least = min(candidates, key=loads.__getitem__)
+        self._check_room(request, least, loads[least])
         bound = _BOUND * self._mean(candidates) + _MARGIN
         ranked = _ranking.rank(candidates, request.chat, count=len(candidates))
         for name in ranked:
             replica = _ids.ReplicaId(name)
             if loads[replica] + 1 <= bound:
                 return replica, name == ranked[0]
-        least = min(candidates, key=loads.__getitem__)
         return least, False
 
+    def _check_room(
+        self,
+        request: _place.PlaceRequest,
+        replica: _ids.ReplicaId,
+        load: float,
+    ) -> None:
+        """Refuse what even the least loaded replica has no slot for.
+
+        While no owner says a word, each daemon would go on sending all that
+        comes to replicas that are full, until their queues refuse it.
+        """
+        slots = self._targets.target_by_replica[replica].slots
+        if request.rank < 0 or not slots or load < slots * _FULL:
+            return
+        raise _errors.Overloaded(
+            f"all replicas of {request.group} seem full: the least loaded "
+            f"holds {load:.0f}",
+            retry_after=_NO_TARGET_SECONDS,
+        )
+
     def _mean(self, candidates: list[_ids.ReplicaId]) -> float:
         total = sum(self._views.of(one).load for one in candidates)
         return total / len(candidates)
--- a/tests/topazlug/placement/test_owned_admission.py
+++ b/tests/topazlug/placement/test_owned_admission.py
@@ -1,10 +1,12 @@
 """Places by the owners' counts, and without their word."""
 
+import contextlib
 import itertools
 
 import pytest
 
 from tests.topazlug.placement import owner_fixtures
+from topazlug import _errors
 from topazlug import _ids
 from topazlug._generated import messages
 from topazlug.routing import _ranking
@@ -251,3 +253,130 @@
             first.admission.release(place)
         self.start_again(fleet, seat)
         assert first.admit(hot).target.replica == home_of(hot)
+
+
+def ranked(chat, rank, **changes):
+    """Give the fields of a request that is held to a limit by rank."""
+    return {
+        "chat": chat,
+        "rank": rank,
+        "prompt": chat,
+        "context_wait": 1.0,
+        "deadline": 1e9,
+        **changes,
+    }
+
+
+class TestOverload:
+    """Symptom: all requests are late, and callers hear nothing until then.
+
+    Sequence: more comes than all replicas can run. Cause: each request was
+    sent to some replica and waited there until its deadline.
+    """
+
+    @pytest.fixture
+    def fleet(self):
+        return owner_fixtures.Fleet(*DAEMONS, replicas=REPLICAS, slots=16)
+
+    def fill(self, fleet, *, rank):
+        places = []
+        for number, chat in zip(range(1000), chats()):
+            daemon = fleet.daemon_by_name[DAEMONS[number % len(DAEMONS)]]
+            with contextlib.suppress(_errors.Overloaded):
+                places.append(daemon.admit(**ranked(chat, rank)))
+            # The urgent are about all the time.
+            with contextlib.suppress(_errors.Overloaded):
+                place = daemon.admit(**ranked(chat, 0))
+                daemon.admission.release(place)
+            fleet.report()
+        return places
+
+    def test_what_has_no_room_is_told_when_to_come_back(self, fleet):
+        self.fill(fleet, rank=1)
+        loads = fleet.load_by_replica().values()
+        assert 12 <= min(loads) and max(loads) <= 16
+        daemon = fleet.daemon_by_name["d0"]
+        with pytest.raises(_errors.Overloaded) as caught:
+            daemon.admit(**ranked(next(chats()), 1))
+        assert caught.value.outcome is _errors.Outcome.NOT_RUN
+        assert caught.value.retry_after >= 0.2
+
+    def test_room_is_left_for_the_urgent(self):
+        fleet = owner_fixtures.Fleet(*DAEMONS, replicas=REPLICAS, slots=64)
+        daemon = fleet.daemon_by_name["d0"]
+        self.fill(fleet, rank=1)
+        fleet.clock.advance(1.0)
+        let_in = {0: 0, 1: 0}
+        for chat, _ in zip(chats(), range(30)):
+            for rank in let_in:
+                with contextlib.suppress(_errors.Overloaded):
+                    place = daemon.admit(**ranked(chat, rank))
+                    daemon.admission.release(place)
+                    let_in[rank] += 1
+        assert let_in[0] >= 25
+        assert let_in[1] <= 5
+
+    def test_stream_that_goes_on_is_not_turned_away(self, fleet):
+        self.fill(fleet, rank=1)
+        daemon = fleet.daemon_by_name["d0"]
+        assert daemon.admit(next(chats()), rank=-1)
+
+    def test_who_waits_gets_a_place_that_is_given_back(self, fleet):
+        places = self.fill(fleet, rank=1)
+        daemon = fleet.daemon_by_name["d0"]
+        slept = []
+
+        def give_back(seconds):
+            slept.append(seconds)
+            for place in places:
+                for other in fleet.daemons:
+                    other.admission.release(place)
+            fleet.clock.advance(seconds)
+
+        fleet.clock.sleep = give_back
+        assert daemon.admit(**ranked(next(chats()), 1))
+        assert len(slept) == 1
+
+    def test_views_refuse_when_no_owner_says_a_word(self, fleet):
+        daemon = fleet.daemon_by_name["d0"]
+        fleet.silent.update(name for name in DAEMONS if name != "d0")
+        for replica in REPLICAS:
+            daemon.views.of(replica).note_report(40)
+        daemon.admission.asks = None
+        with pytest.raises(_errors.Overloaded):
+            daemon.admit(**ranked(next(chats()), 0))
+
+
+class TestContextReads:
+    def test_second_request_waits_for_the_first_to_read(self, fleet):
+        """Symptom: engines read a prompt once for each request of its chat.
+
+        Sequence: a chat moves to a replica that has not read it, and its
+        requests come there at the same time through many daemons.
+        """
+        chat = next(chats())
+        first = fleet.daemon_by_name["d0"]
+        second = fleet.daemon_by_name["d1"]
+        fields = ranked(chat, 0, shared_tokens=8000)
+        place = first.admit(**fields)
+        assert place.reads_context
+        slept = []
+
+        def tell(seconds):
+            slept.append(seconds)
+            first.admission.note_head(place, 1, 0, 0.1)
+            fleet.clock.advance(seconds)
+
+        fleet.clock.sleep = tell
+        other = second.admit(**fields)
+        assert len(slept) == 1
+        assert other.target.replica == place.target.replica
+        assert not other.reads_context
+
+    def test_nobody_waits_longer_than_it_may(self, fleet):
+        chat = next(chats())
+        fields = ranked(chat, 0, shared_tokens=8000, context_wait=0.5)
+        fleet.daemon_by_name["d0"].admit(**fields)
+        before = fleet.clock.seconds
+        fleet.daemon_by_name["d1"].admit(**fields)
+        assert 0.5 <= fleet.clock.seconds - before <= 0.7
