Let the next daemon add up loads when the first says nothing

The daemon that adds up the group's load lost power at 2.0 s; three seconds later each owner took its own replicas for all. One that owns a single replica then sees no bound: its owner counted 23 at 3.0 s and 42 at 6.0 s, with a mean of 16.

Change: a collector that says nothing is passed over for 2 s and the next of the order adds up; within the 3 s for which a total counts.

Ruled out: places of the dark daemon that stay counted (5 or 6 of 60).

Before: the new test fails (52 held where 30 are allowed). After: it passes.

--- a/src/topazlug/routing/_owner_duties.py
+++ b/src/topazlug/routing/_owner_duties.py
@@ -22,6 +22,9 @@
 _log = _logs.logger("owner")
 _REPORT_TIMEOUT = 0.3
 _RETRY_SECONDS = 0.2
+# A collector that said nothing is passed over for so long; the next of its
+# order adds up meanwhile. Within the three seconds for which a total counts.
+_SILENT_SECONDS = 2.0
 _HANDOVER_ENTRIES = 500
 _RENEW_BYTES = 150
 _RENEW_BYTES_PER_SECOND = 2048
@@ -71,6 +74,7 @@
             clock=clock, interval=routing.load_interval
         )
         self._reporting: set[str] = set()
+        self._silent_until: dict[_ids.DaemonId, float] = {}
 
     def register(self) -> None:
         """Take peers' messages from now on."""
@@ -189,7 +193,7 @@
     def _exchange(
         self, group: _ids.GroupName, report: messages.LoadReport
     ) -> messages.LoadSummary | None:
-        collector = _group_load.collector_of(group, self._usable())
+        collector = _group_load.collector_of(group, self._heard())
         if collector is None:
             return None
         if collector == self._daemon:
@@ -199,6 +203,29 @@
                 collector, report, timeout=_REPORT_TIMEOUT
             )
         except _errors.PeerUnreachable:
+            until = self._clock.monotonic() + _SILENT_SECONDS
+            self._silent_until[collector] = until
+            _log.info(
+                "no total of {group} from {collector}, it is passed over",
+                group=group,
+                collector=collector,
+                seconds=_SILENT_SECONDS,
+            )
             self._clock.sleep(_RETRY_SECONDS)
             return None
         return answer if isinstance(answer, messages.LoadSummary) else None
+
+    def _heard(self) -> list[_ids.DaemonId]:
+        """Give the usable daemons without those that have just said nothing.
+
+        A daemon that is dark stays usable for as long as nobody says that it
+        is gone. Without a total an owner takes its own replicas for all: one
+        that owns a single replica then sees no bound at all, and one replica
+        fills while others idle.
+        """
+        now = self._clock.monotonic()
+        return [
+            daemon
+            for daemon in self._usable()
+            if now >= self._silent_until.get(daemon, 0.0)
+        ]
--- a/tests/topazlug/placement/owner_fixtures.py
+++ b/tests/topazlug/placement/owner_fixtures.py
@@ -28,6 +28,8 @@
     ----------
     silent : set
         Daemons that take bytes and never answer.
+    refusing : set
+        Daemons that take no connection.
     sent : list
         Messages between daemons, in their order.
     before_answer : callable
@@ -37,6 +39,7 @@
     def __init__(self, *names, replicas, slots=64):
         self.clock = claim_fakes.FakeClock()
         self.silent = set()
+        self.refusing = set()
         self.sent = []
         self.before_answer = lambda: None
         self.targets = [
@@ -134,6 +137,8 @@
         self._deliver(to, message, _peers.ignore_reply)
 
     def call(self, to, message, *, timeout):
+        if to in self._fleet.refusing:
+            raise _errors.PeerUnreachable("no connection")
         answers = []
         self._deliver(to, message, answers.append)
         if not answers:
--- a/tests/topazlug/placement/test_owned_admission.py
+++ b/tests/topazlug/placement/test_owned_admission.py
@@ -5,10 +5,12 @@
 
 import pytest
 
+from tests.topazlug.forwarding import forwarding_fixtures as fixtures
 from tests.topazlug.placement import owner_fixtures
 from topazlug import _errors
 from topazlug import _ids
 from topazlug._generated import messages
+from topazlug.routing import _group_load
 from topazlug.routing import _ranking
 
 DAEMONS = tuple(f"d{n}" for n in range(9))
@@ -380,3 +382,34 @@
         before = fleet.clock.seconds
         fleet.daemon_by_name["d1"].admit(**fields)
         assert 0.5 <= fleet.clock.seconds - before <= 0.7
+
+
+class TestCollectorWithoutWord:
+    def test_bound_holds_while_the_collector_is_dark(self, fleet):
+        """Symptom: one replica holds three times the mean while others idle.
+
+        Sequence: the daemon that adds up the load loses power and stays in
+        the directory; three seconds later most requests are of one chat.
+        Cause: an owner without a total takes its own replicas for all. With
+        one replica of its own the mean is that replica's load, so that no
+        load is over a multiple of it.
+        """
+        collector = _group_load.collector_of(fixtures.GROUP, DAEMONS)
+        hot = next(
+            chat
+            for chat in chats()
+            if fleet.owner_of(home_of(chat)) != collector
+        )
+        fleet.report()
+        fleet.refusing.add(collector)
+        for _ in range(40):
+            fleet.report()
+        alive = [name for name in DAEMONS if name != collector]
+        for number, chat in zip(range(40), chats()):
+            daemon = fleet.daemon_by_name[alive[number % len(alive)]]
+            daemon.admit(chat)
+            daemon.admit(hot)
+            fleet.report()
+        loads = fleet.load_by_replica()
+        mean = sum(loads.values()) / len(loads)
+        assert loads[home_of(hot)] <= MULTIPLE * mean + BEYOND
