Tell owners of places found without them, and free those of the dark

And the restarted owner counted 12 where its replica held 16: what was placed by views meanwhile was told to nobody.

Change: places found by views are told to the owner with the next renewal; an owner frees what a daemon held that was not heard of for two and a half renewals.

--- a/src/topazlug/placement/_owned_admission.py
+++ b/src/topazlug/placement/_owned_admission.py
@@ -117,7 +117,21 @@
         if _mechanisms.Mechanism.RANK_LIMITS in self._without:
             request = msgspec.structs.replace(request, rank=-1)
         place = self._ask_in_time(asks, request)
-        return self._alone.admit(request) if place is None else place
+        return self._by_view(asks, request) if place is None else place
+
+    def _by_view(
+        self, asks: _owner_asks.OwnerAsks, request: _place.PlaceRequest
+    ) -> _place.Place:
+        """Find a place without an owner's word, and tell it afterwards.
+
+        An owner that comes back would else take the replica for emptier
+        than it is, by all that was placed meanwhile, and let in as much
+        again. The next renewal tells it.
+        """
+        place = self._alone.admit(request)
+        place.ask = asks.new_number()
+        asks.holdings.place_by_ask[place.ask] = place
+        return place
 
     def _ask_in_time(
         self, asks: _owner_asks.OwnerAsks, request: _place.PlaceRequest
@@ -360,6 +374,8 @@
         if place.released:
             return
         # Numbers of places that no owner counts are of another series.
-        if self.asks is not None and place.owner is not None:
-            self.asks.holdings.release(place)
+        if self.asks is not None:
+            held = self.asks.holdings.place_by_ask
+            if held.get(place.ask) is place:
+                self.asks.holdings.release(place)
         self._alone.release(place)
--- a/src/topazlug/placement/_owners.py
+++ b/src/topazlug/placement/_owners.py
@@ -28,6 +28,8 @@
 # an owner a hundredth of what its requests do.
 _REPORT_SECONDS = 0.1
 _MANY_SLOTS = 1 << 20
+# Between two looks for daemons that have not been heard of.
+_LOOK_SECONDS = 0.5
 
 
 class _Rules:
@@ -149,7 +151,22 @@
         """Say whether a report is on its way."""
         return self._duties.reporting
 
+    def drop_silent(self) -> None:
+        """Free the places of daemons that have not been heard of."""
+        replicas = self._targets.target_by_replica
+        owners = {self._ownership.owner_of(replica) for replica in replicas}
+        self._duties.drop_silent(len(owners))
+
+    def _drop_silent_forever(self) -> None:
+        while True:
+            self._clock.sleep(_LOOK_SECONDS)
+            self.drop_silent()
+
     def start(self) -> list[Any]:
         """Keep owners informed from now on; give the greenlets."""
-        duties = (self._duties.renew_forever, self._duties.report_forever)
+        duties = (
+            self._duties.renew_forever,
+            self._duties.report_forever,
+            self._drop_silent_forever,
+        )
         return [_tasks.spawn(duty, clock=self._clock) for duty in duties]
--- a/src/topazlug/routing/_owner.py
+++ b/src/topazlug/routing/_owner.py
@@ -102,6 +102,7 @@
             capacity=routing.displaced_capacity
         )
         self.count_by_verdict = dict.fromkeys(messages.Verdict, 0)
+        self._heard_at: dict[_ids.DaemonId, float] = {}
 
     def ask(
         self, sender: _ids.DaemonId, ask: messages.AdmitAsk, reply: Reply
@@ -117,6 +118,7 @@
         reply : callable
             Called once with the verdict, now or later.
         """
+        self._heard_at[sender] = self._clock.monotonic()
         replica = _ids.ReplicaId(ask.replica)
         if self._ownership.owner_of(replica) != self._daemon:
             self._answer(reply, messages.Verdict.not_owner)
@@ -421,6 +423,7 @@
         refuse all. The full list heals that.
         """
         now = self._clock.monotonic()
+        self._heard_at[sender] = now
         pending = {_ids.AskNumber(ask) for ask in renew.pending}
         held: dict[
             _ids.ReplicaId, dict[_ids.AskNumber, messages.HeldPlace]
@@ -453,6 +456,30 @@
         reserve = self._rules.batch_reserve_of(target.group)
         return slots, max(1, math.floor(slots * (1 - reserve)))
 
+    def drop_silent(self, *, longest: float) -> None:
+        """Free what daemons held that have not been heard of for long.
+
+        A daemon that lost power gives nothing back, and where nobody says
+        that it is gone its places would count until it comes back. They
+        raise the mean, and with it what every replica may hold.
+
+        Parameters
+        ----------
+        longest : float
+            Seconds; longer than daemons take between two renewals.
+        """
+        now = self._clock.monotonic()
+        for daemon, heard_at in list(self._heard_at.items()):
+            if now - heard_at <= longest or daemon == self._daemon:
+                continue
+            del self._heard_at[daemon]
+            _log.info(
+                "no word of {daemon} for {seconds:.1f} s: its places are free",
+                daemon=daemon,
+                seconds=now - heard_at,
+            )
+            self.drop_daemon(daemon)
+
     def drop_daemon(self, daemon: _ids.DaemonId) -> None:
         """Free all that a dead daemon held."""
         now = self._clock.monotonic()
--- a/src/topazlug/routing/_owner_duties.py
+++ b/src/topazlug/routing/_owner_duties.py
@@ -22,6 +22,8 @@
 _log = _logs.logger("owner")
 _REPORT_TIMEOUT = 0.3
 _RETRY_SECONDS = 0.2
+# A daemon that was not heard of for so many renewals is taken to be gone.
+_SILENT_RENEWALS = 2.5
 # A collector that said nothing is passed over for so long; the next of its
 # order adds up meanwhile. Within the three seconds for which a total counts.
 _SILENT_SECONDS = 2.0
@@ -159,10 +161,25 @@
         """
         owners = 0
         while True:
-            spread = owners * _RENEW_BYTES / _RENEW_BYTES_PER_SECOND
-            self._clock.sleep(max(self._routing.renew_interval, spread))
+            self._clock.sleep(self._renew_seconds(owners))
             owners = self._holdings.renew()
 
+    def _renew_seconds(self, owners: int) -> float:
+        spread = owners * _RENEW_BYTES / _RENEW_BYTES_PER_SECOND
+        return max(self._routing.renew_interval, spread)
+
+    def drop_silent(self, owners: int) -> None:
+        """Free what daemons held that missed two renewals and more.
+
+        Parameters
+        ----------
+        owners : int
+            Daemons that own replicas: the more there are, the longer each
+            takes to tell all of them.
+        """
+        longest = _SILENT_RENEWALS * self._renew_seconds(owners)
+        self._owner.drop_silent(longest=longest)
+
     def report_forever(self) -> None:
         """Tell collectors the load of the owned replicas when it is due."""
         while True:
--- a/tests/topazlug/placement/test_owned_admission.py
+++ b/tests/topazlug/placement/test_owned_admission.py
@@ -413,3 +413,49 @@
         loads = fleet.load_by_replica()
         mean = sum(loads.values()) / len(loads)
         assert loads[home_of(hot)] <= MULTIPLE * mean + BEYOND
+
+
+class TestOwnerThatComesBack:
+    """Symptom: one replica gets far more than the others after a restart.
+
+    Sequence: the owner of a replica loses power; requests are placed there
+    by views; it starts again and counts from nothing. Meanwhile what it held
+    itself is still counted by the other owners, which raises the mean. Cause:
+    places found without it were told to nobody, and its own were never freed.
+    """
+
+    def test_it_hears_of_what_was_placed_without_it(self, fleet):
+        chat, owner = chat_owned_by_another(fleet, "d0")
+        daemon = fleet.daemon_by_name["d0"]
+        fleet.silent.add(owner)
+        places = [daemon.admit(chat) for _ in range(3)]
+        at_home = [p for p in places if p.target.replica == home_of(chat)]
+        fleet.silent.clear()
+        fleet.renew()
+        ledger = fleet.daemon_by_name[owner].owners.ledger_of(home_of(chat))
+        assert ledger.load == len(at_home) >= 1
+        for place in places:
+            daemon.admission.release(place)
+        assert ledger.load == 0
+
+    def test_places_of_a_daemon_that_is_gone_are_freed(self, fleet):
+        chat, owner = chat_owned_by_another(fleet, "d0")
+        fleet.daemon_by_name["d0"].admit(chat)
+        owners = fleet.daemon_by_name[owner].owners
+        ledger = owners.ledger_of(home_of(chat))
+        fleet.clock.advance(1.5)
+        owners.drop_silent()
+        assert ledger.load == 1
+        fleet.clock.advance(2.0)
+        owners.drop_silent()
+        assert ledger.load == 0
+
+    def test_daemon_that_renews_keeps_its_places(self, fleet):
+        chat, owner = chat_owned_by_another(fleet, "d0")
+        fleet.daemon_by_name["d0"].admit(chat)
+        owners = fleet.daemon_by_name[owner].owners
+        for _ in range(5):
+            fleet.clock.advance(1.0)
+            fleet.renew()
+            owners.drop_silent()
+        assert owners.ledger_of(home_of(chat)).load == 1
