--- a/src/topazlug/_generated/messages.py
+++ b/src/topazlug/_generated/messages.py
@@ -100,12 +100,6 @@
             ),
         ]
     ) = 0
-    in_time: (
-        Annotated[
-            float,
-            Meta(description="Seconds within which its answer is on time."),
-        ]
-    ) = 0
     shared: (
         Annotated[
             int,
--- a/src/topazlug/routing/_owner_asks.py
+++ b/src/topazlug/routing/_owner_asks.py
@@ -148,7 +148,6 @@
             total=total,
             rank=request.rank,
             request=request.prompt,
-            in_time=request.context_wait,
             longest=max(0.0, request.deadline - now) * LONGEST_RETURN_PART,
             shared=request.shared_tokens,
             may_wait=may_wait,
