Log calls that the store leaves unanswered, and how old the table that refuses is

Cause: a daemon that lost the store and had an answer of another daemon logged nothing (4.7 s of silence in the incident), and a refusal named no version. One line per transition, none per call. Tests: `test_loss_that_another_covers_is_logged_once`, `test_line_names_the_table_that_refused_and_its_age`.

--- a/src/topazlug/fleet/_reading_plan.py
+++ b/src/topazlug/fleet/_reading_plan.py
@@ -66,7 +66,7 @@
 SILENCE_SECONDS = 1.2
 # A reader that the store turned away asks it again after this. It must see
 # the store's return within a second.
-_STORE_AGAIN_SECONDS = 0.8
+STORE_AGAIN_SECONDS = 0.8
 # Calls a second that all daemons without a reader make together. Where peers
 # say that the store is lost it is asked rarely; silence says nothing of it,
 # and half of the rate of the smallest store known is used.
@@ -239,7 +239,7 @@
     def store_is_due(self) -> bool:
         """Say whether the store has not turned this daemon away just now."""
         since = self._clock.monotonic() - self._store_lost_at
-        return since >= _STORE_AGAIN_SECONDS
+        return since >= STORE_AGAIN_SECONDS
 
     def substitutes(self) -> list[Step]:
         """Give whom to ask while all readers have lost the store."""
--- a/src/topazlug/fleet/_table_relay.py
+++ b/src/topazlug/fleet/_table_relay.py
@@ -149,6 +149,7 @@
         self._links = links
         self._plan = plan
         self._clock = clock
+        self._store_lost_at: float | None = None
 
     def rows(self, table: str) -> _table_source.TableChanges:
         """Read a table whole; see `RelayedSource`."""
@@ -224,6 +225,12 @@
                 outcome = _reading_plan.Outcome.ANSWERED
             seconds = self._clock.monotonic() - began
             search.note(step, outcome, seconds=seconds)
+            if isinstance(step, _reading_plan.AskStore):
+                self._log_contact(
+                    wanted,
+                    None if outcome is _reading_plan.Outcome.ANSWERED else why,
+                    seconds=seconds,
+                )
             if outcome is _reading_plan.Outcome.ANSWERED:
                 return found
             _log.debug(
@@ -233,6 +240,34 @@
             f"nobody who was asked has the store: {why}"
         ) from why
 
+    def _log_contact(
+        self,
+        wanted: messages.ChangesAsk,
+        why: Exception | None,
+        *,
+        seconds: float,
+    ) -> None:
+        """Log that the store itself is lost, or back.
+
+        The feed logs a loss only if no other daemon has an answer either.
+        """
+        if why is not None and self._store_lost_at is None:
+            self._store_lost_at = self._clock.monotonic()
+            _log.warning(
+                "no answer of the store for {table} in {seconds:.1f} s: {why}",
+                table=wanted.table,
+                seconds=seconds,
+                after=wanted.after,
+                why=str(why),
+            )
+        if why is None and self._store_lost_at is not None:
+            _log.info(
+                "the store answers for {table} again after {seconds:.1f} s",
+                table=wanted.table,
+                seconds=self._clock.monotonic() - self._store_lost_at,
+            )
+            self._store_lost_at = None
+
     def _ask_store(
         self,
         step: _reading_plan.AskStore,
--- a/src/topazlug/forwarding/_app.py
+++ b/src/topazlug/forwarding/_app.py
@@ -1,5 +1,6 @@
 """The WSGI application of the forwarding listener."""
 
+from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Mapping
 from http import HTTPStatus
@@ -51,6 +52,8 @@
         Serves requests whose route and key are known.
     tables : TableHolder
         The table in force.
+    table_age : callable
+        Gives the seconds since the store last confirmed the tables.
     wire : CallerWire
         Names on the wire.
     gate : StartGate
@@ -71,6 +74,7 @@
         *,
         forwarder: _forwarder.Forwarder,
         tables: _table.TableHolder,
+        table_age: Callable[[], float],
         wire: _wire.CallerWire,
         gate: _start_gate.StartGate,
         measures: _measures.Measures,
@@ -79,6 +83,7 @@
         self._gate = gate
         self._forwarder = forwarder
         self._tables = tables
+        self._table_age = table_age
         self._wire = wire
         self._measures = measures
         self._clock = clock
@@ -222,6 +227,8 @@
                     outcome=getattr(error, "outcome", None),
                     retry_after=getattr(error, "retry_after", None),
                     why=error.message,
+                    table=self._tables.version,
+                    table_age=round(self._table_age(), 3),
                 )
         return answer
 
--- a/src/topazlug/forwarding/_daemon.py
+++ b/src/topazlug/forwarding/_daemon.py
@@ -180,6 +180,7 @@
         self._app = _app.ForwardingApp(
             forwarder=self._build_forwarder(replica_wire),
             tables=self.tables,
+            table_age=lambda: self._fleet.table_age,
             wire=caller_wire,
             gate=self._gate,
             measures=self._measures,
--- a/tests/topazlug/fleet/test_table_relay.py
+++ b/tests/topazlug/fleet/test_table_relay.py
@@ -1,6 +1,7 @@
 """News by way of a reader, and without it."""
 
 import gevent
+import logbook
 import pytest
 
 from tests.topazlug import routing_fixtures
@@ -184,6 +185,26 @@
         assert [row.data for row in found.rows] == [b"9"]
         assert found.relayed
 
+    def test_loss_that_another_covers_is_logged_once(self, rig):
+        """Symptom: a daemon's table is old, and its log says nothing."""
+        away = store_fakes.FakeTables()
+        away.is_away = True
+        source = rig._source(READERS[0], away)
+        rig.store.put(TABLE, "config", b"9")
+        with logbook.TestHandler() as handler:
+            for _ in range(2):
+                source.changes(TABLE, after=0, wait=0.0)
+                rig.clock.sleep(_reading_plan.STORE_AGAIN_SECONDS)
+            away.is_away = False
+            for name in READERS[1:]:
+                rig.link_by_name[name].stop()
+            routing_fixtures.wait_until(
+                lambda: not source.changes(TABLE, after=0, wait=0.0).relayed
+            )
+        told = [record.message for record in handler.records]
+        assert len([one for one in told if "no answer of the" in one]) == 1
+        assert len([one for one in told if "the store answers" in one]) == 1
+
     def test_one_that_hears_from_another_tells_nobody(self, rig):
         """Symptom: a change never arrives, though all are in contact.
 
--- a/tests/topazlug_platform/test_forwarding.py
+++ b/tests/topazlug_platform/test_forwarding.py
@@ -4,6 +4,7 @@
 
 import gevent
 import gevent.socket
+import logbook
 import pytest
 
 from tests.topazlug import routing_fixtures
@@ -143,6 +144,17 @@
         with running(fixtures.route()) as rig:
             assert rig.send(path="/b/")[0] == 404
 
+    def test_line_names_the_table_that_refused_and_its_age(self):
+        """Symptom: a new route is refused, and nobody sees by which table."""
+        lines = logbook.TestHandler()
+        with running(fixtures.route()) as rig, lines.applicationbound():
+            rig.send(path="/b/")
+        refused = next(
+            line for line in lines.records if "failed with" in line.message
+        )
+        assert refused.kwargs["table"] == rig.daemon.tables.version
+        assert refused.kwargs["table_age"] >= 0.0
+
     def test_unknown_key(self):
         route = fixtures.route(anonymous=False)
         with running(route) as rig:
