--- a/tests/topazlug/fleet/reading_replay.py
+++ b/tests/topazlug/fleet/reading_replay.py
@@ -18,9 +18,13 @@
 
 ASK_SECONDS = 0.005
 STORE_SECONDS = 0.004
-SILENT_STORE_SECONDS = 0.6
-SILENT_PEER_SECONDS = 1.5
+# A call that the store takes and never answers ends so much later than it was
+# asked to wait; one for the whole table, at once.
+STORE_SLACK_SECONDS = 0.6
+WHOLE_TABLE_SECONDS = 2.0
+PEER_SLACK_SECONDS = 0.5
 PEER_WAIT_SECONDS = 1.0
+SILENT_PEER_SECONDS = PEER_WAIT_SECONDS + PEER_SLACK_SECONDS
 TABLE = "servers"
 NEWER_SECONDS = 0.5
 NEWS = _news_bounds.NewsBounds(in_force=4.0, unreachable=5.0)
@@ -140,7 +144,16 @@
 
     @property
     def vouched_until(self):
-        return self.read_at + NEWS.vouched
+        return self.read_at + self.fleet.news.vouched
+
+    @property
+    def wait(self):
+        """Give how long the feed's next call waits for news."""
+        if self.has_lost:
+            return 0.0
+        if self.fleet.directory.is_small:
+            return self.fleet.news.own_wait
+        return self.fleet.news.reader_wait
 
     def take(self, version, *, direct_at):
         self.has_read, self.has_lost = True, False
@@ -176,31 +189,36 @@
     def _search(self):
         clock = self.fleet.clock
         search = _reading_round.Round(self.plan, TABLE)
+        wait = self.wait
         while (step := search.next()) is not None:
             began = clock.now
             if isinstance(step, _reading_plan.AskStore):
-                outcome = yield from self._ask_store(step)
+                outcome = yield from self._ask_store(step, wait)
             else:
-                outcome = yield from self._ask(step.peer)
+                outcome = yield from self._ask(step.peer, wait)
             search.note(step, outcome, seconds=clock.now - began)
             if outcome is Outcome.ANSWERED:
                 return True
         return False
 
-    def _ask_store(self, step):
+    def _ask_store(self, step, wait):
         store, clock = self.fleet.store, self.fleet.clock
         yield step.pause
         store.call(self.name, clock.now)
+        longest = min(step.longest, wait)
+        silent_until = clock.now + longest + STORE_SLACK_SECONDS
+        if not self.has_read:
+            longest = 0.0
+            silent_until = clock.now + WHOLE_TABLE_SECONDS
         if store.is_resetting(self.number, clock.now):
             yield ASK_SECONDS
             return Outcome.LOST
         if store.is_away(self.number, clock.now):
-            yield SILENT_STORE_SECONDS
+            yield silent_until - clock.now
             return Outcome.LOST
         if any(self.read_at < at <= clock.now for at in store.forgets_at):
             yield store.delay(clock.now)
             store.call(self.name, clock.now)
-        longest = min(step.longest, NEWS.reader_wait)
         end = clock.now + longest
         answered_at = end
         if store.version_at(clock.now) > self.version:
@@ -214,23 +232,24 @@
             if is_reset and store.resets_waiting:
                 yield lost_at - clock.now
             else:
-                yield end + SILENT_STORE_SECONDS - clock.now
+                yield silent_until - clock.now
             return Outcome.LOST
         yield answered_at - clock.now
         self.take(store.version_at(clock.now), direct_at=clock.now)
         return Outcome.ANSWERED
 
-    def _ask(self, name):
+    def _ask(self, name, wait):
         clock = self.fleet.clock
         peer = self.fleet.daemon_by_name[name]
         if self.fleet.is_refusing(peer.number, clock.now):
             yield ASK_SECONDS
             return Outcome.SILENT
+        wait = min(wait, PEER_WAIT_SECONDS)
         if self.fleet.is_dark(peer.number, clock.now):
-            yield SILENT_PEER_SECONDS
+            yield wait + PEER_SLACK_SECONDS
             return Outcome.SILENT
         yield ASK_SECONDS
-        end = clock.now + PEER_WAIT_SECONDS
+        end = clock.now + wait
         if not peer.has_read and not peer.has_lost:
             yield peer, end
         known_at = max(self.read_at, 0.0) + NEWER_SECONDS
@@ -263,7 +282,7 @@
         if store.is_resetting(self.number, clock.now):
             yield ASK_SECONDS
         elif store.is_away(self.number, clock.now):
-            yield SILENT_STORE_SECONDS
+            yield STORE_SLACK_SECONDS
         else:
             yield store.delay(clock.now)
             outcome = Outcome.ANSWERED
@@ -294,9 +313,18 @@
     """Runs so many daemons before a store."""
 
     def __init__(
-        self, count, store, *, dark=(), refusing=(), restarts=(), seed=1
+        self,
+        count,
+        store,
+        *,
+        dark=(),
+        refusing=(),
+        restarts=(),
+        seed=1,
+        news=NEWS,
     ):
         self.clock = Clock()
+        self.news = news
         self.random = random.Random(seed)
         self.directory = Directory(count)
         self.store = store
--- a/tests/topazlug/fleet/test_reading_plan.py
+++ b/tests/topazlug/fleet/test_reading_plan.py
@@ -172,9 +172,9 @@
         alone = fleet.daemons[-1]
         ask = alone._ask
 
-        def cut_off(name):
+        def cut_off(name, wait):
             if fleet.clock.now < 8.0:
-                return (yield from ask(name))
+                return (yield from ask(name, wait))
             yield reading_replay.SILENT_PEER_SECONDS
             return _reading_plan.Outcome.SILENT
 
--- a/tests/topazlug/fleet/test_way_of_a_row.py
+++ b/tests/topazlug/fleet/test_way_of_a_row.py
@@ -186,11 +186,11 @@
 def _leave_unanswered(fleet, daemon, reader, times):
     ask = daemon._ask
 
-    def ask_or_wait(name):
+    def ask_or_wait(name, wait):
         now = fleet.clock.now
         is_busy = any(begin <= now < begin + 2.0 for begin, _, _ in times)
         if name != reader or not is_busy:
-            return (yield from ask(name))
+            return (yield from ask(name, wait))
         yield reading_replay.SILENT_PEER_SECONDS
         return reading_replay.Outcome.SILENT
 
