Bound calls of a daemon that reads for itself by the time after a cut

What callers see: for up to 0.8 s and more after a daemon must follow all accepted changes again it refuses keys and routes of them (401, 404). Cause: a call waited for news for as long as a change may take and a cut daemon may lag together (2 + 3 - 1.6 s), and 0.6 s more for its answer. Those two times run side by side: 3 s after the store is back all must be known. A call that is made while the store says nothing is never answered, and was given up 4.0 s after it began. Change: such a call waits for the time after a cut less 0.6 s and 0.8 s, 1.6 s on such sites, so it is given up after 2.2 s. The slack of answers stands where both the wait and the adapter read it.

--- a/src/topazlug/fleet/_news_bounds.py
+++ b/src/topazlug/fleet/_news_bounds.py
@@ -11,10 +11,11 @@
 
 import msgspec
 
-# A call of a daemon that reads for itself may wait for all of the time in
-# which it must follow a change, and that in which a daemon that was cut off
-# need not, less this.
-_OWN_MARGIN_SECONDS = 1.6
+from topazlug.fleet import _table_source
+
+# What is left of the time after a cut for the call that follows one without
+# an answer, for a store that is slow, and for the request itself.
+_OWN_MARGIN_SECONDS = 0.8
 # A call of a daemon that reads for others may wait for this part of the bound:
 # those that go by it hear nothing while it is not answered.
 _READER_PART = 3 / 8
@@ -42,9 +43,14 @@
 
     @property
     def own_wait(self) -> float:
-        """Give the longest wait of a call that serves one daemon alone."""
-        wait = self.in_force + self.unreachable - _OWN_MARGIN_SECONDS
-        return max(_LEAST_WAIT_SECONDS, wait)
+        """Give the longest wait of a call that serves one daemon alone.
+
+        One that is made while the store says nothing is never answered. It
+        must have ended, and the next one been answered, before all that was
+        accepted must be in force again.
+        """
+        wait = self.unreachable - _table_source.ANSWER_SLACK_SECONDS
+        return max(_LEAST_WAIT_SECONDS, wait - _OWN_MARGIN_SECONDS)
 
     @property
     def reader_wait(self) -> float:
--- a/src/topazlug/fleet/_table_source.py
+++ b/src/topazlug/fleet/_table_source.py
@@ -8,6 +8,10 @@
 
 from topazlug import _errors
 
+# An answer to a call that waits for changes comes at most so much later than
+# the call was asked to wait; after that it is given up.
+ANSWER_SLACK_SECONDS = 0.6
+
 
 @final
 class Row(msgspec.Struct, frozen=True, array_like=True):
@@ -83,7 +87,7 @@
         HistoryLost
             They are not known any more.
         StoreUnavailable
-            There is no whole answer.
+            There is no whole answer `ANSWER_SLACK_SECONDS` after the wait.
         """
 
 
