Ask the store without waiting until it has answered itself

Cause: in a fleet whose daemons read for themselves, an answer of another daemon ended the loss. The next call to the store waited for news again, though the store was still silent. Change: a lost call is followed by one that does not wait, and only such calls are made until the store itself has answered.

--- a/src/topazlug/fleet/_reading_plan.py
+++ b/src/topazlug/fleet/_reading_plan.py
@@ -206,7 +206,7 @@
     def first_steps(self, table: str) -> list[Step]:
         """Give what is tried before substitutes are."""
         if self._directory.is_small:
-            return [AskStore()]
+            return self._steps_of_small_fleet()
         readers = self.readers()
         if self._me in readers:
             return self._steps_of_reader(readers, table)
@@ -215,6 +215,18 @@
         peers: list[Step] = [AskPeer(_ids.DaemonId(name)) for name in ranked]
         return self._own_steps(table) + peers
 
+    def _steps_of_small_fleet(self) -> list[Step]:
+        """Give how a daemon asks that reads the store for itself.
+
+        A call without an answer may have been made before the store was
+        back, so the store is asked again at once. Until it has answered
+        itself no call waits for news, whatever others say meanwhile.
+        """
+        probe = AskStore(longest=0.0)
+        if self._store_lost_at > -math.inf:
+            return [probe]
+        return [AskStore(), probe]
+
     def _steps_of_reader(
         self, readers: list[_ids.DaemonId], table: str
     ) -> list[Step]:
