Let the soak's store leave calls unanswered, and hold it to keys in force

Change: a call made while the store is silent is never answered; each change adds a key, a fifth of the callers' requests bear the newest one, and a daemon in touch that refuses it 2.5 s after the change breaks a promise. `store-blinks`: silent for 0.4 s, a change right after, 4.5 s of calm. `--only` takes several parts.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -46,7 +46,10 @@
     addresses = [(one.host, one.port) for one in world.daemons]
     made = [
         _clients.Caller(
-            addresses=addresses, key=_world.KEY, seed=seed * 1000 + number
+            addresses=addresses,
+            key=_world.KEY,
+            seed=seed * 1000 + number,
+            newest_key=world.newest_key,
         )
         for number in range(callers)
     ]
@@ -123,7 +126,11 @@
 @click.option("--daemons", default=3)
 @click.option("--replicas", default=4)
 @click.option("--callers", default=12)
-@click.option("--only", default="", help="Only kinds with this name part.")
+@click.option(
+    "--only",
+    default="",
+    help="Only kinds with one of these name parts, by commas.",
+)
 @click.option("--keep", type=click.Path(path_type=pathlib.Path))
 def main(
     seeds: str,
--- a/soak/_clients.py
+++ b/soak/_clients.py
@@ -1,5 +1,6 @@
 """Callers: they keep connections open, and note what they saw."""
 
+from collections.abc import Callable
 import enum
 from http import client as http_client
 import random
@@ -15,6 +16,7 @@
 _PAUSE_SECONDS = (0.005, 0.06)
 _CRASH_PAUSE_SECONDS = (0.4, 1.2)
 _LEAVES = 0.03
+_NEW_KEY = 0.2
 HOST = "soak.example"
 
 
@@ -29,6 +31,13 @@
     LEFT = "left on purpose"
 
 
+class AddedKey(NamedTuple):
+    """An API key that the operator has added, and when that was accepted."""
+
+    key: str
+    accepted_at: float
+
+
 class Outcome(NamedTuple):
     """One attempt, as its caller saw it.
 
@@ -40,6 +49,8 @@
         Whether its connection had served another before.
     crashes : bool
         Whether it ends each replica that runs it.
+    key_accepted_at : float or None
+        When its key was accepted, if it was added meanwhile.
     """
 
     attempt: str
@@ -53,6 +64,7 @@
     signed: bool
     reused: bool
     crashes: bool = False
+    key_accepted_at: float | None = None
 
 
 class Caller:
@@ -66,11 +78,19 @@
         API key.
     seed : int
         Decides what it asks and when it leaves.
+    newest_key : callable or None
+        Gives the key that was added last.
     """
 
     def __init__(
-        self, *, addresses: list[tuple[str, int]], key: str, seed: int
+        self,
+        *,
+        addresses: list[tuple[str, int]],
+        key: str,
+        seed: int,
+        newest_key: Callable[[], AddedKey] | None = None,
     ) -> None:
+        self._newest_key = newest_key
         self._addresses = addresses
         self._key = key
         self._random = random.Random(seed)
@@ -83,7 +103,12 @@
             daemon = self._random.randrange(len(self._addresses))
             path = self._random.choice(list(PATIENCE))
             leaves = self._random.random() < _LEAVES
-            self.outcomes.append(self.ask(daemon, path, leaves=leaves))
+            added = None
+            if self._newest_key and self._random.random() < _NEW_KEY:
+                added = self._newest_key()
+            self.outcomes.append(
+                self.ask(daemon, path, leaves=leaves, added=added)
+            )
             gevent.sleep(self._random.uniform(*_PAUSE_SECONDS))
 
     def crash(self, until: float, path: str) -> None:
@@ -100,8 +125,9 @@
         *,
         leaves: bool = False,
         crashes: bool = False,
+        added: AddedKey | None = None,
     ) -> Outcome:
-        """Make one attempt."""
+        """Make one attempt, with the usual key if none is given."""
         attempt = uuid.UUID(int=self._random.getrandbits(128)).hex
         started = time.monotonic()
         connection = self._kept.pop(daemon, None)
@@ -118,7 +144,13 @@
             seen = Seen.NO_CONNECTION
         else:
             seen, status, body, signed = self._exchange(
-                connection, daemon, attempt, path, leaves, crashes
+                connection,
+                daemon,
+                attempt,
+                path,
+                added.key if added else self._key,
+                leaves,
+                crashes,
             )
         return Outcome(
             attempt=attempt,
@@ -132,6 +164,7 @@
             signed=signed,
             reused=reused,
             crashes=crashes,
+            key_accepted_at=added.accepted_at if added else None,
         )
 
     def _exchange(
@@ -140,13 +173,14 @@
         daemon: int,
         attempt: str,
         path: str,
+        key: str,
         leaves: bool,
         crashes: bool,
     ) -> tuple[Seen, int, bytes, bool]:
         fields = {
             "Host": HOST,
             "X-Attempt-Id": attempt,
-            "Authorization": f"Bearer {self._key}",
+            "Authorization": f"Bearer {key}",
             "X-Deadline-Ms": str(int(PATIENCE[path] * 1000)),
         }
         status, signed = 0, False
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -12,6 +12,9 @@
 
 _PAUSE_SECONDS = (0.2, 1.2)
 _LASTS_SECONDS = (0.5, 2.5)
+# A short silence, and the calm after it in which bounds on time count again.
+_BLINK_SECONDS = 0.4
+_CALM_SECONDS = 4.5
 _DELAY_SECONDS = 0.05
 # Daemons may take a part of this to know of it.
 _EVACUATED_SECONDS = 3.0
@@ -44,6 +47,7 @@
         self._world = world
         self._random = random.Random(seed)
         self._running: list[gevent.Greenlet] = []
+        self._is_blinking = False
         self.happened: list[Happened] = []
         self._kinds: dict[str, Callable[[int, float], None]] = {
             "daemon-stopped": self._stop_daemon,
@@ -59,6 +63,7 @@
             "store-silent": self._disturb_store(_store.Mode.SILENT),
             "store-busy": self._disturb_store(_store.Mode.BUSY),
             "store-reset": self._disturb_store(_store.Mode.RESET),
+            "store-blinks": self._blink_store,
             "store-forgets": self._forget,
             "configuration": self._configure,
         }
@@ -66,7 +71,7 @@
             self._kinds = {
                 kind: bring_about
                 for kind, bring_about in self._kinds.items()
-                if only in kind
+                if any(part in kind for part in only.split(","))
             }
 
     def run(self, until: float) -> None:
@@ -160,6 +165,18 @@
 
         return disturb
 
+    def _blink_store(self, subject: int, lasts: float) -> None:
+        """Be silent for a moment, and change something right after it."""
+        if self._is_blinking:
+            return
+        self._is_blinking = True
+        self._world.store.disturb(_store.Mode.SILENT)
+        gevent.sleep(_BLINK_SECONDS)
+        self._world.store.disturb(_store.Mode.NORMAL)
+        self._world.change_configuration()
+        gevent.sleep(_CALM_SECONDS)
+        self._is_blinking = False
+
     def _forget(self, subject: int, lasts: float) -> None:
         self._world.store.forget()
 
--- a/soak/_promises.py
+++ b/soak/_promises.py
@@ -13,6 +13,8 @@
 _KILL_SLACK_SECONDS = 0.5
 # The store's entry, the feed and a request on its way.
 _LEAVING_SECONDS = 2.0 + 0.5
+_IN_FORCE_SECONDS = 2.0 + 0.5
+_DENIALS = frozenset({401, 403, 404})
 # A store that was away so long ago counts as stable.
 _STABLE_SECONDS = 3.0
 # Replicas that end under one request before it is known, and afterwards.
@@ -33,6 +35,7 @@
         yield from _answer_broken(outcome)
         yield from _count_broken(outcome, ran)
         yield from _silence(world, outcome, ran)
+        yield from _not_in_force(world, outcome)
     yield from _unasked(runs_by_attempt, outcomes)
     yield from _after_leaving(world, runs)
     yield from _in_evacuated_zones(world, runs)
@@ -82,6 +85,23 @@
         yield f"LOST {outcome.attempt}: {outcome.seen.value}, ran at {ran}"
 
 
+def _not_in_force(
+    world: _world.World, outcome: _clients.Outcome
+) -> Iterator[str]:
+    """A key is known everywhere soon after it was added."""
+    accepted_at = outcome.key_accepted_at
+    if accepted_at is None or outcome.status not in _DENIALS:
+        return
+    seconds = outcome.started - accepted_at
+    if seconds < _IN_FORCE_SECONDS:
+        return
+    if _in_touch(world, outcome.daemon, outcome.started):
+        yield (
+            f"CONFIG {outcome.attempt}: {outcome.status} of daemon "
+            f"{outcome.daemon}, {seconds:.1f} s after its key was added"
+        )
+
+
 def _unasked(
     runs_by_attempt: dict[str, list[str]], outcomes: list[_clients.Outcome]
 ) -> Iterator[str]:
--- a/soak/_store.py
+++ b/soak/_store.py
@@ -106,7 +106,8 @@
             self.put("servers", beat["key"], beat["entry"])
             return _http.json_answer(200, {})
         if self.mode is Mode.SILENT:
-            while self.mode is Mode.SILENT and not request.client_closed():
+            # A call that is made meanwhile is not answered later either.
+            while not request.client_closed():
                 gevent.sleep(0.05)
             raise _http.ConnectionCut()
         if self.mode is Mode.RESET:
--- a/soak/_world.py
+++ b/soak/_world.py
@@ -197,6 +197,7 @@
         self._replaced: list[Replica] = []
         self.evacuations: list[Evacuation] = []
         self._evacuated: set[str] = set()
+        self._added_keys: list[_clients.AddedKey] = []
         self.change_configuration()
         self._is_running = False
         for _ in range(replicas):
@@ -270,8 +271,10 @@
                 self.replace(replica)
 
     def change_configuration(self) -> None:
-        """Write a newer configuration with the same routes."""
+        """Write a newer configuration with one more key."""
         self._version += 3
+        key = f"key-{self._version}"
+        keys = [KEY, key, *(one.key for one in self._added_keys)]
         kinds = {
             _expected.ONCE: ("non_idempotent", False),
             _expected.READ: ("idempotent", False),
@@ -306,9 +309,14 @@
                         "cold_per_s": _expected.COLD_PER_SECOND,
                     }
                 ],
-                "tenants": [{"name": "soak", "api_keys": [KEY]}],
+                "tenants": [{"name": "soak", "api_keys": keys}],
             },
         )
+        self._added_keys.append(_clients.AddedKey(key, time.monotonic()))
+
+    def newest_key(self) -> _clients.AddedKey:
+        """Give the key that was added last."""
+        return self._added_keys[-1]
 
     def runs(self) -> list[tuple[float, str, str]]:
         """Give all runs: moment, replica, attempt."""
--- a/tests/soak/test_promises.py
+++ b/tests/soak/test_promises.py
@@ -113,6 +113,14 @@
             found(outcome(), runs=[RUN], drained=7.0, changed_at=[6.0]) == []
         )
 
+    def test_key_that_is_not_known_in_time(self):
+        one = outcome(status=401, key_accepted_at=7.0)
+        assert found(one) == ["CONFIG"]
+        assert found(one, changed_at=[8.0]) == []
+        assert found(one, disturbed=[(8.0, 11.0)]) == []
+        assert found(outcome(status=401, key_accepted_at=8.0)) == []
+        assert found(outcome(status=401)) == []
+
 
 class TestCrashes:
     """A request that ends replicas, once a second at one daemon."""
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -9,19 +9,28 @@
 ROOT = pathlib.Path(__file__).parents[2]
 
 
+def play(seed, folder, *, seconds, only=""):
+    return subprocess.run(
+        [
+            *(sys.executable, "-m", "soak"),
+            *("--seeds", str(seed), "--seconds", str(seconds)),
+            *("--callers", "6", "--only", only, "--keep", str(folder)),
+        ],
+        cwd=ROOT,
+        env={"PYTHONPATH": f"{ROOT}:{ROOT}/src:{ROOT}/platform"},
+        capture_output=True,
+        text=True,
+    )
+
+
 @pytest.mark.processes
 class TestSoak:
     @pytest.mark.parametrize("seed", [1, 2])
     def test_no_promise_is_broken(self, seed, tmp_path):
-        done = subprocess.run(
-            [
-                *(sys.executable, "-m", "soak"),
-                *("--seeds", str(seed), "--seconds", "4"),
-                *("--callers", "6", "--keep", str(tmp_path)),
-            ],
-            cwd=ROOT,
-            env={"PYTHONPATH": f"{ROOT}:{ROOT}/src:{ROOT}/platform"},
-            capture_output=True,
-            text=True,
-        )
+        done = play(seed, tmp_path, seconds=4)
+        assert done.returncode == 0, done.stdout
+
+    def test_calls_that_the_store_leaves_unanswered(self, tmp_path):
+        """A key is refused seconds after the store was silent for a moment."""
+        done = play(3, tmp_path, seconds=9, only="store-blinks")
         assert done.returncode == 0, done.stdout
