Split the copy of a table off the feed that follows it

One change of behaviour: a daemon that waits for changes while the copy is read whole anew gets the whole table at once. Before, its wait ended without an answer, the store was asked for it, and the whole table followed.

--- a/src/topazlug/fleet/_table_feed.py
+++ b/src/topazlug/fleet/_table_feed.py
@@ -1,6 +1,5 @@
 """Follows one table of the platform's store."""
 
-import collections
 from collections.abc import Callable
 import math
 import random
@@ -13,6 +12,7 @@
 from topazlug import _clock
 from topazlug import _errors
 from topazlug import _logs
+from topazlug.fleet import _table_copy
 from topazlug.fleet import _table_source
 
 _log = _logs.logger("store")
@@ -20,9 +20,6 @@
 # are short, since each second without the store is a second with an old
 # configuration, and spread, since all daemons lose it at the same moment.
 _FIRST_PAUSE_SECONDS = 0.1
-# Changes that are kept for daemons that read this copy. One that lags more
-# reads the store itself.
-_KEPT_CHANGES = 500
 # A word of the store that is so much later is told at once, so that ages don't
 # add up over the daemons by which it comes.
 _NEWER_SECONDS = 0.5
@@ -102,11 +99,6 @@
         which this copy's word counts for other daemons. A call that the
         store took and never answers would else look to them as if there
         were no news.
-
-    Attributes
-    ----------
-    version : int
-        Version of the store that the copy is of.
     """
 
     def __init__(
@@ -128,19 +120,20 @@
         self._wait = wait
         self._follower = follower
         self._clock = clock
-        self.version = 0
+        self._copy = _table_copy.TableCopy(table)
         self._is_read = False
         # When the store itself answered last, to whomever.
         self._direct_at = -math.inf
         self._lost_at: float | None = None
         # When the feed asked in vain last.
         self._vain_at = 0.0
-        self._data_by_key: dict[str, bytes] = {}
-        self._kept: collections.deque[tuple[int, _table_source.Row]]
-        self._kept = collections.deque(maxlen=_KEPT_CHANGES)
-        self._kept_after = 0
         self._news = event.Event()
 
+    @property
+    def version(self) -> int:
+        """Give the version of the store that the copy is of."""
+        return self._copy.version
+
     @property
     def in_contact(self) -> bool:
         """Say whether the last call to the source succeeded."""
@@ -172,7 +165,7 @@
 
     def _step(self) -> None:
         if not self._is_read:
-            self._read_whole()
+            self._take_whole(self._source.rows(self.table))
             return
         # After a loss the first call must not wait for news: whoever keeps
         # entries that lapsed with the store counts from its return, and
@@ -200,38 +193,13 @@
         if self.version != after:
             return
         self._note_contact(answer)
-        for row in answer.rows:
-            if row.deleted:
-                self._data_by_key.pop(row.key, None)
-            else:
-                self._data_by_key[row.key] = row.data
-            self._kept.append((answer.version, row))
-        if len(self._kept) == _KEPT_CHANGES:
-            self._kept_after = self._kept[0][0]
-        self.version = max(self.version, answer.version)
+        self._copy.apply(answer)
         if answer.rows:
             self._tell()
 
-    def _read_whole(self) -> None:
-        """Read the table; a copy older than the last one is refused.
-
-        After the store has lost its history it may for a while serve reads
-        from seconds ago. Taken over, they would bring back replicas that
-        have left and keys that were taken away.
-        """
-        self._take_whole(self._source.rows(self.table))
-
     def _take_whole(self, answer: _table_source.TableChanges) -> None:
-        if answer.version < self.version:
-            raise _errors.StoreUnavailable(
-                f"the copy of {self.table!r} is of version "
-                f"{answer.version}, older than {self.version}"
-            )
+        self._copy.replace(answer)
         self._note_contact(answer)
-        self.version = answer.version
-        self._data_by_key = {row.key: row.data for row in answer.rows}
-        self._kept.clear()
-        self._kept_after = answer.version
         self._is_read = True
         self._tell()
 
@@ -243,7 +211,7 @@
         """
         self._wake()
         try:
-            self._follower.changed(self._data_by_key)
+            self._follower.changed(self._copy.data_by_key)
         except Exception:
             _log.exception("rows of {table} were not taken", table=self.table)
 
@@ -280,16 +248,12 @@
         if not self._is_read and self._lost_at is None:
             # Whoever asks has started at the same time as this daemon.
             self._news.wait(wait)
-        if self._has_store and version < self._kept_after:
-            rows = [
-                _table_source.Row(key, data)
-                for key, data in self._data_by_key.items()
-            ]
-            return _table_source.TableChanges(
-                self.version, rows, whole=True, age=self.age
-            )
-        while self._has_store and self._kept_after <= version:
-            rows = [row for at, row in self._kept if at > version]
+        while self._has_store:
+            rows = self._copy.since(version)
+            if rows is None:
+                return _table_source.TableChanges(
+                    self.version, self._copy.rows(), whole=True, age=self.age
+                )
             now = self._clock.monotonic()
             if rows or now >= end or self._direct_at > known_at:
                 newest = max(version, self.version)
