--- a/src/topazlug/forwarding/_daemon.py
+++ b/src/topazlug/forwarding/_daemon.py
@@ -7,22 +7,17 @@
 from gevent import event
 
 from topazlug import _clock
-from topazlug import _ids
 from topazlug import _logs
 from topazlug import _tasks
-from topazlug._generated import messages
 from topazlug._generated import settings as _settings_types
 from topazlug.callers import _caller_server
-from topazlug.calls import _attempts
 from topazlug.fleet import _fleet
 from topazlug.fleet import _fleet_directory
 from topazlug.fleet import _table_feed
 from topazlug.fleet import _table_source
 from topazlug.forwarding import _app
 from topazlug.forwarding import _crash_parts
-from topazlug.forwarding import _event_relay
-from topazlug.forwarding import _exchange
-from topazlug.forwarding import _forwarder
+from topazlug.forwarding import _forwarder_parts
 from topazlug.forwarding import _gauges
 from topazlug.forwarding import _measures
 from topazlug.forwarding import _options
@@ -40,7 +35,6 @@
 from topazlug.placement import _replica_list
 from topazlug.placement import _replica_view
 from topazlug.placement import _view_admission
-from topazlug.routing import _place
 from topazlug.targets import _target_client
 from topazlug.targets import _targets
 from topazlug.telemetry import _metrics
@@ -61,20 +55,6 @@
 _IDLE_PER_REPLICA = 2
 
 
-@final
-class _NoSigns:
-    """Peers are not told of targets: each reads the list itself."""
-
-    def publish_target(
-        self,
-        replica: _ids.ReplicaId,
-        *,
-        incarnation: int,
-        state: messages.FactState,
-    ) -> None:
-        """Do nothing."""
-
-
 @final
 class ForwardingDaemon:
     """One instance that forwards requests.
@@ -179,8 +159,21 @@
             _settings_types.MetricsSettings(), options.daemon, options.zone
         )
         self._measures = _measures.Measures(metrics=self.metrics, clock=clock)
+        parts = _forwarder_parts.ForwarderParts(
+            admission=self._admission,
+            budget=self.budget,
+            clock=clock,
+            connections=self._connections,
+            contexts=self.contexts,
+            guard=self._crashes.guard,
+            measures=self._measures,
+            targets=self.targets,
+            views=self.views,
+            wire=replica_wire,
+            without=options.without,
+        )
         self._app = _app.ForwardingApp(
-            forwarder=self._build_forwarder(replica_wire),
+            forwarder=parts.build(),
             tables=self.tables,
             table_age=lambda: self._fleet.table_age,
             wire=caller_wire,
@@ -206,59 +199,6 @@
             options=options, is_ready=self.is_ready, metrics=self.metrics
         )
 
-    def _build_forwarder(
-        self, wire: _wire.ReplicaWire
-    ) -> _forwarder.Forwarder:
-        admission = self._admission
-        exchange = _exchange.Exchange(
-            connections=self._connections,
-            targets=self.targets,
-            views=self.views,
-            contexts=self.contexts,
-            wire=wire,
-            note_unreached=admission.note_unreached,
-            note_head=admission.note_head,
-            without=self._options.without,
-            clock=self._clock,
-        )
-        attempts = _attempts.Attempts(
-            admission=admission,
-            targets=self.targets,
-            budget=self.budget,
-            signs=_NoSigns(),
-            clock=self._clock,
-            count_retry=self._note_retry,
-        )
-        resumer = _event_relay.StreamResumer(
-            admission=admission,
-            exchange=exchange,
-            budget=self.budget,
-            views=self.views,
-            guard=self._crashes.guard,
-            without=self._options.without,
-            clock=self._clock,
-        )
-        return _forwarder.Forwarder(
-            attempts=attempts,
-            admission=admission,
-            exchange=exchange,
-            resumer=resumer,
-            guard=self._crashes.guard,
-            views=self.views,
-            budget=self.budget,
-            measures=self._measures,
-            without=self._options.without,
-            clock=self._clock,
-        )
-
-    def _note_retry(self, request: _place.PlaceRequest) -> None:
-        self._measures.retried(request)
-        _log.info(
-            "another replica of {group} is tried",
-            group=request.group,
-            budget_left=self.budget.left(request.group),
-        )
-
     def take_table(self, table: _table.RoutingTable) -> None:
         """Put a newer routing table in force."""
         if not self.tables.take(table):
