Use plain terms for failed calls and short silences

Names and sentences that a newcomer would stop at: calls "in vain", a store that "blinks", a test's "story". No change of behaviour.

--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -12,8 +12,9 @@
 
 _PAUSE_SECONDS = (0.2, 1.2)
 _LASTS_SECONDS = (0.5, 2.5)
-# A short silence, and the calm after it in which bounds on time count again.
-_BLINK_SECONDS = 0.4
+# A short silence, and the time without disruptions after it in which bounds
+# hold again.
+_BRIEF_SECONDS = 0.4
 _CALM_SECONDS = 4.5
 _DELAY_SECONDS = 0.05
 # Daemons may take a part of this to know of it.
@@ -47,7 +48,7 @@
         self._world = world
         self._random = random.Random(seed)
         self._running: list[gevent.Greenlet] = []
-        self._is_blinking = False
+        self._is_briefly_silent = False
         self.happened: list[Happened] = []
         self._kinds: dict[str, Callable[[int, float], None]] = {
             "daemon-stopped": self._stop_daemon,
@@ -63,7 +64,7 @@
             "store-silent": self._disturb_store(_store.Mode.SILENT),
             "store-busy": self._disturb_store(_store.Mode.BUSY),
             "store-reset": self._disturb_store(_store.Mode.RESET),
-            "store-blinks": self._blink_store,
+            "store-briefly-silent": self._silence_store_briefly,
             "store-forgets": self._forget,
             "configuration": self._configure,
         }
@@ -165,17 +166,17 @@
 
         return disturb
 
-    def _blink_store(self, subject: int, lasts: float) -> None:
-        """Be silent for a moment, and change something right after it."""
-        if self._is_blinking:
+    def _silence_store_briefly(self, subject: int, lasts: float) -> None:
+        """Be silent for a moment; the configuration changes right after it."""
+        if self._is_briefly_silent:
             return
-        self._is_blinking = True
+        self._is_briefly_silent = True
         self._world.store.disturb(_store.Mode.SILENT)
-        gevent.sleep(_BLINK_SECONDS)
+        gevent.sleep(_BRIEF_SECONDS)
         self._world.store.disturb(_store.Mode.NORMAL)
         self._world.change_configuration()
         gevent.sleep(_CALM_SECONDS)
-        self._is_blinking = False
+        self._is_briefly_silent = False
 
     def _forget(self, subject: int, lasts: float) -> None:
         self._world.store.forget()
--- a/src/topazlug/fleet/_table_feed.py
+++ b/src/topazlug/fleet/_table_feed.py
@@ -62,8 +62,8 @@
         Gets the data by key after each change.
     regained : callable
         Called when the store is back after a loss, before `changed`. Gets
-        the seconds since it was asked in vain last: it may have been back
-        for as long.
+        the seconds since the last failed call began: the store may have been
+        back for as long.
     """
 
     def __init__(
@@ -125,8 +125,8 @@
         # When the store itself answered last, to whomever.
         self._direct_at = -math.inf
         self._lost_at: float | None = None
-        # When the feed asked in vain last.
-        self._vain_at = 0.0
+        # When the last try that failed began.
+        self._failed_at = 0.0
         self._news = event.Event()
 
     @property
@@ -158,7 +158,7 @@
                 self._is_read = False
                 self._clock.sleep(random.uniform(0, _FIRST_PAUSE_SECONDS))
             except _errors.StoreUnavailable as error:
-                self._vain_at = asked_at
+                self._failed_at = asked_at
                 self._note_loss(error)
                 self._clock.sleep(random.uniform(pause / 2, pause))
                 pause = min(self._pace.longest_pause, 2 * pause)
@@ -330,7 +330,7 @@
         if self._lost_at is not None:
             now = self._clock.monotonic()
             if lost_since is None:
-                lost_since = now - self._vain_at
+                lost_since = now - self._failed_at
             _log.info(
                 "the store's {table} is back after {seconds:.1f} s",
                 table=self.table,
--- a/src/topazlug/fleet/_table_relay.py
+++ b/src/topazlug/fleet/_table_relay.py
@@ -149,9 +149,9 @@
         self._links = links
         self._plan = plan
         self._clock = clock
-        # When the store was lost, and when it was asked in vain last.
+        # When the store was lost, and when the last call that failed began.
         self._store_lost_at: float | None = None
-        self._vain_at = 0.0
+        self._failed_at = 0.0
 
     def rows(self, table: str) -> _table_source.TableChanges:
         """Read a table whole; see `RelayedSource`."""
@@ -232,7 +232,7 @@
             if isinstance(step, _reading_plan.AskStore) and is_answered:
                 lost_since = self._note_answer(wanted)
             elif isinstance(step, _reading_plan.AskStore):
-                self._note_vain(wanted, why, began=began)
+                self._note_failure(wanted, why, began=began)
             if is_answered:
                 return msgspec.structs.replace(found, lost_since=lost_since)
             _log.debug(
@@ -242,7 +242,7 @@
             f"nobody who was asked has the store: {why}"
         ) from why
 
-    def _note_vain(
+    def _note_failure(
         self,
         wanted: messages.ChangesAsk,
         why: Exception | None,
@@ -253,7 +253,7 @@
 
         The feed notes a loss only if no other daemon has an answer either.
         """
-        self._vain_at = began
+        self._failed_at = began
         if self._store_lost_at is not None:
             return
         self._store_lost_at = self._clock.monotonic()
@@ -277,7 +277,7 @@
             table=wanted.table,
             seconds=now - lost_at,
         )
-        return now - self._vain_at
+        return now - self._failed_at
 
     def _ask_store(
         self,
--- a/src/topazlug/fleet/_table_source.py
+++ b/src/topazlug/fleet/_table_source.py
@@ -51,8 +51,8 @@
         Seconds since the store's last word that the one who told them knew
         of.
     lost_since : float or None
-        Seconds since the store was asked in vain last, if it answers for the
-        first time after that.
+        Seconds since the last failed call to the store began, if this is
+        the first answer after it.
     """
 
     version: int
--- a/src/topazlug/placement/_replica_list.py
+++ b/src/topazlug/placement/_replica_list.py
@@ -75,8 +75,8 @@
         Parameters
         ----------
         lost_since : float
-            Seconds since it was asked in vain last; it may have been back
-            for as long.
+            Seconds since the last failed call to it began; it may have been
+            back for as long.
         """
         seconds = min(_RETURN_SECONDS, self._longest - lost_since)
         self._lenient_until = self._clock.monotonic() + seconds
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -32,5 +32,5 @@
 
     def test_calls_that_the_store_leaves_unanswered(self, tmp_path):
         """A key is refused seconds after the store was silent for a moment."""
-        done = play(3, tmp_path, seconds=9, only="store-blinks")
+        done = play(3, tmp_path, seconds=9, only="store-briefly-silent")
         assert done.returncode == 0, done.stdout
--- a/tests/topazlug/fleet/test_store_comes_back.py
+++ b/tests/topazlug/fleet/test_store_comes_back.py
@@ -145,7 +145,7 @@
         assert not late_by_case(count, seeds=range(2))
 
 
-class PlayIsOver(Exception):
+class SimulationEnded(Exception):
     """The simulated time is up."""
 
 
@@ -162,7 +162,7 @@
     def sleep(self, seconds):
         self.at += seconds
         if self.at > self._end:
-            raise PlayIsOver
+            raise SimulationEnded
 
 
 class SilentStore:
@@ -176,18 +176,18 @@
     def _version(self):
         return 2 if self._clock.at >= self._changed_at else 1
 
-    def _wait_in_vain(self, seconds):
+    def _leave_unanswered(self, seconds):
         if self._begin <= self._clock.at < self._end:
             self._clock.sleep(seconds)
             raise _errors.StoreUnavailable("no answer in time")
 
     def rows(self, table):
-        self._wait_in_vain(reading_replay.WHOLE_TABLE_SECONDS)
+        self._leave_unanswered(reading_replay.WHOLE_TABLE_SECONDS)
         rows = [_table_source.Row("config", b"%d" % self._version())]
         return _table_source.TableChanges(self._version(), rows)
 
     def changes(self, table, *, after, wait):
-        self._wait_in_vain(wait + reading_replay.STORE_SLACK_SECONDS)
+        self._leave_unanswered(wait + reading_replay.STORE_SLACK_SECONDS)
         if after < self._version():
             return self.rows(table)
         left = self._changed_at - self._clock.at
@@ -216,7 +216,7 @@
         return [_ids.DaemonId(f"d{number}") for number in range(8)]
 
 
-class Story:
+class FollowerLog:
     """What a feed's follower gets, and when."""
 
     def __init__(self, clock):
@@ -229,10 +229,10 @@
             self.known_at = min(self.known_at, self._clock.at)
 
 
-def play(*, silence, changed_at, end):
-    """Run a feed through one silence of the store and one change."""
+def run_feed(*, silence, changed_at, end):
+    """Run a feed while the store is silent once and changes once."""
     clock = Clock(end=end)
-    story = Story(clock)
+    log = FollowerLog(clock)
     plan = _reading_plan.ReadingPlan(
         me=_ids.DaemonId("d7"), directory=SmallDirectory(), clock=clock
     )
@@ -248,13 +248,13 @@
         table="op",
         wait=lambda: SMALL.own_wait,
         follower=_table_feed.TableFollower(
-            changed=story.take, regained=story.lost_since.append
+            changed=log.take, regained=log.lost_since.append
         ),
         clock=clock,
     )
-    with pytest.raises(PlayIsOver):
+    with pytest.raises(SimulationEnded):
         feed.run()
-    return story
+    return log
 
 
 class TestFeed:
@@ -265,9 +265,11 @@
             begin = tenth / 10
             end = begin + 0.3
             due = end + SMALL.unreachable - MARGIN_SECONDS
-            story = play(silence=(begin, end), changed_at=end + 0.1, end=20.0)
-            if story.known_at > due:
-                late_by_begin[begin] = story.known_at - due
+            log = run_feed(
+                silence=(begin, end), changed_at=end + 0.1, end=20.0
+            )
+            if log.known_at > due:
+                late_by_begin[begin] = log.known_at - due
         assert not late_by_begin
 
     def test_return_is_told_where_the_next_call_is_answered(self):
@@ -276,6 +278,8 @@
         told = []
         for tenth in range(20, 80):
             silence = (tenth / 10, tenth / 10 + 0.3)
-            told += play(silence=silence, changed_at=15.0, end=12.0).lost_since
+            told += run_feed(
+                silence=silence, changed_at=15.0, end=12.0
+            ).lost_since
         assert told
         assert all(since == pytest.approx(longest) for since in told)
