--- a/src/topazlug/crashes/_crash_guard.py
+++ b/src/topazlug/crashes/_crash_guard.py
@@ -19,6 +19,7 @@
 from topazlug.crashes import _likely_causes
 from topazlug.crashes import _notebook
 from topazlug.crashes import _notes
+from topazlug.targets import _target
 from topazlug.targets import _target_runs
 from topazlug.targets import _targets
 
@@ -203,7 +204,7 @@
     def _take_crash(
         self, target: _targets.Target, runs: list[_target_runs.Run]
     ) -> None:
-        start = _target_runs.start_of(target)
+        start = _target.start_of(target)
         crash = self._notebook.note_crash(
             start,
             target.group,
--- a/src/topazlug/crashes/_crash_watch.py
+++ b/src/topazlug/crashes/_crash_watch.py
@@ -21,6 +21,7 @@
 from topazlug import _clock
 from topazlug import _ids
 from topazlug import _logs
+from topazlug.targets import _target
 from topazlug.targets import _target_runs
 from topazlug.targets import _targets
 
@@ -85,17 +86,17 @@
         self._listed = listed
         self._crashed = crashed
         self._clock = clock
-        self._check_by_start: dict[_target_runs.Start, event.Event] = {}
-        self._checked_at: dict[_target_runs.Start, float] = {}
+        self._check_by_start: dict[_target.Start, event.Event] = {}
+        self._checked_at: dict[_target.Start, float] = {}
         self._refused_at: collections.deque[float] = collections.deque()
         # Starts whose crash was told, the oldest first.
-        self._told: collections.OrderedDict[_target_runs.Start, None]
+        self._told: collections.OrderedDict[_target.Start, None]
         self._told = collections.OrderedDict()
         runs.on_end(self._take_end)
 
     def wait_checked(self, target: _targets.Target) -> None:
         """Wait until it is known whether a target takes connections."""
-        start = _target_runs.start_of(target)
+        start = _target.start_of(target)
         check = self._check_by_start.get(start)
         if check is not None and not self._pause_of(start):
             check.wait(_CONNECT_SECONDS)
@@ -103,7 +104,7 @@
     def _take_end(self, run: _target_runs.Run) -> None:
         if run.end is not _target_runs.RunEnd.LOST:
             return
-        start = _target_runs.start_of(run.target)
+        start = _target.start_of(run.target)
         if start in self._told or start in self._check_by_start:
             return
         # One that leaves as planned ends too, and cuts off what still runs.
@@ -112,7 +113,7 @@
         self._check_by_start[start] = event.Event()
         gevent.spawn_later(self._pause_of(start), self._check, run.target)
 
-    def _pause_of(self, start: _target_runs.Start) -> float:
+    def _pause_of(self, start: _target.Start) -> float:
         """Give the seconds until a start may be asked again."""
         now = self._clock.monotonic()
         again_at = self._checked_at.get(start, -math.inf) + _PAUSE_SECONDS
@@ -125,7 +126,7 @@
         return listed.incarnation == target.incarnation
 
     def _check(self, target: _targets.Target) -> None:
-        start = _target_runs.start_of(target)
+        start = _target.start_of(target)
         try:
             answer = _connect(target)
             if answer is _Answer.REFUSED and self._is_alone(target):
@@ -136,7 +137,7 @@
             self._note_checked(start)
             self._check_by_start.pop(start).set()
 
-    def _note_checked(self, start: _target_runs.Start) -> None:
+    def _note_checked(self, start: _target.Start) -> None:
         now = self._clock.monotonic()
         self._checked_at = {
             one: at
@@ -171,16 +172,16 @@
         listed : iterable of Target
             The list as it is.
         """
-        starts = {_target_runs.start_of(target) for target in listed}
+        starts = {_target.start_of(target) for target in listed}
         for target in before.values():
-            start = _target_runs.start_of(target)
+            start = _target.start_of(target)
             if target.leaving or start in starts or start in self._told:
                 continue
             broken = [run for run in self._broken(start) if _is_cut(run)]
             if broken:
                 gevent.spawn(self._check_lapsed, target, broken)
 
-    def _broken(self, start: _target_runs.Start) -> list[_target_runs.Run]:
+    def _broken(self, start: _target.Start) -> list[_target_runs.Run]:
         return self._runs.broken(start, seconds=_target_runs.KEPT_SECONDS)
 
     def _check_lapsed(
@@ -201,7 +202,7 @@
     def _tell(
         self, target: _targets.Target, runs: list[_target_runs.Run]
     ) -> None:
-        start = _target_runs.start_of(target)
+        start = _target.start_of(target)
         if start in self._told or not runs:
             return
         self._told[start] = None
--- a/src/topazlug/crashes/_notebook.py
+++ b/src/topazlug/crashes/_notebook.py
@@ -14,6 +14,7 @@
 from topazlug import _ids
 from topazlug.crashes import _evidence
 from topazlug.crashes import _notes
+from topazlug.targets import _target
 from topazlug.targets import _target_runs
 
 # Rows and memory are bounded by what the last crashes leave. A replica that
@@ -120,7 +121,7 @@
 
     def note_crash(
         self,
-        start: _target_runs.Start,
+        start: _target.Start,
         group: _ids.GroupName,
         runs: Iterable[_target_runs.Run],
         *,
--- a/src/topazlug/crashes/_notes.py
+++ b/src/topazlug/crashes/_notes.py
@@ -14,7 +14,7 @@
 import xxhash
 
 from topazlug import _ids
-from topazlug.targets import _target_runs
+from topazlug.targets import _target
 
 TABLE = "crashes"
 # A block ends after a day, and so does what led to it. The request is then
@@ -29,7 +29,7 @@
 AttemptTag = NewType("AttemptTag", str)
 
 
-def start_name(start: _target_runs.Start) -> StartName:
+def start_name(start: _target.Start) -> StartName:
     """Give a start of a replica its name in rows."""
     return StartName(f"{start.replica}@{start.incarnation}")
 
--- a/src/topazlug/targets/_target.py
+++ b/src/topazlug/targets/_target.py
@@ -1,6 +1,7 @@
 """One replica, as a list of replicas has it."""
 
 import enum
+from typing import NamedTuple
 
 import msgspec
 
@@ -49,3 +50,15 @@
     slots: int
     leaving: bool
     cold_for: float = 0.0
+
+
+class Start(NamedTuple):
+    """One start of a replica: its process from begin to end."""
+
+    replica: _ids.ReplicaId
+    incarnation: int
+
+
+def start_of(target: Target) -> Start:
+    """Give the start of a replica that a target is."""
+    return Start(target.replica, target.incarnation)
--- a/src/topazlug/targets/_target_client.py
+++ b/src/topazlug/targets/_target_client.py
@@ -22,6 +22,7 @@
 from topazlug import _errors
 from topazlug import _ids
 from topazlug import _logs
+from topazlug.targets import _target
 from topazlug.targets import _target_answer
 from topazlug.targets import _target_heads
 from topazlug.targets import _target_runs
@@ -130,9 +131,7 @@
         )
         self.runs = _target_runs.RunBook(clock=clock)
         self._heard_at: dict[_ids.ReplicaId, float] = {}
-        self._in_use_by_start: dict[_target_runs.Start, set[socket.socket]] = (
-            {}
-        )
+        self._in_use_by_start: dict[_target.Start, set[socket.socket]] = {}
         self._idle_by_address: dict[
             tuple[str, int], _target_answer.IdleConnections
         ] = {}
@@ -200,7 +199,7 @@
         target: _targets.Target,
         request: TargetRequest,
     ) -> _Use:
-        start = _target_runs.start_of(target)
+        start = _target.start_of(target)
         self._in_use_by_start.setdefault(start, set()).add(connection)
         run = None
         if request.fingerprint is not None:
@@ -214,7 +213,7 @@
     def _end_use(
         self, use: _Use, end: _target_runs.RunEnd, status: int = 0
     ) -> None:
-        start = _target_runs.start_of(use.target)
+        start = _target.start_of(use.target)
         in_use = self._in_use_by_start.get(start, set())
         in_use.discard(use.connection)
         if not in_use:
@@ -232,9 +231,7 @@
         pool = self._idle_by_address.pop((target.host, target.port), None)
         if pool is not None:
             pool.close()
-        in_use = self._in_use_by_start.get(
-            _target_runs.start_of(target), set()
-        )
+        in_use = self._in_use_by_start.get(_target.start_of(target), set())
         for connection in list(in_use):
             _target_answer.shut(connection)
 
--- a/src/topazlug/targets/_target_runs.py
+++ b/src/topazlug/targets/_target_runs.py
@@ -8,13 +8,13 @@
 import collections
 from collections.abc import Callable
 import enum
-from typing import NamedTuple
 from typing import final
 
 import msgspec
 
 from topazlug import _clock
 from topazlug import _ids
+from topazlug.targets import _target
 from topazlug.targets import _targets
 
 # Runs that ended without a whole answer are kept for so long: a replica whose
@@ -48,18 +48,6 @@
     LEFT = "left"
 
 
-class Start(NamedTuple):
-    """One start of a replica: its process from begin to end."""
-
-    replica: _ids.ReplicaId
-    incarnation: int
-
-
-def start_of(target: _targets.Target) -> Start:
-    """Give the start of a replica that a target is."""
-    return Start(target.replica, target.incarnation)
-
-
 @final
 class Run(msgspec.Struct, eq=False, kw_only=True):
     """One request at one start of a target.
@@ -113,8 +101,8 @@
 
     def __init__(self, *, clock: _clock.Clock) -> None:
         self._clock = clock
-        self._running_by_start: dict[Start, set[Run]] = {}
-        self._broken_by_start: dict[Start, collections.deque[Run]] = {}
+        self._running_by_start: dict[_target.Start, set[Run]] = {}
+        self._broken_by_start: dict[_target.Start, collections.deque[Run]] = {}
         self._ended_callbacks: list[Callable[[Run], None]] = []
 
     def on_end(self, callback: Callable[[Run], None]) -> None:
@@ -138,7 +126,9 @@
             attempt=attempt,
             began_at=self._clock.monotonic(),
         )
-        self._running_by_start.setdefault(start_of(target), set()).add(run)
+        self._running_by_start.setdefault(_target.start_of(target), set()).add(
+            run
+        )
         return run
 
     def finish(self, run: Run, end: RunEnd, *, status: int = 0) -> None:
@@ -148,7 +138,7 @@
         run.end = end
         run.ended_at = self._clock.monotonic()
         run.status = status
-        start = start_of(run.target)
+        start = _target.start_of(run.target)
         running = self._running_by_start.get(start, set())
         running.discard(run)
         if not running:
@@ -158,7 +148,7 @@
         for callback in self._ended_callbacks:
             callback(run)
 
-    def _keep_broken(self, start: Start, run: Run) -> None:
+    def _keep_broken(self, start: _target.Start, run: Run) -> None:
         self._forget_old()
         broken = self._broken_by_start.get(start)
         if broken is None:
@@ -174,11 +164,11 @@
             if not broken:
                 del self._broken_by_start[start]
 
-    def running(self, start: Start) -> list[Run]:
+    def running(self, start: _target.Start) -> list[Run]:
         """Give the runs in progress on a start."""
         return list(self._running_by_start.get(start, ()))
 
-    def broken(self, start: Start, *, seconds: float) -> list[Run]:
+    def broken(self, start: _target.Start, *, seconds: float) -> list[Run]:
         """Give the runs that ended on a start without a whole answer.
 
         Parameters
--- a/tests/topazlug/crashes/test_crash_watch.py
+++ b/tests/topazlug/crashes/test_crash_watch.py
@@ -10,6 +10,7 @@
 from topazlug import _clock
 from topazlug import _ids
 from topazlug.crashes import _crash_watch
+from topazlug.targets import _target
 from topazlug.targets import _target_runs
 
 ENDS = _target_runs.RunEnd
@@ -69,7 +70,7 @@
 
     def wait_checked(self, target):
         """Wait until the watch has looked at a target."""
-        start = _target_runs.start_of(target)
+        start = _target.start_of(target)
         routing_fixtures.wait_until(
             lambda: start not in self.watch._check_by_start
         )
--- a/tests/topazlug/crashes/test_notebook.py
+++ b/tests/topazlug/crashes/test_notebook.py
@@ -9,6 +9,7 @@
 from topazlug import _ids
 from topazlug.crashes import _notebook
 from topazlug.crashes import _notes
+from topazlug.targets import _target
 from topazlug.targets import _target_runs
 
 
@@ -40,7 +41,7 @@
             began_at=0.0,
         )
     ]
-    start = _target_runs.Start(_ids.ReplicaId(f"i-{number}"), 1)
+    start = _target.Start(_ids.ReplicaId(f"i-{number}"), 1)
     return book.note_crash(start, fixtures.GROUP, runs, replicas=5)
 
 
--- a/tests/topazlug/targets/test_target_runs.py
+++ b/tests/topazlug/targets/test_target_runs.py
@@ -5,11 +5,12 @@
 from tests.topazlug import claim_fakes
 from tests.topazlug.forwarding import forwarding_fixtures as fixtures
 from topazlug import _ids
+from topazlug.targets import _target
 from topazlug.targets import _target_runs
 
 ENDS = _target_runs.RunEnd
 TARGET = fixtures.target("i-1")
-START = _target_runs.start_of(TARGET)
+START = _target.start_of(TARGET)
 
 
 @pytest.fixture
@@ -63,7 +64,7 @@
         again = fixtures.target("i-1", incarnation=2)
         run = begin(book, target=again)
         assert book.running(START) == []
-        assert book.running(_target_runs.start_of(again)) == [run]
+        assert book.running(_target.start_of(again)) == [run]
 
     def test_what_is_kept_is_bounded(self, book, clock):
         for _ in range(200):
