Log and count what replicas say of themselves in answers

No line told whether an answer said that its replica is leaving or asked for a backoff, and the line of a refused request named neither the replica nor its Retry-After, so that the hypotheses could not be told apart. Each answer's head is decoded once, by the wire's names, into a TargetWord; the directory logs what is new and two gauges count it. Nothing acts on it yet.

--- a/src/topazlug/forwarding/_daemon.py
+++ b/src/topazlug/forwarding/_daemon.py
@@ -145,6 +145,7 @@
             clock=clock,
             wire=replica_wire,
             idle_per_target=_IDLE_PER_REPLICA,
+            take_word=self.targets.take_word,
         )
         self._crashes = _crash_parts.CrashParts(
             daemon=options.daemon,
--- a/src/topazlug/routing/_routing_parts.py
+++ b/src/topazlug/routing/_routing_parts.py
@@ -109,7 +109,9 @@
     def _build_watch(self) -> None:
         settings = self._settings
         self.connections = _target_client.TargetConnections(
-            connect_timeout=settings.limits.connect_timeout, clock=self._clock
+            connect_timeout=settings.limits.connect_timeout,
+            clock=self._clock,
+            take_word=self.targets.take_word,
         )
         self.watch = _target_watch.TargetWatch(
             owned=self._watched,
--- /dev/null
+++ b/src/topazlug/targets/_quiet_targets.py
@@ -0,0 +1,109 @@
+"""Which targets have said themselves that they want no new work.
+
+A target that leaves says so in each answer. The platform's list may not say
+it yet: the store is away, or the entry is late. One that turns requests away
+may ask the daemon that it answered for a backoff, of which nobody else knows.
+"""
+
+import collections
+import math
+from typing import final
+
+import msgspec
+
+from topazlug import _clock
+from topazlug import _logs
+from topazlug.targets import _target
+from topazlug.targets import _target_word
+
+_log = _logs.logger("replicas")
+# Starts remembered, the latest that said something new: a start that has
+# ended does not come back, and its id hardly ever does.
+_MOST_STARTS = 20000
+
+
+class _Said(msgspec.Struct):
+    leaving: bool = False
+    backoff_until: float = -math.inf
+
+
+@final
+class QuietTargets:
+    """What starts of targets have said with their answers.
+
+    Parameters
+    ----------
+    clock : Clock
+        Time.
+    """
+
+    def __init__(self, *, clock: _clock.Clock) -> None:
+        self._clock = clock
+        self._said_by_start: collections.OrderedDict[_target.Start, _Said]
+        self._said_by_start = collections.OrderedDict()
+
+    def note(
+        self, target: _target.Target, word: _target_word.TargetWord
+    ) -> bool:
+        """Take what an answer says of the target that gave it.
+
+        Returns
+        -------
+        bool
+            Whether it is new.
+        """
+        is_leaving = word.leaving and self._note_leaving(target)
+        is_backoff = word.backoff > 0 and self._note_backoff(
+            target, word.backoff
+        )
+        return is_leaving or is_backoff
+
+    def _note_leaving(self, target: _target.Target) -> bool:
+        if self.is_leaving(target):
+            return False
+        self._remembered(target).leaving = True
+        _log.info(
+            "{replica} says that it is leaving",
+            replica=target.replica,
+            start=target.incarnation,
+            listed_as_leaving=target.leaving,
+        )
+        return True
+
+    def _note_backoff(self, target: _target.Target, seconds: float) -> bool:
+        left = self.backoff_left(target)
+        if seconds <= left:
+            return False
+        until = self._clock.monotonic() + seconds
+        self._remembered(target).backoff_until = until
+        _log.info(
+            "{replica} asks for a backoff of {seconds:.1f} s",
+            replica=target.replica,
+            seconds=seconds,
+            left_before=round(left, 3),
+        )
+        return True
+
+    def _remembered(self, target: _target.Target) -> _Said:
+        held = self._said_by_start
+        start = _target.start_of(target)
+        said = held.setdefault(start, _Said())
+        held.move_to_end(start)
+        while len(held) > _MOST_STARTS:
+            held.popitem(last=False)
+        return said
+
+    def _said(self, target: _target.Target) -> _Said:
+        return self._said_by_start.get(_target.start_of(target), _NOTHING)
+
+    def is_leaving(self, target: _target.Target) -> bool:
+        """Say whether a target has said that it is leaving."""
+        return self._said(target).leaving
+
+    def backoff_left(self, target: _target.Target) -> float:
+        """Give the seconds for which a target still wants no request."""
+        until = self._said(target).backoff_until
+        return max(0.0, until - self._clock.monotonic())
+
+
+_NOTHING = _Said()
--- a/src/topazlug/targets/_target_client.py
+++ b/src/topazlug/targets/_target_client.py
@@ -7,6 +7,7 @@
 request that may run once only must never be sent twice.
 """
 
+from collections.abc import Callable
 import functools
 import math
 import socket as _plain_socket
@@ -27,6 +28,7 @@
 from topazlug.targets import _target_heads
 from topazlug.targets import _target_runs
 from topazlug.targets import _target_wire
+from topazlug.targets import _target_word
 from topazlug.targets import _targets
 
 _log = _logs.logger("targets")
@@ -39,6 +41,8 @@
 _KEEPALIVE_PROBES = 2
 _UNACKNOWLEDGED_MILLISECONDS = 3000
 
+TakeWord = Callable[[_targets.Target, _target_word.TargetWord], None]
+
 
 @final
 class _Use(NamedTuple):
@@ -107,6 +111,8 @@
         Names on the wire; None for the project's own.
     idle_per_target : int
         Connections kept for a next request, for each target.
+    take_word : callable or None
+        Gets each target that answers, and what it says of itself.
 
     Attributes
     ----------
@@ -121,7 +127,9 @@
         clock: _clock.Clock,
         wire: _target_wire.TargetWire | None = None,
         idle_per_target: int = _target_answer.IDLE_PER_TARGET,
+        take_word: TakeWord | None = None,
     ) -> None:
+        self._take_word = take_word
         self._idle_per_target = idle_per_target
         self._connect_timeout = connect_timeout
         self._clock = clock
@@ -186,10 +194,19 @@
             raise
         if not request.is_probe:
             self.note_heard(target)
+        if self._take_word is not None:
+            self._take_word(target, self._wire.word(answer))
         answer.idle_seconds = self._wire.idle_seconds(answer)
         refusal = self._wire.refusal(answer)
         if refusal is not None:
             answer.close(_target_runs.RunEnd.NOT_RUN)
+            _log.info(
+                "{replica} turned the request away: {why}",
+                replica=target.replica,
+                why=refusal.message,
+                status=answer.status,
+                retry_after=answer.header(_target_word.RETRY_AFTER),
+            )
             raise refusal
         return answer
 
--- a/src/topazlug/targets/_target_gauges.py
+++ b/src/topazlug/targets/_target_gauges.py
@@ -12,4 +12,6 @@
     metrics.watch(gauge.KNOWN_REPLICAS, lambda: len(targets.target_by_replica))
     metrics.watch(gauge.COLD_REPLICAS, lambda: len(targets.cold_ones()))
     metrics.watch(gauge.DRAINED_REPLICAS, lambda: len(targets.drained()))
+    metrics.watch(gauge.LEAVING_REPLICAS, lambda: len(targets.said_leaving()))
+    metrics.watch(gauge.BACKOFF_REPLICAS, lambda: len(targets.in_backoff()))
     metrics.watch(gauge.UNREACHED_REPLICAS, lambda: len(targets.unreached()))
--- a/src/topazlug/targets/_target_wire.py
+++ b/src/topazlug/targets/_target_wire.py
@@ -5,6 +5,7 @@
 
 from topazlug import _errors
 from topazlug.targets import _target_answer
+from topazlug.targets import _target_word
 
 REQUEST_ID = "X-Request-Id"
 NOT_RUN = "X-Not-Run"
@@ -31,6 +32,11 @@
     ) -> _errors.TargetRefused | None:
         """Give the error for an answer that says "did not run"."""
 
+    def word(
+        self, answer: _target_answer.TargetAnswer
+    ) -> _target_word.TargetWord:
+        """Give what an answer says of the target that was asked."""
+
     def idle_seconds(
         self, answer: _target_answer.TargetAnswer
     ) -> float | None:
@@ -56,6 +62,17 @@
             retry_after=1.0,
         )
 
+    def word(
+        self, answer: _target_answer.TargetAnswer
+    ) -> _target_word.TargetWord:
+        """Give what an answer says of the target that was asked."""
+        return _target_word.TargetWord(
+            leaving="leaving" in answer.header_values(TARGET_STATE),
+            backoff=_target_word.backoff_of(
+                answer.status, answer.header_values(_target_word.RETRY_AFTER)
+            ),
+        )
+
     def idle_seconds(
         self, answer: _target_answer.TargetAnswer
     ) -> float | None:
--- a/src/topazlug/targets/_targets.py
+++ b/src/topazlug/targets/_targets.py
@@ -18,7 +18,9 @@
 from topazlug._generated import messages
 from topazlug.store import _instances
 from topazlug.targets import _cold_replicas
+from topazlug.targets import _quiet_targets
 from topazlug.targets import _target
+from topazlug.targets import _target_word
 from topazlug.targets import _zone_reach
 
 # The types under the name that most modules know them by.
@@ -81,12 +83,15 @@
         Replicas that have just started.
     reach : ZoneReach
         Zones that take connections of this daemon.
+    quiet : QuietTargets
+        Targets that said in answers that they want no new work.
     """
 
     def __init__(self, *, clock: _clock.Clock, flap_window: float) -> None:
         self._clock = clock
         self.cold = _cold_replicas.ColdReplicas(clock=clock)
         self.reach = _zone_reach.ZoneReach(clock=clock)
+        self.quiet = _quiet_targets.QuietTargets(clock=clock)
         self._flap_window = flap_window
         self._health_by_replica: dict[_ids.ReplicaId, _Health] = {}
         self.drains = Drains()
@@ -202,6 +207,20 @@
         targets = self.target_by_replica.values()
         return [one for one in targets if not self.reach.is_open(one.zone)]
 
+    def said_leaving(self) -> list[Target]:
+        """Give the listed targets that said that they are leaving."""
+        targets = self.target_by_replica.values()
+        return [one for one in targets if self.quiet.is_leaving(one)]
+
+    def in_backoff(self) -> list[Target]:
+        """Give the listed targets that want no request of this daemon now."""
+        targets = self.target_by_replica.values()
+        return [one for one in targets if self.quiet.backoff_left(one) > 0]
+
+    def take_word(self, target: Target, word: _target_word.TargetWord) -> None:
+        """Take what a target says of itself with an answer."""
+        self.quiet.note(target, word)
+
     def _is_drained(self, target: Target) -> bool:
         if target.replica in self.drains.replicas:
             return True
--- a/src/topazlug/telemetry/_metrics.py
+++ b/src/topazlug/telemetry/_metrics.py
@@ -77,6 +77,8 @@
     COLD_REPLICAS = "topazlug.replicas.cold"
     DRAINED_REPLICAS = "topazlug.replicas.drained"
     UNREACHED_REPLICAS = "topazlug.replicas.unreached"
+    LEAVING_REPLICAS = "topazlug.replicas.said_leaving"
+    BACKOFF_REPLICAS = "topazlug.replicas.in_backoff"
     TABLE_AGE = "topazlug.tables.age"
 
 
@@ -108,6 +110,10 @@
     Gauge.DRAINED_REPLICAS: "Listed replicas that operators took out.",
     Gauge.UNREACHED_REPLICAS: "Replicas of zones that this daemon leaves "
     "alone, as they take no connection.",
+    Gauge.LEAVING_REPLICAS: "Listed replicas that said in an answer that "
+    "they are leaving.",
+    Gauge.BACKOFF_REPLICAS: "Replicas that asked this daemon for a backoff "
+    "that is not over.",
     Gauge.TABLE_AGE: "Age of the oldest word of the store on a table.",
     Total.CONTROL_SENT: "Bytes sent to peers.",
     Total.CONTROL_RECEIVED: "Bytes received from peers.",
--- /dev/null
+++ b/tests/topazlug/targets/test_target_word.py
@@ -0,0 +1,50 @@
+"""Which backoff an answer asks for."""
+
+import pytest
+
+from topazlug.targets import _target_word
+
+
+class TestBackoff:
+    @pytest.mark.parametrize(
+        ("value", "seconds"),
+        [
+            ("3", 3.0),
+            (" 0.25 ", 0.25),
+            ("0", 0.0),
+            ("9" * 400, 86400.0),
+            ("86401", 86400.0),
+        ],
+    )
+    def test_seconds(self, value, seconds):
+        assert _target_word.backoff_of(503, [value]) == seconds
+
+    @pytest.mark.parametrize(
+        "value",
+        [
+            "",
+            "-3",
+            "+3",
+            "3s",
+            "1e3",
+            "1_000",
+            ".5",
+            "5.",
+            "nan",
+            "inf",
+            "٣",
+            "Wed, 21 Oct 2026 07:28:00 GMT",
+        ],
+    )
+    def test_no_number_of_seconds_asks_for_nothing(self, value):
+        assert _target_word.backoff_of(503, [value]) == 0.0
+
+    @pytest.mark.parametrize("status", [200, 421, 429, 500, 502, 504])
+    def test_only_503_asks_for_one(self, status):
+        assert _target_word.backoff_of(status, ["3"]) == 0.0
+
+    def test_longest_of_several_counts(self):
+        assert _target_word.backoff_of(503, ["1", "x", "4", "2"]) == 4.0
+
+    def test_none_asked_for(self):
+        assert _target_word.backoff_of(503, []) == 0.0
