--- a/soak/_expected.py
+++ b/soak/_expected.py
@@ -15,6 +15,8 @@
 COLD_SECONDS: Final = 1.5
 COLD_PER_SECOND: Final = 6.0
 COLD_MOST: Final = 1.5 * COLD_PER_SECOND + 5
+# What a replica that turns a request away asks for, in whole seconds.
+BACKOFF_SECONDS: Final = 3
 _LEAST_EVENTS = 3
 _EVENT_SPREAD = 12
 
--- a/soak/_replica.py
+++ b/soak/_replica.py
@@ -42,7 +42,8 @@
     ----------
     settings : dict
         id, service, port, zone, address (where daemons reach it), store
-        (URL), ledger (path), seed, cold (whether it starts cold).
+        (URL), ledger and words (paths), seed, cold (whether it starts
+        cold).
     """
 
     def __init__(self, settings: dict[str, Any]) -> None:
@@ -53,9 +54,10 @@
         if settings["cold"]:
             self._cold_until += _expected.COLD_SECONDS
         self._begun_at: collections.deque[float] = collections.deque()
-        self._ledger = os.open(
-            settings["ledger"], os.O_WRONLY | os.O_APPEND | os.O_CREAT
-        )
+        self._is_leaving = False
+        self._is_shedding = False
+        self._ledger = _ledger_at(settings["ledger"])
+        self._words = _ledger_at(settings["words"])
 
     def answer(self, request: _http.Request) -> _http.Answer:
         """Answer one request of a daemon."""
@@ -63,6 +65,8 @@
         expected = request.header("X-Expected-Replica")
         if expected != self._settings["id"]:
             return _http.bytes_answer(421, b"")
+        if self._is_shedding:
+            return self._turn_away(attempt)
         self._note_run(attempt, request.path)
         self._end_if_swamped()
         if request.body == _expected.CRASHING:
@@ -73,6 +77,7 @@
             ("X-Attempt-Id", attempt),
             ("X-Response-Signature", _expected.SIGNATURE),
             ("Keep-Alive", "timeout=5"),
+            *self._leaving_fields(attempt),
         )
         if request.path.startswith(_expected.STREAM):
             return self._stream(request, attempt, fields)
@@ -83,6 +88,21 @@
             return _http.half_of(answer)
         return answer
 
+    def _turn_away(self, attempt: str) -> _http.Answer:
+        self._note_word("backoff", attempt)
+        fields = (
+            ("X-Attempt-Id", attempt),
+            ("X-Not-Executed", "1"),
+            ("Retry-After", str(_expected.BACKOFF_SECONDS)),
+        )
+        return _http.bytes_answer(503, b"", fields)
+
+    def _leaving_fields(self, attempt: str) -> tuple[tuple[str, str], ...]:
+        if not self._is_leaving:
+            return ()
+        self._note_word("leaving", attempt)
+        return (("Server-Leaving", "1"),)
+
     def _stream(
         self,
         request: _http.Request,
@@ -108,6 +128,10 @@
         line = f"{time.monotonic()} {self._settings['id']} {attempt} {path}\n"
         os.write(self._ledger, line.encode())
 
+    def _note_word(self, word: str, attempt: str) -> None:
+        line = f"{time.monotonic()} {self._settings['id']} {attempt} {word}\n"
+        os.write(self._words, line.encode())
+
     def _end_if_swamped(self) -> None:
         """Crash under more than a cold replica stands in one second."""
         now = time.monotonic()
@@ -152,11 +176,24 @@
 
     def drain(self) -> None:
         """Say that it leaves, serve a little longer, and go."""
+        self._is_leaving = True
         self._state = "draining"
         self._register()
         gevent.sleep(_DRAIN_SECONDS + _LINGER_SECONDS)
         os._exit(0)
 
+    def say_leaving(self) -> None:
+        """Say in answers only that it leaves."""
+        self._is_leaving = True
+
+    def shed(self) -> None:
+        """Turn all requests away from now on, or none any more."""
+        self._is_shedding = not self._is_shedding
+
+
+def _ledger_at(path: str) -> int:
+    return os.open(path, os.O_WRONLY | os.O_APPEND | os.O_CREAT)
+
 
 def main() -> None:
     """Run one replica until it is ended."""
@@ -164,6 +201,8 @@
     _http.server(replica.answer, json.loads(sys.argv[1])["port"])
     gevent.spawn(replica.register_forever)
     gevent.signal_handler(signal.SIGTERM, gevent.spawn, replica.drain)
+    gevent.signal_handler(signal.SIGUSR1, replica.shed)
+    gevent.signal_handler(signal.SIGUSR2, replica.say_leaving)
     print("READY", flush=True)
     gevent.get_hub().join()
 
--- a/soak/_world.py
+++ b/soak/_world.py
@@ -31,6 +31,15 @@
     ended: float
 
 
+class Word(NamedTuple):
+    """What a replica said of itself in one answer: leaving or backoff."""
+
+    at: float
+    replica: str
+    attempt: str
+    word: str
+
+
 class Link:
     """A loopback proxy before one replica."""
 
@@ -77,6 +86,7 @@
             "address": f"127.0.0.1:{port if direct else self.link.port}",
             "store": store,
             "ledger": str(folder / "runs.txt"),
+            "words": str(folder / "words.txt"),
             "seed": seed,
             "zone": zone,
             "cold": cold,
@@ -320,10 +330,20 @@
 
     def runs(self) -> list[tuple[float, str, str]]:
         """Give all runs: moment, replica, attempt."""
-        path = self.folder / "runs.txt"
+        return [
+            (float(one[0]), one[1], one[2]) for one in self._read("runs.txt")
+        ]
+
+    def words(self) -> list[Word]:
+        """Give what replicas said of themselves."""
+        return [
+            Word(float(one[0]), *one[1:]) for one in self._read("words.txt")
+        ]
+
+    def _read(self, name: str) -> list[list[str]]:
+        path = self.folder / name
         lines = path.read_text().splitlines() if path.exists() else []
-        split = [line.split() for line in lines]
-        return [(float(one[0]), one[1], one[2]) for one in split]
+        return [line.split() for line in lines]
 
     def stop(self) -> None:
         """End every process that this run started."""
