Let equal replicas of an even group take turns

What callers saw: of two or four replicas that look alike, half got all requests that no owner places (calls to plain services, and all while no owner answers). Found by a test of another fault that waited for the second of two replicas in vain. Cause: the turn and the number of a place came from one counter, which so moved by two for each request; its remainder by an even number of candidates never changed. Ruled out: latencies (both below what an unknown one counts as) and load (none). Change: turns have a counter of their own. Test: `TestEqualReplicas`, fails before for 2 and 4 replicas, passes for 3.

--- a/src/topazlug/placement/_view_admission.py
+++ b/src/topazlug/placement/_view_admission.py
@@ -51,6 +51,7 @@
         self._targets = targets
         self._views = views
         self._numbers = itertools.count(1)
+        self._turns = itertools.count()
 
     def admit(self, request: _place.PlaceRequest) -> _place.Place:
         """Find a place.
@@ -228,7 +229,7 @@
         best = min(map(expected, candidates))
         # Daemons that see the same reports must not all choose the same.
         near = [one for one in candidates if expected(one) <= 1.25 * best]
-        return near[next(self._numbers) % len(near)]
+        return near[next(self._turns) % len(near)]
 
     def release(self, place: _place.Place) -> None:
         """Give a place back; a second time does nothing."""
--- /dev/null
+++ b/tests/topazlug/placement/test_view_admission.py
@@ -0,0 +1,39 @@
+"""Where requests go that no owner places."""
+
+import collections
+
+import pytest
+
+from tests.topazlug import claim_fakes
+from tests.topazlug import routing_fixtures
+from tests.topazlug.forwarding import forwarding_fixtures as fixtures
+from topazlug.placement import _replica_view
+from topazlug.placement import _view_admission
+from topazlug.targets import _targets
+
+ASKED = 24
+
+
+def admission(replicas):
+    clock = claim_fakes.FakeClock()
+    targets = _targets.TargetDirectory(clock=clock, flap_window=10.0)
+    targets.take_list([fixtures.target(f"i-{n}") for n in range(replicas)])
+    return _view_admission.ViewAdmission(
+        targets=targets, views=_replica_view.ReplicaViews(clock=clock)
+    )
+
+
+class TestEqualReplicas:
+    @pytest.mark.parametrize("replicas", [2, 3, 4])
+    def test_take_turns(self, replicas):
+        """Half of the replicas of a group get all requests."""
+        alone = admission(replicas)
+        request = routing_fixtures.place_request(
+            group=fixtures.GROUP, keeps_context=False, deadline=1e12
+        )
+        counts = collections.Counter()
+        for _ in range(ASKED):
+            place = alone.admit(request)
+            alone.release(place)
+            counts[place.target.replica] += 1
+        assert set(counts.values()) == {ASKED // replicas}
