Send nothing to replicas that say in answers that they leave

What callers saw: nothing yet. Cause: a daemon believed the platform's list alone. While the store is silent, or an entry is late, only answers tell; nothing read them. The class: a sign that a peer sends with each answer, and that only one of its two carriers was watched for. Change: each answer's head is read for it, of whatever status, and for probes too. Such a replica still gives its contexts away. The same cause elsewhere: on the product's own interface it was read from refusals of chats only, by a word in an error's message; now from each answer, and told to all daemons as before. A replica that ends after it has said so no longer counts as crashed by what ran there. Not spread to other daemons on the platform: a replica serves all it gets until some seconds after the store has taken its word, so each daemon's own first answer is soon enough.

--- a/src/topazlug/_daemon.py
+++ b/src/topazlug/_daemon.py
@@ -107,7 +107,6 @@
             admission=self.routing.admission,
             targets=self.routing.targets,
             budget=self.budget,
-            signs=self.fleet.membership,
             clock=self.clock,
             count_retry=self._count_retry,
         )
--- a/src/topazlug/administration/_fleet_status.py
+++ b/src/topazlug/administration/_fleet_status.py
@@ -191,7 +191,8 @@
         if self._targets.is_usable(target.replica):
             return state.value
         if state is messages.FactState.live:
-            return "drained" if not target.leaving else "leaving"
+            is_leaving = self._targets.is_leaving(target)
+            return "leaving" if is_leaving else "drained"
         return state.value
 
     def _teams(
--- a/src/topazlug/calls/_attempts.py
+++ b/src/topazlug/calls/_attempts.py
@@ -11,7 +11,6 @@
 from topazlug import _clock
 from topazlug import _errors
 from topazlug import _ids
-from topazlug._generated import messages
 from topazlug.routing import _place
 from topazlug.targets import _target_client
 from topazlug.targets import _targets
@@ -35,19 +34,6 @@
         """Take one retry; tell whether there was one."""
 
 
-class TargetSigns(Protocol):
-    """Whom to tell what a target gave away about itself."""
-
-    def publish_target(
-        self,
-        replica: _ids.ReplicaId,
-        *,
-        incarnation: int,
-        state: messages.FactState,
-    ) -> None:
-        """Tell all daemons."""
-
-
 @final
 class Attempts:
     """Runs a request at one target after the other until one answers.
@@ -65,8 +51,6 @@
         Targets.
     budget : Budget
         This daemon's retries.
-    signs : TargetSigns
-        Gets to know of targets that are leaving.
     clock : Clock
         Time.
     count_retry : callable
@@ -79,7 +63,6 @@
         admission: _place.Admission,
         targets: _targets.TargetDirectory,
         budget: Budget,
-        signs: TargetSigns,
         clock: _clock.Clock,
         count_retry: Callable[[_place.PlaceRequest], None],
     ) -> None:
@@ -87,7 +70,6 @@
         self._admission = admission
         self._targets = targets
         self._budget = budget
-        self._signs = signs
         self._clock = clock
 
     def run(
@@ -138,7 +120,6 @@
                 failure = self._connect_failed(place, error)
             except _errors.TargetRefused as error:
                 failure = error
-                self._note_refusal(place, error)
             except _errors.RequestError as error:
                 failure = error
                 if error.outcome is not _errors.Outcome.NOT_RUN:
@@ -191,17 +172,6 @@
         self._targets.avoid(place.target.replica)
         return _errors.NoTarget(error.message, retry_after=1.0)
 
-    def _note_refusal(
-        self, place: _place.Place, error: _errors.TargetRefused
-    ) -> None:
-        if "leaving" not in error.message:
-            return
-        self._signs.publish_target(
-            place.target.replica,
-            incarnation=place.target.incarnation,
-            state=messages.FactState.leaving,
-        )
-
     def _may_repeat(
         self,
         group: _ids.GroupName,
--- a/src/topazlug/crashes/_crash_guard.py
+++ b/src/topazlug/crashes/_crash_guard.py
@@ -83,6 +83,7 @@
         self._watch = _crash_watch.CrashWatch(
             runs=runs,
             listed=lambda: targets.target_by_replica,
+            is_leaving=targets.is_leaving,
             crashed=self._take_crash,
             clock=clock,
         )
--- a/src/topazlug/crashes/_crash_watch.py
+++ b/src/topazlug/crashes/_crash_watch.py
@@ -68,6 +68,8 @@
         What runs where.
     listed : callable
         Gives the platform's list of targets by replica.
+    is_leaving : callable
+        Says whether a target leaves as planned.
     crashed : callable
         Gets the target and this daemon's runs there, once for each start.
     clock : Clock
@@ -79,11 +81,13 @@
         *,
         runs: _target_runs.RunBook,
         listed: Callable[[], Mapping[_ids.ReplicaId, _targets.Target]],
+        is_leaving: Callable[[_targets.Target], bool],
         crashed: Crashed,
         clock: _clock.Clock,
     ) -> None:
         self._runs = runs
         self._listed = listed
+        self._is_leaving = is_leaving
         self._crashed = crashed
         self._clock = clock
         self._check_by_start: dict[_target.Start, event.Event] = {}
@@ -121,7 +125,7 @@
 
     def _is_serving(self, target: _targets.Target) -> bool:
         listed = self._listed().get(target.replica)
-        if listed is None or listed.leaving:
+        if listed is None or self._is_leaving(listed):
             return False
         return listed.incarnation == target.incarnation
 
@@ -175,7 +179,9 @@
         starts = {_target.start_of(target) for target in listed}
         for target in before.values():
             start = _target.start_of(target)
-            if target.leaving or start in starts or start in self._told:
+            if start in starts or start in self._told:
+                continue
+            if self._is_leaving(target):
                 continue
             broken = [run for run in self._broken(start) if _is_cut(run)]
             if broken:
--- a/src/topazlug/forwarding/_forwarder_parts.py
+++ b/src/topazlug/forwarding/_forwarder_parts.py
@@ -5,9 +5,7 @@
 import msgspec
 
 from topazlug import _clock
-from topazlug import _ids
 from topazlug import _logs
-from topazlug._generated import messages
 from topazlug.calls import _attempts
 from topazlug.crashes import _crash_guard
 from topazlug.forwarding import _event_relay
@@ -27,20 +25,6 @@
 _log = _logs.logger("daemon")
 
 
-@final
-class _NoSigns:
-    """Peers are not told of targets: each reads the list itself."""
-
-    def publish_target(
-        self,
-        replica: _ids.ReplicaId,
-        *,
-        incarnation: int,
-        state: messages.FactState,
-    ) -> None:
-        """Do nothing."""
-
-
 @final
 class ForwarderParts(msgspec.Struct, frozen=True, kw_only=True):
     """What a forwarder needs of its daemon.
@@ -117,7 +101,6 @@
             admission=self.admission,
             targets=self.targets,
             budget=self.budget,
-            signs=_NoSigns(),
             clock=self.clock,
             count_retry=self._note_retry,
         )
--- a/src/topazlug/routing/_routing_parts.py
+++ b/src/topazlug/routing/_routing_parts.py
@@ -169,9 +169,17 @@
         self._fleet.membership.on_change(self._members_changed)
         self._fleet.membership.on_target_fact(self.targets.take_fact)
         self._fleet.membership.on_pause(self._paused)
+        self.targets.on_said_leaving(self._tell_leaving)
         self._fleet.configuration.on_change(self._configuration_changed)
         self.targets.on_change(self._update_ownership)
 
+    def _tell_leaving(self, target: _targets.Target) -> None:
+        self._fleet.membership.publish_target(
+            target.replica,
+            incarnation=target.incarnation,
+            state=messages.FactState.leaving,
+        )
+
     def tasks(self) -> list[Callable[[], None]]:
         """Give what runs for as long as the daemon does."""
         return [
--- a/src/topazlug/targets/_target_client.py
+++ b/src/topazlug/targets/_target_client.py
@@ -41,7 +41,7 @@
 _KEEPALIVE_PROBES = 2
 _UNACKNOWLEDGED_MILLISECONDS = 3000
 
-TakeWord = Callable[[_targets.Target, _target_word.TargetWord], None]
+TakeWord = Callable[[_targets.Target, _target_word.TargetWord], object]
 
 
 @final
--- a/src/topazlug/targets/_target_watch.py
+++ b/src/topazlug/targets/_target_watch.py
@@ -6,6 +6,7 @@
 
 from collections.abc import Callable
 from collections.abc import Iterable
+from typing import Protocol
 from typing import final
 
 import gevent
@@ -16,7 +17,6 @@
 from topazlug import _ids
 from topazlug import _logs
 from topazlug._generated import messages
-from topazlug.calls import _attempts
 from topazlug.targets import _target_client
 from topazlug.targets import _targets
 
@@ -41,6 +41,19 @@
     silences: int = 0
 
 
+class TargetSigns(Protocol):
+    """Whom to tell what was learned of a target."""
+
+    def publish_target(
+        self,
+        replica: _ids.ReplicaId,
+        *,
+        incarnation: int,
+        state: messages.FactState,
+    ) -> None:
+        """Tell all daemons."""
+
+
 @final
 class TargetWatch:
     """Polls the replicas that this daemon owns.
@@ -69,7 +82,7 @@
         owned: Callable[[], Iterable[_ids.ReplicaId]],
         targets: _targets.TargetDirectory,
         connections: _target_client.TargetConnections,
-        signs: _attempts.TargetSigns,
+        signs: TargetSigns,
         report: Callable[[_ids.ReplicaId, int], None],
         interval: float,
         clock: _clock.Clock,
--- a/src/topazlug/targets/_target_wire.py
+++ b/src/topazlug/targets/_target_wire.py
@@ -10,6 +10,7 @@
 REQUEST_ID = "X-Request-Id"
 NOT_RUN = "X-Not-Run"
 TARGET_STATE = "X-Target-State"
+_LEAVING = "leaving"
 
 
 class TargetWire(Protocol):
@@ -56,7 +57,7 @@
         """Give the error for an answer that says "did not run"."""
         if answer.status != 503 or answer.header(NOT_RUN) != "true":
             return None
-        leaving = answer.header(TARGET_STATE) == "leaving"
+        leaving = _LEAVING in answer.header_values(TARGET_STATE)
         return _errors.TargetRefused(
             "the target is leaving" if leaving else "the target refused",
             retry_after=1.0,
@@ -67,7 +68,7 @@
     ) -> _target_word.TargetWord:
         """Give what an answer says of the target that was asked."""
         return _target_word.TargetWord(
-            leaving="leaving" in answer.header_values(TARGET_STATE),
+            leaving=_LEAVING in answer.header_values(TARGET_STATE),
             backoff=_target_word.backoff_of(
                 answer.status, answer.header_values(_target_word.RETRY_AFTER)
             ),
--- a/src/topazlug/targets/_targets.py
+++ b/src/topazlug/targets/_targets.py
@@ -2,7 +2,8 @@
 
 Four signs count, whichever is first: the platform's lagging list, the
 target's own answers, the operators' drains, and peers' facts. A target that
-is leaving gets nothing new until it is seen live under a new incarnation.
+is leaving gets nothing new until it is seen live under a new incarnation,
+whatever the list says of the start that is leaving.
 """
 
 from collections.abc import Callable
@@ -96,6 +97,7 @@
         self._health_by_replica: dict[_ids.ReplicaId, _Health] = {}
         self.drains = Drains()
         self._callbacks: list[Callable[[], None]] = []
+        self._leaving_callbacks: list[Callable[[Target], None]] = []
         self._usable_by_group: dict[_ids.GroupName, _Usable] = {}
         self._listed_by_replica: dict[_ids.ReplicaId, Target] = {}
         self._told_by_replica: dict[_ids.ReplicaId, _Told] = {}
@@ -107,6 +109,10 @@
         """Ask to be called when the set of targets changed."""
         self._callbacks.append(callback)
 
+    def on_said_leaving(self, callback: Callable[[Target], None]) -> None:
+        """Ask to be called with each target that says that it is leaving."""
+        self._leaving_callbacks.append(callback)
+
     def take_list(self, targets: Iterable[Target]) -> None:
         """Take over the platform's list of targets.
 
@@ -219,7 +225,15 @@
 
     def take_word(self, target: Target, word: _target_word.TargetWord) -> None:
         """Take what a target says of itself with an answer."""
-        self.quiet.note(target, word)
+        if not self.quiet.note(target, word):
+            return
+        self._notify()
+        for callback in self._leaving_callbacks if word.leaving else ():
+            callback(target)
+
+    def is_leaving(self, target: Target) -> bool:
+        """Say whether a target leaves, by the list or its own word."""
+        return target.leaving or self.quiet.is_leaving(target)
 
     def _is_drained(self, target: Target) -> bool:
         if target.replica in self.drains.replicas:
@@ -304,7 +318,7 @@
 
     def _is_usable(self, replica: _ids.ReplicaId, now: float) -> bool:
         target = self.target_by_replica.get(replica)
-        if target is None or target.leaving:
+        if target is None or self.is_leaving(target):
             return False
         if self._is_drained(target):
             return False
--- a/tests/topazlug/calls/test_attempts.py
+++ b/tests/topazlug/calls/test_attempts.py
@@ -37,7 +37,6 @@
             links=fixtures.NoLinks(),
         )
         self.budget = _retry_budget.RetryBudget(ratio=ratio)
-        self.signs = fixtures.Signs()
         self.tried = []
         self.retried = []
 
@@ -55,7 +54,6 @@
             admission=self.entry.admission,
             targets=self.entry.targets,
             budget=self.budget,
-            signs=self.signs,
             clock=_clock.SystemClock(),
             count_retry=self.retried.append,
         )
--- a/tests/topazlug/calls/test_service_calls.py
+++ b/tests/topazlug/calls/test_service_calls.py
@@ -127,8 +127,7 @@
         rig.service("s2")
         while not rig.signs.told:
             call(rig)
-        replica, state = rig.signs.told[0]
-        assert (replica, state.value) == ("s1", "leaving")
+        assert rig.signs.told == ["s1"]
 
 
 class TestClaims:
--- a/tests/topazlug/crashes/test_crash_watch.py
+++ b/tests/topazlug/crashes/test_crash_watch.py
@@ -25,10 +25,14 @@
         self.listed = {}
         self.crashes = []
         self.closing = set()
+        self.leaving = set()
         self._servers = {}
         self.watch = _crash_watch.CrashWatch(
             runs=self.book,
             listed=lambda: self.listed,
+            is_leaving=lambda target: (
+                target.leaving or target.replica in self.leaving
+            ),
             crashed=lambda target, runs: self.crashes.append((target, runs)),
             clock=clock,
         )
@@ -160,6 +164,17 @@
         rig.wait_checked(target)
         assert left in rig.crashes[0][1]
 
+    def test_target_that_said_that_it_leaves_ends_as_planned(self, rig):
+        """Requests are blamed for the planned end of a replica."""
+        target = rig.start("i-1")
+        rig.leaving.add("i-1")
+        run = rig.run(target)
+        rig.end(target)
+        rig.book.finish(run, ENDS.LOST)
+        rig.unlist(target)
+        settle()
+        assert rig.crashed() == []
+
     def test_target_that_leaves_ends_as_planned(self, rig):
         target = rig.start("i-1")
         rig.listed["i-1"] = msgspec.structs.replace(target, leaving=True)
--- a/tests/topazlug/routing_fixtures.py
+++ b/tests/topazlug/routing_fixtures.py
@@ -87,13 +87,13 @@
 
 
 class Signs:
-    """Keeps what was told of targets."""
+    """Keeps which targets said that they are leaving."""
 
     def __init__(self) -> None:
-        self.told: list[tuple[str, messages.FactState]] = []
+        self.told: list[str] = []
 
-    def publish_target(self, replica, *, incarnation, state):
-        self.told.append((replica, state))
+    def take_leaving(self, target: _targets.Target) -> None:
+        self.told.append(target.replica)
 
 
 class Tickets:
@@ -259,8 +259,11 @@
             ME, targets=[], daemons=[ME], clock=self.clock, links=NoLinks()
         )
         self.limits = _settings_types.LimitSettings(**limits)
+        self.entry.targets.on_said_leaving(self.signs.take_leaving)
         self.connections = _target_client.TargetConnections(
-            connect_timeout=1.0, clock=self.clock
+            connect_timeout=1.0,
+            clock=self.clock,
+            take_word=self.entry.targets.take_word,
         )
         self.guard = _crash_guard.CrashGuard(
             daemon=ME,
@@ -283,7 +286,6 @@
             admission=admission,
             targets=self.entry.targets,
             budget=self.budget,
-            signs=self.signs,
             clock=self.clock,
             count_retry=self.retried.append,
         )
--- a/tests/topazlug/targets/test_targets.py
+++ b/tests/topazlug/targets/test_targets.py
@@ -5,9 +5,11 @@
 from tests.topazlug import claim_fakes
 from tests.topazlug import routing_fixtures as fixtures
 from topazlug._generated import messages
+from topazlug.targets import _target_word
 from topazlug.targets import _targets
 
 STATE = messages.FactState
+LEAVES = _target_word.TargetWord(leaving=True)
 
 
 @pytest.fixture
@@ -67,6 +69,47 @@
         directory.take_list([fixtures.target("r1", incarnation=2)])
         assert usable(directory) == ["r1"]
 
+    def test_own_answer_goes_before_an_entry_that_is_old(self, directory):
+        """Requests reach a leaving replica while the store is away."""
+        assert usable(directory) == ["r1", "r2"]
+        directory.take_word(fixtures.target("r1"), LEAVES)
+        assert usable(directory) == ["r2"]
+        assert not directory.is_usable("r1")
+        directory.take_list(
+            [fixtures.target("r1", slots=9), fixtures.target("r2")]
+        )
+        assert usable(directory) == ["r2"]
+
+    def test_own_answer_counts_after_an_entry_has_lapsed(
+        self, directory, clock
+    ):
+        """An entry that comes back after a lapse makes a replica usable."""
+        directory.take_word(fixtures.target("r1"), LEAVES)
+        directory.take_list([fixtures.target("r2")])
+        clock.advance(120.0)
+        directory.take_list([fixtures.target("r2", slots=9)])
+        directory.take_list([fixtures.target("r1"), fixtures.target("r2")])
+        assert usable(directory) == ["r2"]
+
+    def test_own_answer_of_an_ended_start_counts_no_more(self, directory):
+        directory.take_word(fixtures.target("r1"), LEAVES)
+        directory.take_list([fixtures.target("r1", incarnation=2)])
+        assert usable(directory) == ["r1"]
+
+    def test_one_that_says_that_it_leaves_still_holds_contexts(
+        self, directory
+    ):
+        directory.take_word(fixtures.target("r1"), LEAVES)
+        assert directory.is_answering("r1")
+
+    def test_leaving_is_told_once(self, directory):
+        told = []
+        directory.on_said_leaving(lambda target: told.append(target.replica))
+        for _ in range(2):
+            directory.take_word(fixtures.target("r1"), LEAVES)
+        directory.take_word(fixtures.target("r2"), _target_word.NOTHING)
+        assert told == ["r1"]
+
     @pytest.mark.parametrize(
         "drains",
         [
