Leave replicas alone for as long as they ask in a refusal

Cause: Retry-After of a replica's 503 was never read. What kept requests away was the share of failures alone, for 1 to 4 s and after three of them, whatever was asked for. Ruled out: the time that callers are told (0.25 s), which never reached the choice of replicas. The class is that of: a word of the replica that nothing reads. Change: a backoff counts for this daemon and the start that asked, until it is over; it is never shortened, and a value that is no number of seconds asks for nothing. Such a replica is no candidate of this daemon, and stays in service for others: the daemon that owns it lets their requests in, and the mean counts it. A place that is granted for it while an ask waited is given back, also where the replica leaves. Where all replicas of a group have asked for one, requests are refused at once, and told when the first is over, also if that is more than a third of the caller's time: sooner, it would be refused again for certain.

--- a/src/topazlug/_errors.py
+++ b/src/topazlug/_errors.py
@@ -87,6 +87,11 @@
         Whether the request may have run.
     retry_after : float or None
         Seconds after which a repeat makes sense.
+
+    Attributes
+    ----------
+    refused_for : float
+        Seconds for which a repeat is sure to be refused as well.
     """
 
     def __init__(
@@ -99,6 +104,7 @@
         super().__init__(message)
         self.outcome = outcome
         self.retry_after = retry_after
+        self.refused_for = 0.0
 
 
 @final
--- a/src/topazlug/administration/_fleet_status.py
+++ b/src/topazlug/administration/_fleet_status.py
@@ -190,10 +190,12 @@
         state = self._targets.state_of(target.replica)
         if self._targets.is_usable(target.replica):
             return state.value
-        if state is messages.FactState.live:
-            is_leaving = self._targets.is_leaving(target)
-            return "leaving" if is_leaving else "drained"
-        return state.value
+        if state is not messages.FactState.live:
+            return state.value
+        if self._targets.is_leaving(target):
+            return messages.FactState.leaving.value
+        is_in_service = self._targets.is_in_service(target.replica)
+        return "backoff" if is_in_service else "drained"
 
     def _teams(
         self, answers: dict[_ids.DaemonId, messages.StatusAnswer | None]
--- a/src/topazlug/calls/_attempts.py
+++ b/src/topazlug/calls/_attempts.py
@@ -119,7 +119,7 @@
             except _target_client.ConnectFailed as error:
                 failure = self._connect_failed(place, error)
             except _errors.TargetRefused as error:
-                failure = error
+                failure = self._refused(place, error)
             except _errors.RequestError as error:
                 failure = error
                 if error.outcome is not _errors.Outcome.NOT_RUN:
@@ -172,6 +172,15 @@
         self._targets.avoid(place.target.replica)
         return _errors.NoTarget(error.message, retry_after=1.0)
 
+    def _refused(
+        self, place: _place.Place, error: _errors.TargetRefused
+    ) -> _errors.TargetRefused:
+        """Tell a caller to come back no sooner than a target takes work."""
+        wait = self._targets.seconds_until_usable(place.target.group)
+        error.refused_for = wait or 0.0
+        error.retry_after = max(error.retry_after or 0.0, error.refused_for)
+        return error
+
     def _may_repeat(
         self,
         group: _ids.GroupName,
--- a/src/topazlug/forwarding/_app.py
+++ b/src/topazlug/forwarding/_app.py
@@ -198,7 +198,9 @@
             if error.retry_after is not None:
                 left = call.deadline - self._clock.monotonic()
                 longest = max(0.0, _owner_asks.LONGEST_RETURN_PART * left)
-                error.retry_after = min(error.retry_after, longest)
+                error.retry_after = max(
+                    min(error.retry_after, longest), error.refused_for
+                )
             raise
         _log.info(
             "answered with {status} after {seconds:.3f} s",
--- a/src/topazlug/placement/_view_admission.py
+++ b/src/topazlug/placement/_view_admission.py
@@ -12,6 +12,7 @@
 from topazlug import _ids
 from topazlug import _logs
 from topazlug.placement import _replica_view
+from topazlug.routing import _no_target
 from topazlug.routing import _place
 from topazlug.routing import _ranking
 from topazlug.targets import _targets
@@ -94,6 +95,8 @@
         ------
         NoTarget
             There is none.
+        Overloaded
+            All there are want nothing for a while.
         """
         usable = [
             replica
@@ -101,9 +104,8 @@
             if replica not in request.excluded
         ]
         if not usable:
-            raise _errors.NoTarget(
-                f"no usable replica of {request.group}",
-                retry_after=_NO_TARGET_SECONDS,
+            raise _no_target.none_usable(
+                self._targets, request, retry_after=_NO_TARGET_SECONDS
             )
         return self._views.sound(self._reachable(usable))
 
--- a/src/topazlug/routing/_admission.py
+++ b/src/topazlug/routing/_admission.py
@@ -18,6 +18,7 @@
 from topazlug._generated import messages
 from topazlug._generated import settings as _settings_types
 from topazlug.routing import _holdings
+from topazlug.routing import _no_target
 from topazlug.routing import _owner
 from topazlug.routing import _owner_asks
 from topazlug.routing import _ownership
@@ -33,6 +34,7 @@
 _CONTEXT_WAIT = 0.2
 _REDIRECTS = 1
 _FULL_SECONDS = 0.25
+_NO_TARGET_SECONDS = 1.0
 _SEARCHES = 4
 _MOVED = (messages.Verdict.not_owner, messages.Verdict.expired)
 
@@ -163,8 +165,8 @@
         """Ask for a place once, in the order of the ranks of now."""
         ranked = self._rank(request)
         if not ranked:
-            raise _errors.NoTarget(
-                f"no usable replica of {request.group}", retry_after=1.0
+            raise _no_target.none_usable(
+                self._targets, request, retry_after=_NO_TARGET_SECONDS
             )
         search = _Round(ranked)
         search.place = self._try_ranked(request, search)
@@ -261,7 +263,7 @@
         wait = request.deadline - self._clock.monotonic()
         if wait <= 0:
             raise _errors.DeadlineExceeded("no place before the deadline")
-        replicas = len(self._targets.usable(request.group))
+        replicas = len(self._targets.in_service(request.group))
         answer = self._asks.ask(
             request,
             replica,
@@ -277,7 +279,9 @@
         ask, owner, reply = answer
         if reply.verdict is messages.Verdict.granted:
             is_home = replica == search.ranked[0]
-            return self._new_place(request, replica, ask, owner, home=is_home)
+            place = self._new_place(request, replica, ask, owner, home=is_home)
+            search.is_worth_repeating = place is None
+            return place
         search.is_worth_repeating = reply.verdict in _MOVED
         search.note(replica, reply)
         return None
@@ -315,7 +319,8 @@
         home: bool,
     ) -> _place.Place | None:
         target = self._targets.target_by_replica.get(replica)
-        if target is None:
+        # It may have gone, or asked for quiet, while its owner was asked.
+        if target is None or self._targets.quiet.wants_nothing(target):
             if owner is not None:
                 self.holdings.send_release(owner, ask)
             return None
--- a/src/topazlug/routing/_group_accounts.py
+++ b/src/topazlug/routing/_group_accounts.py
@@ -72,7 +72,7 @@
     def total(self, group: _ids.GroupName) -> GroupTotal:
         """Give a group's load now."""
         own = [ledger.demand() for ledger in self.ledgers_of(group)]
-        replicas = len(self._targets.usable(group))
+        replicas = len(self._targets.in_service(group))
         # What another owner admits raises the mean too. Counted on the
         # replica alone, every one looks over the bound while links are cut
         # and all calls wait.
--- a/src/topazlug/routing/_owner.py
+++ b/src/topazlug/routing/_owner.py
@@ -146,7 +146,7 @@
             self._answers.give(reply, messages.Verdict.not_owner)
             return
         ledger = self._ledger_of(replica)
-        if ledger is None or not self._targets.is_usable(replica):
+        if ledger is None or not self._targets.is_in_service(replica):
             self._answers.give(reply, messages.Verdict.expired)
             return
         if ask.home and self._send_elsewhere(ask, reply):
@@ -161,7 +161,7 @@
         )
         if seat is None or seat == ask.replica:
             return False
-        if not self._targets.is_usable(seat):
+        if not self._targets.is_in_service(seat):
             return False
         self._answers.give(reply, messages.Verdict.elsewhere, replica=seat)
         return True
--- a/src/topazlug/routing/_owner_queue.py
+++ b/src/topazlug/routing/_owner_queue.py
@@ -111,7 +111,7 @@
         """Grant what waits and now fits."""
         if not ledger.waiting_by_key:
             return
-        if not self._targets.is_usable(ledger.replica):
+        if not self._targets.is_in_service(ledger.replica):
             ledger.refuse_all(messages.Verdict.expired)
             return
         total = self._accounts.total(ledger.group)
--- a/src/topazlug/routing/_policies.py
+++ b/src/topazlug/routing/_policies.py
@@ -13,14 +13,15 @@
 
 import msgspec
 
-from topazlug import _errors
 from topazlug import _ids
 from topazlug._generated import settings as _settings_types
 from topazlug.configuration import _rules
+from topazlug.routing import _no_target
 from topazlug.routing import _place
 from topazlug.routing import _ranking
 from topazlug.targets import _targets
 
+_NO_TARGET_SECONDS = 1.0
 TWO_CHOICES = _settings_types.RoutingPolicy.two_choices
 
 
@@ -159,8 +160,8 @@
             if replica not in request.excluded
         ]
         if not usable:
-            raise _errors.NoTarget(
-                f"no usable replica of {request.group}", retry_after=1.0
+            raise _no_target.none_usable(
+                self._parts.targets, request, retry_after=_NO_TARGET_SECONDS
             )
         view = _View(
             request=request,
--- a/src/topazlug/targets/_quiet_targets.py
+++ b/src/topazlug/targets/_quiet_targets.py
@@ -100,6 +100,10 @@
         """Say whether a target has said that it is leaving."""
         return self._said(target).leaving
 
+    def wants_nothing(self, target: _target.Target) -> bool:
+        """Say whether a target wants no new work of this daemon now."""
+        return self.is_leaving(target) or self.backoff_left(target) > 0
+
     def backoff_left(self, target: _target.Target) -> float:
         """Give the seconds for which a target still wants no request."""
         until = self._said(target).backoff_until
--- a/src/topazlug/targets/_targets.py
+++ b/src/topazlug/targets/_targets.py
@@ -39,8 +39,9 @@
     until: float
 
 
-class _Usable(msgspec.Struct):
-    replicas: list[_ids.ReplicaId]
+class _Choice(msgspec.Struct):
+    in_service: list[_ids.ReplicaId]
+    usable: list[_ids.ReplicaId]
     until: float
 
 
@@ -98,7 +99,7 @@
         self.drains = Drains()
         self._callbacks: list[Callable[[], None]] = []
         self._leaving_callbacks: list[Callable[[Target], None]] = []
-        self._usable_by_group: dict[_ids.GroupName, _Usable] = {}
+        self._choice_by_group: dict[_ids.GroupName, _Choice] = {}
         self._listed_by_replica: dict[_ids.ReplicaId, Target] = {}
         self._told_by_replica: dict[_ids.ReplicaId, _Told] = {}
         self.target_by_replica: dict[_ids.ReplicaId, Target] = {}
@@ -227,8 +228,11 @@
         """Take what a target says of itself with an answer."""
         if not self.quiet.note(target, word):
             return
+        if not word.leaving:
+            self._choice_by_group.pop(target.group, None)
+            return
         self._notify()
-        for callback in self._leaving_callbacks if word.leaving else ():
+        for callback in self._leaving_callbacks:
             callback(target)
 
     def is_leaving(self, target: Target) -> bool:
@@ -276,7 +280,7 @@
         """Pass a target over for a moment, on this daemon only."""
         until = self._clock.monotonic() + _AVOID_SECONDS
         self._health(replica).avoid_until = until
-        self._usable_by_group.clear()
+        self._choice_by_group.clear()
 
     def known(self, group: _ids.GroupName) -> list[_ids.ReplicaId]:
         """Give all listed replicas of a group."""
@@ -287,36 +291,74 @@
         return list(self._replicas_by_group)
 
     def usable(self, group: _ids.GroupName) -> list[_ids.ReplicaId]:
-        """Give the replicas of a group that may get new work.
+        """Give the replicas of a group that may get work of this daemon."""
+        return self._choice(group).usable
+
+    def in_service(self, group: _ids.GroupName) -> list[_ids.ReplicaId]:
+        """Give the replicas of a group that may get work of any daemon.
+
+        Those that want nothing of this daemon for a while are among them.
+        """
+        return self._choice(group).in_service
+
+    def _choice(self, group: _ids.GroupName) -> _Choice:
+        """Look through a group, or give what was found last.
 
-        The answer is kept until something changes: a group of 156 replicas
-        is looked through for each request otherwise.
+        It is kept until something changes: a group of 156 replicas would be
+        looked through for each request.
         """
         now = self._clock.monotonic()
-        kept = self._usable_by_group.get(group)
+        kept = self._choice_by_group.get(group)
         if kept is None or now >= kept.until:
             kept = self._look_through(group, now)
-            self._usable_by_group[group] = kept
-        return kept.replicas
+            self._choice_by_group[group] = kept
+        return kept
 
-    def _look_through(self, group: _ids.GroupName, now: float) -> _Usable:
-        until = math.inf
-        usable = []
+    def _look_through(self, group: _ids.GroupName, now: float) -> _Choice:
+        choice = _Choice(in_service=[], usable=[], until=math.inf)
         for replica in self.known(group):
-            if self._is_usable(replica, now):
-                usable.append(replica)
-                continue
+            if self._is_in_service(replica, now):
+                choice.in_service.append(replica)
+            backoff = self.quiet.backoff_left(self.target_by_replica[replica])
+            if backoff <= 0 and self._is_in_service(replica, now):
+                choice.usable.append(replica)
             health = self._health_by_replica.get(replica, _Health())
-            for again in (health.held_until, health.avoid_until):
-                if again > now:
-                    until = min(until, again)
-        return _Usable(replicas=usable, until=until)
+            ends = (health.held_until, health.avoid_until, now + backoff)
+            choice.until = min(
+                [choice.until, *(end for end in ends if end > now)]
+            )
+        return choice
 
     def is_usable(self, replica: _ids.ReplicaId) -> bool:
-        """Say whether a replica may get new work."""
-        return self._is_usable(replica, self._clock.monotonic())
+        """Say whether a replica may get work of this daemon."""
+        if not self.is_in_service(replica):
+            return False
+        return self.quiet.backoff_left(self.target_by_replica[replica]) <= 0
+
+    def is_in_service(self, replica: _ids.ReplicaId) -> bool:
+        """Say whether a replica may get work of any daemon."""
+        return self._is_in_service(replica, self._clock.monotonic())
+
+    def seconds_until_usable(
+        self,
+        group: _ids.GroupName,
+        excluded: frozenset[_ids.ReplicaId] = frozenset(),
+    ) -> float | None:
+        """Give when the first of a group's replicas may get work again.
+
+        Returns
+        -------
+        float or None
+            0 if one may now; None if none is in service.
+        """
+        waits = [
+            self.quiet.backoff_left(self.target_by_replica[replica])
+            for replica in self.in_service(group)
+            if replica not in excluded
+        ]
+        return min(waits, default=None)
 
-    def _is_usable(self, replica: _ids.ReplicaId, now: float) -> bool:
+    def _is_in_service(self, replica: _ids.ReplicaId, now: float) -> bool:
         target = self.target_by_replica.get(replica)
         if target is None or self.is_leaving(target):
             return False
@@ -356,7 +398,7 @@
         return self._health_by_replica.setdefault(replica, _Health())
 
     def _notify(self) -> None:
-        self._usable_by_group.clear()
+        self._choice_by_group.clear()
         for callback in self._callbacks:
             callback()
 
--- a/tests/topazlug/routing/test_admission.py
+++ b/tests/topazlug/routing/test_admission.py
@@ -12,8 +12,11 @@
 from topazlug._generated import settings
 from topazlug.routing import _ownership
 from topazlug.routing import _ranking
+from topazlug.targets import _target_word
 
 NAMES = ("d1", "d2", "d3")
+BACKOFF = _target_word.TargetWord(backoff=3.0)
+LEAVES = _target_word.TargetWord(leaving=True)
 
 
 def some_targets(count=6, **options):
@@ -218,6 +221,63 @@
         assert admit(entry, 1).home
 
 
+class TestBackoff:
+    def test_next_of_the_rank_takes_it(self, fleet):
+        entry = fleet.entry_by_name["d1"]
+        home = admit(entry, 1).target
+        entry.targets.take_word(home, BACKOFF)
+        assert admit(entry, 1).target.replica != home.replica
+
+    def test_its_owner_lets_others_in(self, fleet):
+        """A replica gets nothing as one daemon, its owner, backs off."""
+        entry = fleet.entry_by_name["d1"]
+        number = chat_owned_by(entry, "d2")
+        home = admit(entry, number).target
+        fleet.entry_by_name["d2"].targets.take_word(home, BACKOFF)
+        place = admit(entry, number)
+        assert (place.target, place.owner) == (home, "d2")
+
+    def test_mean_of_a_group_is_of_all_in_service(self, fleet):
+        owner = fleet.entry_by_name["d2"]
+        before = owner.owner.accounts.total(fixtures.POOL).replicas
+        owner.targets.take_word(fixtures.target("r1"), BACKOFF)
+        assert owner.owner.accounts.total(fixtures.POOL).replicas == before
+
+    def test_all_in_backoff(self, fleet):
+        entry = fleet.entry_by_name["d1"]
+        for target in list(entry.targets.target_by_replica.values()):
+            entry.targets.take_word(target, BACKOFF)
+        with pytest.raises(_errors.Overloaded) as caught:
+            admit(entry, 1)
+        assert caught.value.retry_after == pytest.approx(3.0)
+
+    @pytest.mark.parametrize("word", [BACKOFF, LEAVES])
+    def test_place_that_is_granted_too_late_is_given_back(self, word):
+        """Who waited for a place gets one on a replica that wants nothing.
+
+        The replica says so to another request of the same daemon, while
+        this one waits in its owner's queue.
+        """
+        fleet = fleet_fakes.FakeFleet("d1", targets=some_targets(1, slots=1))
+        fleet.clock.advance(5)
+        entry = fleet.entry_by_name["d1"]
+        blocking = admit(entry, 1)
+        waiting = gevent.spawn(refusal_of, entry, 1)
+        fixtures.wait_until(entry.owner.waiting)
+        entry.targets.take_word(blocking.target, word)
+        entry.admission.release(blocking)
+        assert isinstance(waiting.get(timeout=10), _errors.RequestError)
+        assert fleet.owned_load() == 0
+
+
+def refusal_of(entry, number):
+    """Give the error of a request that finds no place."""
+    try:
+        return admit(entry, number)
+    except _errors.RequestError as error:
+        return error
+
+
 class TestRenew:
     def test_heals_a_lost_release(self, fleet):
         """Symptom: a replica refuses all though it idles.
--- a/tests/topazlug/targets/test_targets.py
+++ b/tests/topazlug/targets/test_targets.py
@@ -10,6 +10,7 @@
 
 STATE = messages.FactState
 LEAVES = _target_word.TargetWord(leaving=True)
+BACKOFF = _target_word.TargetWord(backoff=3.0)
 
 
 @pytest.fixture
@@ -40,6 +41,44 @@
     return directory.usable(fixtures.POOL)
 
 
+class TestBackoff:
+    def test_no_work_of_this_daemon_until_it_is_over(self, directory, clock):
+        """Requests reach a replica that has asked for a backoff."""
+        assert usable(directory) == ["r1", "r2"]
+        directory.take_word(fixtures.target("r1"), BACKOFF)
+        assert usable(directory) == ["r2"]
+        assert not directory.is_usable("r1")
+        clock.advance(2.99)
+        assert usable(directory) == ["r2"]
+        clock.advance(0.01)
+        assert usable(directory) == ["r1", "r2"]
+        assert directory.is_usable("r1")
+
+    def test_others_may_send_work(self, directory):
+        directory.take_word(fixtures.target("r1"), BACKOFF)
+        assert directory.in_service(fixtures.POOL) == ["r1", "r2"]
+        assert directory.is_in_service("r1")
+
+    def test_seconds_until_the_first_is_over(self, directory, clock):
+        until = directory.seconds_until_usable
+        directory.take_word(fixtures.target("r1"), BACKOFF)
+        assert until(fixtures.POOL) == 0.0
+        clock.advance(1.0)
+        directory.take_word(fixtures.target("r2"), BACKOFF)
+        assert until(fixtures.POOL) == pytest.approx(2.0)
+        assert until(fixtures.POOL, frozenset({"r1"})) == pytest.approx(3.0)
+
+    def test_no_seconds_where_none_is_in_service(self, directory):
+        for name in ("r1", "r2"):
+            directory.take_word(fixtures.target(name), LEAVES)
+        assert directory.seconds_until_usable(fixtures.POOL) is None
+
+    def test_a_new_start_gets_work(self, directory):
+        directory.take_word(fixtures.target("r1"), BACKOFF)
+        directory.take_list([fixtures.target("r1", incarnation=2)])
+        assert usable(directory) == ["r1"]
+
+
 class TestSigns:
     def test_listed_targets_are_usable(self, directory):
         assert usable(directory) == ["r1", "r2"]
--- a/tests/topazlug_platform/test_words_of_replicas.py
+++ b/tests/topazlug_platform/test_words_of_replicas.py
@@ -125,3 +125,72 @@
             again = msgspec.structs.replace(target, incarnation=2)
             rig.daemon.replicas.take([again])
             assert rig.send()[0] == 200
+
+
+def turning_away(retry_after):
+    """Give the answer of a replica that turns a request away."""
+    return platform_rig.answer(
+        b"",
+        "X-Not-Executed: 1",
+        f"Retry-After: {retry_after}",
+        status="503 Service Unavailable",
+        signed=False,
+    )
+
+
+class TestBackoff:
+    @pytest.mark.parametrize("kind", [IDEMPOTENT, AT_MOST_ONCE, STREAM])
+    def test_nothing_until_it_is_over(self, kind):
+        """Requests reach a replica that has asked for a backoff."""
+        busy = Scripted(turning_away(60))
+        other = Scripted(platform_rig.answer())
+        route = fixtures.route(kind=kind)
+        with running(route, scripts=[busy, other]) as rig:
+            ask_until(rig, lambda: busy.count)
+            busy.count = 0
+            statuses = {rig.send()[0] for _ in range(ASKED)}
+        assert (busy.count, statuses) == (0, {200})
+
+    def test_requests_come_back_when_it_is_over(self):
+        busy = Scripted(turning_away("0.2"))
+        with running(fixtures.route(), scripts=[busy]) as rig:
+            ask_until(rig, lambda: busy.count)
+            busy.data = platform_rig.answer()
+            routing_fixtures.wait_until(lambda: rig.send()[0] == 200)
+
+    def test_refused_at_once_where_all_ask_for_one(self):
+        """A caller waits, or comes back too soon, though nobody can serve."""
+        busy = [Scripted(turning_away(60)) for _ in range(2)]
+        with running(fixtures.route(), scripts=busy) as rig:
+            ask_until(rig, lambda: all(one.count for one in busy))
+            for one in busy:
+                one.count = 0
+            status, fields, body = rig.send("X-Deadline-Ms: 3000")
+        assert (status, [one.count for one in busy]) == (503, [0, 0])
+        assert b"backoff" in body
+        assert 3.0 < float(fields["retry-after"]) <= 60.0
+
+    def test_who_was_turned_away_last_hears_when_to_come_back(self):
+        busy = Scripted(turning_away(60))
+        with running(fixtures.route(), scripts=[busy]) as rig:
+            status, fields, body = rig.send()
+        assert (status, busy.count) == (503, 1)
+        assert 3.0 < float(fields["retry-after"]) <= 60.0
+
+    def test_come_back_soon_where_another_serves(self):
+        busy = Scripted(turning_away(60))
+        other = Scripted(platform_rig.answer())
+        route = fixtures.route(max_replicas=1)
+        with running(route, scripts=[busy, other]) as rig:
+            answers = [rig.send()[:2] for _ in range(2)]
+        (refused,) = [one for one in answers if one[0] == 503]
+        assert float(refused[1]["retry-after"]) < 1.0
+
+    @pytest.mark.parametrize("value", ["soon", "-3", "nan", "", "1e3"])
+    def test_what_is_no_number_of_seconds_asks_for_nothing(self, value):
+        busy = Scripted(turning_away(value))
+        with running(fixtures.route(), scripts=[busy]) as rig:
+            ask_until(rig, lambda: busy.count)
+            assert rig.daemon.targets.in_backoff() == []
+            busy.data = platform_rig.answer()
+            routing_fixtures.wait_until(lambda: rig.send()[0] == 200)
