Let the soak's replicas leave unlisted and ask for backoffs

Two kinds of fault: a replica says in its answers that it leaves while its entry still says "serving" for 3 s and more, and one turns all requests away for 3 s and more and asks for a backoff of 3 s. Two promises: no request that came 2.5 s after a daemon got such an answer reaches the replica from it, and no more than two reach it between half a second after the refusal and the backoff's end; a daemon restarted or frozen since is excused.

--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 import random
+import signal
 import time
 from typing import NamedTuple
 
@@ -16,6 +17,10 @@
 # hold again.
 _BRIEF_SECONDS = 0.4
 _CALM_SECONDS = 4.5
+# Longer than a leaving replica may get requests after it has said so, and
+# than a backoff.
+_UNLISTED_SECONDS = 3.0
+_SHEDDING_SECONDS = 3.0
 _DELAY_SECONDS = 0.05
 # Daemons may take a part of this to know of it.
 _EVACUATED_SECONDS = 3.0
@@ -57,6 +62,8 @@
             "replica-killed": self._kill_replica,
             "replica-frozen": self._freeze_replica,
             "replica-drained": self._drain_replica,
+            "replica-leaves-unlisted": self._leave_unlisted,
+            "replica-sheds": self._shed,
             "zone-evacuated": self._evacuate_zone,
             "link-cut": self._cut_link,
             "link-silent": self._silence_link,
@@ -127,7 +134,9 @@
         replica.process.thaw()
 
     def _drain_replica(self, subject: int, lasts: float) -> None:
-        replica = self._world.replica(subject)
+        self._drain_replica_of(self._world.replica(subject))
+
+    def _drain_replica_of(self, replica: _world.Replica) -> None:
         if replica.drained_at is not None:
             return
         replica.process.terminate()
@@ -136,6 +145,27 @@
             gevent.sleep(0.1)
         self._world.replace(replica)
 
+    def _leave_unlisted(self, subject: int, lasts: float) -> None:
+        """Leave, and say so in answers only for a while."""
+        replica = self._world.replica(subject)
+        if replica.drained_at is not None or replica.says_leaving:
+            return
+        replica.says_leaving = True
+        replica.process.send(signal.SIGUSR2)
+        gevent.sleep(_UNLISTED_SECONDS + lasts)
+        self._drain_replica_of(replica)
+
+    def _shed(self, subject: int, lasts: float) -> None:
+        """Turn all requests away for a while."""
+        replica = self._world.replica(subject)
+        if replica.sheds:
+            return
+        replica.sheds = True
+        replica.process.send(signal.SIGUSR1)
+        gevent.sleep(_SHEDDING_SECONDS + lasts)
+        replica.process.send(signal.SIGUSR1)
+        replica.sheds = False
+
     def _evacuate_zone(self, subject: int, lasts: float) -> None:
         self._world.evacuate(subject, _EVACUATED_SECONDS + lasts)
 
--- a/soak/_promises.py
+++ b/soak/_promises.py
@@ -14,6 +14,10 @@
 # The store's entry, the feed and a request on its way.
 _LEAVING_SECONDS = 2.0 + 0.5
 _IN_FORCE_SECONDS = 2.0 + 0.5
+# What is on its way when a replica asks for a backoff, and what may come
+# within it all the same.
+_BACKOFF_SLACK_SECONDS = 0.5
+_MOST_IN_BACKOFF = 2
 _DENIALS = frozenset({401, 403, 404})
 # A store that was away so long ago counts as stable.
 _STABLE_SECONDS = 3.0
@@ -38,6 +42,7 @@
         yield from _not_in_force(world, outcome)
     yield from _unasked(runs_by_attempt, outcomes)
     yield from _after_leaving(world, runs)
+    yield from _against_own_word(world, runs, outcomes)
     yield from _in_evacuated_zones(world, runs)
     for line in world.swamped():
         yield f"FAILBACK {line}: too much for a cold replica"
@@ -131,6 +136,52 @@
             yield f"DRAIN {attempt}: {at - since:.1f} s late at {replica}"
 
 
+def _against_own_word(
+    world: _world.World,
+    runs: list[tuple[float, str, str]],
+    outcomes: list[_clients.Outcome],
+) -> Iterator[str]:
+    """No daemon sends a replica what it has told that daemon not to send."""
+    outcome_by_attempt = {one.attempt: one for one in outcomes}
+    words = world.words()
+    turned_away = {one[:3] for one in words if one.word == "backoff"}
+    arrivals: dict[tuple[str, int], list[tuple[float, str]]]
+    arrivals = collections.defaultdict(list)
+    for at, replica, attempt in [*runs, *turned_away]:
+        if attempt in outcome_by_attempt:
+            daemon = outcome_by_attempt[attempt].daemon
+            arrivals[replica, daemon].append((at, attempt))
+    for word in words:
+        told = outcome_by_attempt.get(word.attempt)
+        if told is None:
+            continue
+        late = [
+            (at, attempt)
+            for at, attempt in arrivals[word.replica, told.daemon]
+            if not _disturbed(world, told.daemon, word.at, at)
+        ]
+        if word.word == "leaving" and told.seen is _clients.Seen.ANSWERED:
+            since = word.at + _LEAVING_SECONDS
+            for at, attempt in late:
+                if outcome_by_attempt[attempt].started > since:
+                    seconds = at - word.at
+                    yield f"DRAIN {attempt}: {seconds:.1f} s after its word"
+        elif word.word == "backoff":
+            until = word.at + _expected.BACKOFF_SECONDS
+            since = word.at + _BACKOFF_SLACK_SECONDS
+            got = [attempt for at, attempt in late if since < at < until]
+            if len(got) > _MOST_IN_BACKOFF:
+                yield f"BUDGET {word.replica}: {got} within its backoff"
+
+
+def _disturbed(
+    world: _world.World, daemon: int, since: float, until: float
+) -> bool:
+    """Say whether a daemon was restarted or frozen between two moments."""
+    disturbances = world.daemons[daemon].disturbances
+    return any(since <= began <= until for began, _ in disturbances)
+
+
 def _in_evacuated_zones(
     world: _world.World, runs: list[tuple[float, str, str]]
 ) -> Iterator[str]:
--- a/soak/_world.py
+++ b/soak/_world.py
@@ -79,6 +79,8 @@
         self.zone = zone
         self.link = Link(port)
         self.drained_at: float | None = None
+        self.says_leaving = False
+        self.sheds = False
         settings = {
             "id": name,
             "service": SERVICE,
--- a/tests/soak/test_promises.py
+++ b/tests/soak/test_promises.py
@@ -33,6 +33,7 @@
 def world(
     *,
     runs=(),
+    words=(),
     killed=(),
     drained=None,
     changed_at=(),
@@ -45,6 +46,7 @@
         evacuations=list(evacuations),
         swamped=lambda: list(swamped),
         runs=lambda: list(runs),
+        words=lambda: list(words),
         daemons=[
             types.SimpleNamespace(
                 killed_at=list(killed), disturbances=list(disturbed)
@@ -172,3 +174,49 @@
         assert found(outcome(), runs=[RUN], swamped=["10.0 i-1 15"]) == [
             "FAILBACK"
         ]
+
+
+class TestOwnWord:
+    """Requests at a replica that has said that it wants none."""
+
+    def broken(self, word, *requests, **options):
+        """Give what breaks: a request comes at each moment, the first told."""
+        attempts = [f"a{number}" for number in range(len(requests))]
+        outcomes = [
+            outcome(
+                attempt=attempt,
+                path=_expected.READ,
+                started=at,
+                status=503 if word == "backoff" else 200,
+                body=_expected.body_of(attempt),
+            )
+            for at, attempt in zip(requests, attempts)
+        ]
+        first = _world.Word(requests[0], "i-1", "a0", word)
+        made = world(
+            runs=[
+                (at, "i-1", attempt)
+                for at, attempt in zip(requests[1:], attempts[1:])
+            ],
+            words=[first],
+            **options,
+        )
+        return [line.split()[0] for line in _promises.broken(made, outcomes)]
+
+    def test_work_after_an_answer_that_says_leaving(self):
+        assert self.broken("leaving", 10.0, 12.4) == []
+        assert self.broken("leaving", 10.0, 12.6) == ["DRAIN"]
+
+    def test_work_within_a_backoff(self):
+        assert self.broken("backoff", 10.0, 11.0, 12.0) == []
+        assert self.broken("backoff", 10.0, 10.6, 11.0, 12.9) == ["BUDGET"]
+
+    def test_work_on_its_way_and_after_a_backoff(self):
+        assert self.broken("backoff", 10.0, 10.4, 11.0, 12.0, 13.1) == []
+
+    @pytest.mark.parametrize("word", ["leaving", "backoff"])
+    def test_daemon_that_was_restarted_does_not_know(self, word):
+        requests = (10.0, 12.6, 12.7, 12.8)
+        assert self.broken(word, *requests)
+        disturbed = [(11.0, 14.0)]
+        assert self.broken(word, *requests, disturbed=disturbed) == []
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -34,3 +34,9 @@
         """A key is refused seconds after the store was silent for a moment."""
         done = play(3, tmp_path, seconds=9, only="store-briefly-silent")
         assert done.returncode == 0, done.stdout
+
+    def test_replicas_that_say_that_they_want_nothing(self, tmp_path):
+        """Replicas that leave or ask for a backoff go on getting requests."""
+        only = "replica-sheds,replica-leaves-unlisted"
+        done = play(5, tmp_path, seconds=9, only=only)
+        assert done.returncode == 0, done.stdout
