Let a replica's owner tell all daemons of backoffs that several were asked for

Hypothesis: with a backoff known only to the daemon that was asked for it, each daemon has one request turned away per replica and backoff; in a large fleet that is nearly each request that hashes there, so that callers and the replica gain nothing. Change, one of policy: a daemon tells the replica's owner of each backoff. While two daemons or more are in one, and half or more of the requests let in since the first of them were turned away, the owner refuses asks for the replica and says for how long; who asked goes on to the next of the chat's rank, and keeps off for as long. What an owner told is told to nobody, or it would feed itself. Calls to plain services, which no owner places, stay with each daemon's own knowledge. Two ways weighed: at once from one daemon's word (one refusal fewer, and a replica that turns one daemon away for what that did would get nothing from all), and this.

--- a/src/topazlug/_generated/messages.py
+++ b/src/topazlug/_generated/messages.py
@@ -163,6 +163,14 @@
             ),
         ]
     ) = False
+    backoff: (
+        Annotated[
+            float,
+            Meta(
+                description="Seconds for which the replica wants no request of anybody, 0 if nothing is known of that."
+            ),
+        ]
+    ) = 0
 
 
 class Release(Struct, kw_only=True, omit_defaults=True):
@@ -239,6 +247,16 @@
     replica: str
 
 
+class Backoff(Struct, kw_only=True, omit_defaults=True):
+    """
+    A replica has turned a request of the sender away and asked it for a backoff.
+    """
+
+    replica: str
+    incarnation: int
+    seconds: float
+
+
 class Displaced(Struct, kw_only=True, omit_defaults=True):
     """
     A chat was sent elsewhere than its home (or is back, with replica empty).
--- a/src/topazlug/placement/_owner_search.py
+++ b/src/topazlug/placement/_owner_search.py
@@ -104,12 +104,16 @@
             if answer is None:
                 return None
             verdict = answer.reply.verdict
-            if verdict is messages.Verdict.granted:
+            if answer.reply.backoff > 0:
+                others = self._next_of_rank(candidates, request, ranked)
+                ranked += others
+                wanted += others
+            elif verdict is messages.Verdict.granted:
                 place = self._take(asks, request, replica, answer, home)
                 if place is not None and not self._forgets_displaced:
                     asks.note_displacement(place, home=home, seat=seat)
                 return place
-            if verdict is messages.Verdict.elsewhere:
+            elif verdict is messages.Verdict.elsewhere:
                 seat = _ids.ReplicaId(answer.reply.replica)
                 others = [one for one in ranked if one != seat]
                 wanted = [seat, *others] if seat in candidates else others
@@ -117,7 +121,24 @@
                 refusals[replica] = answer
             else:
                 return None
-        return self._refused(asks, request, refusals, home)
+        if not refusals:
+            # All have asked for a backoff: none is a candidate any more.
+            self._alone.candidates(request)
+            return None
+        kept_at = home if home in refusals else next(iter(refusals))
+        return self._refused(asks, request, refusals, kept_at)
+
+    def _next_of_rank(
+        self,
+        candidates: list[_ids.ReplicaId],
+        request: _place.PlaceRequest,
+        asked: list[_ids.ReplicaId],
+    ) -> list[_ids.ReplicaId]:
+        """Give whom to ask in place of one that wants nothing, if any."""
+        count = min(len(candidates), len(asked) + 1)
+        names = _ranking.rank(candidates, request.chat, count=count)
+        found = [_ids.ReplicaId(name) for name in names]
+        return [one for one in found if one not in asked][:1]
 
     def _warm_ones(
         self,
@@ -185,6 +206,9 @@
         by its own view at four times the load, half were on replicas of
         which it knew nothing, and those were full.
         """
+        if reply.backoff > 0:
+            self._targets.take_told_backoff(replica, reply.backoff)
+            return
         view = self._views.of(replica)
         if reply.verdict is messages.Verdict.granted:
             view.note_report(reply.load - 1)
--- a/src/topazlug/routing/_admission.py
+++ b/src/topazlug/routing/_admission.py
@@ -24,6 +24,7 @@
 from topazlug.routing import _ownership
 from topazlug.routing import _place
 from topazlug.routing import _ranking
+from topazlug.targets import _target_word
 from topazlug.targets import _targets
 
 _log = logbook.Logger("admission")
@@ -231,6 +232,10 @@
             # and this time counts the chat as its own.
             return self._try(request, search, replica, redirects=0)
         search.asked.add(replica)
+        if reply.backoff > 0:
+            self._targets.take_told_backoff(replica, reply.backoff)
+            search.retry_after = max(search.retry_after, reply.backoff)
+            return None
         if reply.verdict is messages.Verdict.granted:
             return self._new_place(request, replica, ask, owner, home=is_home)
         if reply.verdict in (
@@ -328,6 +333,12 @@
             target=target, ask=ask, owner=owner, request=request, home=home
         )
 
+    def tell_backoff(
+        self, target: _targets.Target, word: _target_word.TargetWord
+    ) -> None:
+        """Tell a target's owner of a backoff that it asked for."""
+        self._asks.tell_backoff(target, word)
+
     def release(self, place: _place.Place) -> None:
         """Give a place back; a second time does nothing."""
         self.holdings.release(place)
--- a/src/topazlug/routing/_ledger.py
+++ b/src/topazlug/routing/_ledger.py
@@ -20,6 +20,7 @@
 from topazlug.capacity import _place_key
 from topazlug.capacity import _rank_room
 from topazlug.capacity import _returns
+from topazlug.capacity import _shared_backoff
 from topazlug.limits import _fair_queue
 
 _INTERVAL_SMOOTHING = 0.1
@@ -99,6 +100,7 @@
         self.room = _rank_room.RankRoom(slots=slots)
         self.cold = _cold_rate.ColdRate()
         self.returns = _returns.Returns()
+        self.backoff = _shared_backoff.SharedBackoff()
         self.held_by_key: dict[_place_key.PlaceKey, Held] = {}
         self.waiting_by_key: dict[_place_key.PlaceKey, Waiting] = {}
         self._interactive = _fair_queue.FairQueue[Waiting](
@@ -209,6 +211,11 @@
         if held.batch:
             self.batch_load += held.weight
 
+    def let_in(self, key: _place_key.PlaceKey, held: Held) -> None:
+        """Count a place that an ask gets now."""
+        self.hold(key, held)
+        self.backoff.note_let_in()
+
     def holds_chat(self, chat: _ids.ChatHash) -> bool:
         """Say whether exactly one place is this chat's.
 
@@ -306,7 +313,7 @@
             if waiting.deadline < now:
                 waiting.refuse(messages.Verdict.full)
                 continue
-            self.hold(waiting.key, waiting.held)
+            self.let_in(waiting.key, waiting.held)
             waiting.grant()
 
     def _next_queue(
--- a/src/topazlug/routing/_owner.py
+++ b/src/topazlug/routing/_owner.py
@@ -174,6 +174,16 @@
         if target is not None:
             self._targets.cold.suspect([target])
 
+    def note_backoff(
+        self, sender: _ids.DaemonId, note: messages.Backoff
+    ) -> None:
+        """Note that a replica asked a daemon for a backoff."""
+        ledger = self.ledger_by_replica.get(_ids.ReplicaId(note.replica))
+        if ledger is not None and ledger.incarnation == note.incarnation:
+            ledger.backoff.note(
+                sender, seconds=note.seconds, now=self._clock.monotonic()
+            )
+
     def note_turned_away(self, note: messages.TurnedAway) -> None:
         """Note that a request found no place anywhere and may come back."""
         ledger = self.ledger_by_replica.get(_ids.ReplicaId(note.replica))
--- a/src/topazlug/routing/_owner_answers.py
+++ b/src/topazlug/routing/_owner_answers.py
@@ -31,6 +31,7 @@
         retry_after: float = 0.0,
         reads: bool = False,
         cold: bool = False,
+        backoff: float = 0.0,
     ) -> None:
         """Answer one ask.
 
@@ -50,6 +51,8 @@
             Whether the request is the first to read its context there.
         cold : bool
             Whether there is no room as the replica has just started.
+        backoff : float
+            Seconds for which the replica wants no request of anybody.
         """
         self.count_by_verdict[verdict] += 1
         reply(
@@ -60,5 +63,6 @@
                 retry_after=retry_after,
                 reads=reads,
                 cold=cold,
+                backoff=backoff,
             )
         )
--- a/src/topazlug/routing/_owner_asks.py
+++ b/src/topazlug/routing/_owner_asks.py
@@ -19,6 +19,8 @@
 from topazlug.routing import _owner
 from topazlug.routing import _ownership
 from topazlug.routing import _place
+from topazlug.targets import _target_word
+from topazlug.targets import _targets
 
 _log = _logs.logger("admission")
 _SILENT_SECONDS = 1.0
@@ -247,6 +249,31 @@
         elif owner is not None:
             self.holdings.send(owner, note)
 
+    def tell_backoff(
+        self, target: _targets.Target, word: _target_word.TargetWord
+    ) -> None:
+        """Tell a target's owner that it has asked this daemon for a backoff.
+
+        Parameters
+        ----------
+        target : Target
+            Who asks.
+        word : TargetWord
+            What it says of itself.
+        """
+        owner = self._ownership.owner_of(target.replica)
+        if word.backoff <= 0 or owner is None:
+            return
+        note = messages.Backoff(
+            replica=target.replica,
+            incarnation=target.incarnation,
+            seconds=word.backoff,
+        )
+        if owner == self._daemon:
+            self._owner.note_backoff(self._daemon, note)
+        else:
+            self.holdings.send(owner, note)
+
     def note_turned_away(
         self,
         request: _place.PlaceRequest,
--- a/src/topazlug/routing/_owner_duties.py
+++ b/src/topazlug/routing/_owner_duties.py
@@ -85,6 +85,7 @@
         links.handle(messages.EngineWord, self._on_word)
         links.handle(messages.TurnedAway, self._on_turned_away)
         links.handle(messages.Unreached, self._on_unreached)
+        links.handle(messages.Backoff, self._on_backoff)
         links.handle(messages.Release, self._on_release)
         links.handle(messages.Renew, self._on_renew)
         links.handle(messages.Displaced, self._on_displaced)
@@ -111,6 +112,11 @@
     ) -> None:
         self._owner.note_unreached(message)
 
+    def _on_backoff(
+        self, sender: _ids.DaemonId, message: Any, reply: _peers.Reply
+    ) -> None:
+        self._owner.note_backoff(sender, message)
+
     def _on_release(
         self, sender: _ids.DaemonId, message: Any, reply: _peers.Reply
     ) -> None:
--- a/src/topazlug/routing/_owner_judge.py
+++ b/src/topazlug/routing/_owner_judge.py
@@ -79,9 +79,32 @@
         reply : callable
             Called once with the verdict, now or later.
         """
+        if self._is_in_backoff(ledger, reply):
+            return
         if not self._is_too_cold(ask, ledger, reply):
             self._judge(sender, ask, ledger, reply)
 
+    def _is_in_backoff(
+        self, ledger: _ledger.ReplicaLedger, reply: _owner_answers.Reply
+    ) -> bool:
+        """Turn an ask away while its replica wants no request of anybody."""
+        left = ledger.backoff.left(now=self._clock.monotonic())
+        if left <= 0:
+            return False
+        _log.info(
+            "no room at {replica}: it has asked daemons for a backoff",
+            replica=ledger.replica,
+            retry_after=round(left, 3),
+        )
+        self._answers.give(
+            reply,
+            messages.Verdict.full,
+            load=ledger.load,
+            retry_after=left,
+            backoff=left,
+        )
+        return True
+
     def _is_too_cold(
         self,
         ask: messages.AdmitAsk,
@@ -254,7 +277,7 @@
                 retry_after=ledger.reads.wait(held.chat, now=now),
             )
             return
-        ledger.hold(key, held)
+        ledger.let_in(key, held)
         if self._tolerated(ledger) is not None:
             ledger.cold.note_sent()
         ledger.returns.forget(ask.request)
--- a/src/topazlug/routing/_routing_parts.py
+++ b/src/topazlug/routing/_routing_parts.py
@@ -24,6 +24,7 @@
 from topazlug.routing import _policies
 from topazlug.targets import _target_client
 from topazlug.targets import _target_watch
+from topazlug.targets import _target_word
 from topazlug.targets import _targets
 
 _log = _logs.logger("routing")
@@ -169,11 +170,16 @@
         self._fleet.membership.on_change(self._members_changed)
         self._fleet.membership.on_target_fact(self.targets.take_fact)
         self._fleet.membership.on_pause(self._paused)
-        self.targets.on_said_leaving(self._tell_leaving)
+        self.targets.on_word(self._tell_leaving)
+        self.targets.on_word(self.owners_admission.tell_backoff)
         self._fleet.configuration.on_change(self._configuration_changed)
         self.targets.on_change(self._update_ownership)
 
-    def _tell_leaving(self, target: _targets.Target) -> None:
+    def _tell_leaving(
+        self, target: _targets.Target, word: _target_word.TargetWord
+    ) -> None:
+        if not word.leaving:
+            return
         self._fleet.membership.publish_target(
             target.replica,
             incarnation=target.incarnation,
--- a/src/topazlug/targets/_targets.py
+++ b/src/topazlug/targets/_targets.py
@@ -61,6 +61,8 @@
     zones: frozenset[str] = frozenset()
 
 
+WordCallback = Callable[[Target, _target_word.TargetWord], None]
+
 _UNUSABLE = (messages.FactState.leaving, messages.FactState.dead)
 
 
@@ -98,7 +100,7 @@
         self._health_by_replica: dict[_ids.ReplicaId, _Health] = {}
         self.drains = Drains()
         self._callbacks: list[Callable[[], None]] = []
-        self._leaving_callbacks: list[Callable[[Target], None]] = []
+        self._word_callbacks: list[WordCallback] = []
         self._choice_by_group: dict[_ids.GroupName, _Choice] = {}
         self._listed_by_replica: dict[_ids.ReplicaId, Target] = {}
         self._told_by_replica: dict[_ids.ReplicaId, _Told] = {}
@@ -110,9 +112,9 @@
         """Ask to be called when the set of targets changed."""
         self._callbacks.append(callback)
 
-    def on_said_leaving(self, callback: Callable[[Target], None]) -> None:
-        """Ask to be called with each target that says that it is leaving."""
-        self._leaving_callbacks.append(callback)
+    def on_word(self, callback: WordCallback) -> None:
+        """Ask to be called with what targets newly say in answers."""
+        self._word_callbacks.append(callback)
 
     def take_list(self, targets: Iterable[Target]) -> None:
         """Take over the platform's list of targets.
@@ -228,12 +230,25 @@
         """Take what a target says of itself with an answer."""
         if not self.quiet.note(target, word):
             return
-        if not word.leaving:
-            self._choice_by_group.pop(target.group, None)
+        self._choice_by_group.pop(target.group, None)
+        if word.leaving:
+            self._notify()
+        for callback in self._word_callbacks:
+            callback(target, word)
+
+    def take_told_backoff(
+        self, replica: _ids.ReplicaId, seconds: float
+    ) -> None:
+        """Take a peer's word that a target wants no request of anybody.
+
+        It is told to nobody: told on, it would look like one more daemon
+        that the target has turned away, and would never end.
+        """
+        target = self.target_by_replica.get(replica)
+        if target is None:
             return
-        self._notify()
-        for callback in self._leaving_callbacks:
-            callback(target)
+        self.quiet.note(target, _target_word.TargetWord(backoff=seconds))
+        self._choice_by_group.pop(target.group, None)
 
     def is_leaving(self, target: Target) -> bool:
         """Say whether a target leaves, by the list or its own word."""
--- a/tests/topazlug/fleet_fakes.py
+++ b/tests/topazlug/fleet_fakes.py
@@ -86,5 +86,7 @@
             owner.release(self._sender, message.asks)
         elif isinstance(message, messages.Renew):
             owner.renew(self._sender, message)
+        elif isinstance(message, messages.Backoff):
+            owner.note_backoff(self._sender, message)
         else:
             owner.displaced.note(message)
--- a/tests/topazlug/routing/test_admission.py
+++ b/tests/topazlug/routing/test_admission.py
@@ -1,6 +1,7 @@
 """Places: found by asking owners, in the chat's rank, within bounds."""
 
 import gevent
+import msgspec
 import pytest
 
 from tests.topazlug import fleet_fakes
@@ -243,6 +244,33 @@
         owner.targets.take_word(fixtures.target("r1"), BACKOFF)
         assert owner.owner.accounts.total(fixtures.POOL).replicas == before
 
+    def test_what_several_daemons_were_asked_for_holds_for_all(self, fleet):
+        """Each daemon has a request turned away before it knows."""
+        d1, d2, d3 = fleet.entry_by_name.values()
+        home = admit(d1, 1).target
+        for entry in (d1, d2):
+            entry.targets.on_word(entry.admission.tell_backoff)
+            entry.targets.take_word(home, BACKOFF)
+        assert admit(d3, 1).target.replica != home.replica
+        assert not d3.targets.is_usable(home.replica)
+        fleet.clock.advance(3.0)
+        assert d3.targets.is_usable(home.replica)
+
+    def test_backoff_of_an_ended_start_is_not_shared(self, fleet):
+        d1, d2, d3 = fleet.entry_by_name.values()
+        home = admit(d1, 1).target
+        again = msgspec.structs.replace(home, incarnation=2)
+        for entry in fleet.entry_by_name.values():
+            others = entry.targets.target_by_replica.values()
+            entry.targets.take_list(
+                [again if one == home else one for one in others]
+            )
+            entry.owner.forget_ended_starts()
+        for entry in (d1, d2):
+            entry.targets.on_word(entry.admission.tell_backoff)
+            entry.targets.take_word(home, BACKOFF)
+        assert admit(d3, 1).target == again
+
     def test_all_in_backoff(self, fleet):
         entry = fleet.entry_by_name["d1"]
         for target in list(entry.targets.target_by_replica.values()):
--- a/tests/topazlug/routing_fixtures.py
+++ b/tests/topazlug/routing_fixtures.py
@@ -44,6 +44,7 @@
 from topazlug.routing import _place
 from topazlug.routing import _ranking
 from topazlug.targets import _target_client
+from topazlug.targets import _target_word
 from topazlug.targets import _targets
 from topazlug.telemetry import _metrics
 
@@ -92,8 +93,11 @@
     def __init__(self) -> None:
         self.told: list[str] = []
 
-    def take_leaving(self, target: _targets.Target) -> None:
-        self.told.append(target.replica)
+    def take_word(
+        self, target: _targets.Target, word: _target_word.TargetWord
+    ) -> None:
+        if word.leaving:
+            self.told.append(target.replica)
 
 
 class Tickets:
@@ -259,7 +263,7 @@
             ME, targets=[], daemons=[ME], clock=self.clock, links=NoLinks()
         )
         self.limits = _settings_types.LimitSettings(**limits)
-        self.entry.targets.on_said_leaving(self.signs.take_leaving)
+        self.entry.targets.on_word(self.signs.take_word)
         self.connections = _target_client.TargetConnections(
             connect_timeout=1.0,
             clock=self.clock,
--- a/tests/topazlug/targets/test_targets.py
+++ b/tests/topazlug/targets/test_targets.py
@@ -143,7 +143,7 @@
 
     def test_leaving_is_told_once(self, directory):
         told = []
-        directory.on_said_leaving(lambda target: told.append(target.replica))
+        directory.on_word(lambda target, word: told.append(target.replica))
         for _ in range(2):
             directory.take_word(fixtures.target("r1"), LEAVES)
         directory.take_word(fixtures.target("r2"), _target_word.NOTHING)
