Wait for the checks of replicas that ended in the same moment

Cause: after a failed attempt a request may go on to another replica if no crash of it is known, without waiting for the check of the first. Replicas that end within a millisecond are the second and third of one attempt while the first is still being asked: one attempt ends three. Test: `TestAttempt`, fails before.

--- a/src/topazlug/crashes/_crash_guard.py
+++ b/src/topazlug/crashes/_crash_guard.py
@@ -156,10 +156,12 @@
         """
         if not self._refuses:
             return True
-        evidence = self._notebook.evidence
-        if evidence.is_blocked(fingerprint):
+        if self._notebook.evidence.is_blocked(fingerprint):
             return False
-        if not evidence.starts_of(fingerprint):
+        # A replica that ends at once is the second of the same attempt while
+        # the first one is still being asked.
+        self._watch.wait_earlier_checked(fingerprint, target)
+        if not self._notebook.evidence.starts_of(fingerprint):
             # One crash is no reason, so nobody waits for it to be found out.
             return True
         self._watch.wait_checked(target)
--- a/src/topazlug/crashes/_crash_watch.py
+++ b/src/topazlug/crashes/_crash_watch.py
@@ -105,6 +105,17 @@
         if check is not None and not self._pause_of(start):
             check.wait(_CONNECT_SECONDS)
 
+    def wait_earlier_checked(
+        self, fingerprint: _ids.Fingerprint, target: _targets.Target
+    ) -> None:
+        """Wait for the checks of other targets that lost such a request."""
+        for start in list(self._check_by_start):
+            if start == _target.start_of(target) or self._pause_of(start):
+                continue
+            broken = self._runs.broken(start, seconds=_BEFORE_SECONDS)
+            if any(run.fingerprint == fingerprint for run in broken):
+                self._check_by_start[start].wait(_CONNECT_SECONDS)
+
     def _take_end(self, run: _target_runs.Run) -> None:
         if run.end is not _target_runs.RunEnd.LOST:
             return
--- a/tests/topazlug/crashes/test_crash_guard.py
+++ b/tests/topazlug/crashes/test_crash_guard.py
@@ -4,6 +4,7 @@
 import msgspec
 import pytest
 
+from bench.fleets import processes
 from tests.topazlug import claim_fakes
 from tests.topazlug.crashes import crash_fixtures
 from tests.topazlug.forwarding import forwarding_fixtures as fixtures
@@ -133,6 +134,22 @@
         assert rig.guard.may_repeat(F, fixtures.target("i-1"))
 
 
+class TestAttempt:
+    def test_two_crashes_in_one_moment_are_enough(self, rig):
+        """One attempt ends a third replica as two end within a millisecond."""
+        targets = [
+            fixtures.target(f"i-{n}", port=processes.free_port())
+            for n in range(2)
+        ]
+        rig.guard._targets.take_list(targets)
+        may_repeat = []
+        for target in targets:
+            run = rig.book.begin(target, fingerprint=F, attempt="a")
+            rig.book.finish(run, _target_runs.RunEnd.LOST)
+            may_repeat.append(rig.guard.may_repeat(F, target))
+        assert may_repeat == [True, False]
+
+
 class TestHold:
     def test_request_is_held_back_before_it_is_decided(self, rig):
         """Between the third crash and the decision more replicas ended.
