--- a/bench/capacity/capacity_messages.py
+++ b/bench/capacity/capacity_messages.py
@@ -17,6 +17,7 @@
 from topazlug._generated import messages
 from topazlug._generated import settings
 from topazlug.peers import _peers
+from topazlug.targets import _listed_targets
 from topazlug.targets import _target_client
 from topazlug.targets import _target_watch
 from topazlug.targets import _targets
@@ -129,7 +130,7 @@
 
 
 def _fact(number: int) -> messages.Fact:
-    return _targets.listed_fact(target_at(8000, number))
+    return _listed_targets.listed_fact(target_at(8000, number))
 
 
 def _held(number: int) -> messages.HeldPlace:
--- a/bench/capacity/capacity_routing.py
+++ b/bench/capacity/capacity_routing.py
@@ -18,6 +18,7 @@
 from topazlug.routing import _owner
 from topazlug.routing import _ownership
 from topazlug.routing import _ranking
+from topazlug.targets import _listed_targets
 from topazlug.targets import _targets
 
 _CHATS = 200
@@ -110,7 +111,7 @@
         clock=_clock.SystemClock(), flap_window=60.0
     )
     taken = sizes.once_millis(lambda: directory_.take_list(listed))
-    told = [_targets.listed_fact(target) for target in listed[:50]]
+    told = [_listed_targets.listed_fact(target) for target in listed[:50]]
     bare = [_fact_of(target) for target in listed[50:100]]
     with_address = sizes.processor_micros(
         lambda: sizes.for_each(directory_.take_fact, told), count=50
--- a/bench/capacity/capacity_state.py
+++ b/bench/capacity/capacity_state.py
@@ -20,6 +20,7 @@
 from topazlug.routing import _ledger
 from topazlug.routing import _ownership
 from topazlug.store import _instances
+from topazlug.targets import _listed_targets
 from topazlug.targets import _targets
 
 _HELD = 570
@@ -163,7 +164,7 @@
 
     def directory() -> _targets.TargetDirectory:
         made = _targets.TargetDirectory(clock=_CLOCK, flap_window=60.0)
-        made.take_list(_targets.targets_of(instances))
+        made.take_list(_listed_targets.targets_of(instances))
         return made
 
     targets = sizes.held_bytes(directory)
@@ -185,7 +186,7 @@
 
 def facts() -> list[_Slope]:
     """Hold facts and members."""
-    told = [_targets.listed_fact(target) for target in sizes.targets()]
+    told = [_listed_targets.listed_fact(target) for target in sizes.targets()]
     encoded = msgspec.msgpack.encode(told)
 
     def book() -> _facts.FactBook:
@@ -350,14 +351,14 @@
     )
     data = _instance_list()
     told = msgspec.msgpack.encode(
-        [_targets.listed_fact(target) for target in sizes.targets()]
+        [_listed_targets.listed_fact(target) for target in sizes.targets()]
     )
     before = sizes.resident_bytes()
     holder = _holder(encoded)
     after_table = sizes.resident_bytes()
     instances = _instances.decode(data)
     directory = _targets.TargetDirectory(clock=_CLOCK, flap_window=60.0)
-    directory.take_list(_targets.targets_of(instances))
+    directory.take_list(_listed_targets.targets_of(instances))
     owners = _ownership.Ownership()
     owners.update(
         daemons=sizes.daemon_ids(), replicas=directory.target_by_replica
--- a/src/topazlug/forwarding/_daemon.py
+++ b/src/topazlug/forwarding/_daemon.py
@@ -35,6 +35,7 @@
 from topazlug.placement import _replica_list
 from topazlug.placement import _replica_view
 from topazlug.placement import _view_admission
+from topazlug.targets import _listed_targets
 from topazlug.targets import _target_client
 from topazlug.targets import _targets
 from topazlug.telemetry import _metrics
@@ -247,7 +248,7 @@
         there would wait until its deadline.
         """
         before = self.targets.target_by_replica
-        for target in _targets.restarted(before, targets):
+        for target in _listed_targets.restarted(before, targets):
             _log.warning(
                 "{replica} has started again; its old start is given up",
                 replica=target.replica,
--- a/src/topazlug/routing/_routing_parts.py
+++ b/src/topazlug/routing/_routing_parts.py
@@ -22,6 +22,7 @@
 from topazlug.routing import _ownership
 from topazlug.routing import _place
 from topazlug.routing import _policies
+from topazlug.targets import _listed_targets
 from topazlug.targets import _target_client
 from topazlug.targets import _target_watch
 from topazlug.targets import _target_word
@@ -207,13 +208,15 @@
             self.quotas.renew()
 
     def _list_changed(self) -> None:
-        listed = _targets.targets_of(self._fleet.instances.instances_by_id)
+        listed = _listed_targets.targets_of(
+            self._fleet.instances.instances_by_id
+        )
         # A daemon that starts finds all of the list new; the fleet does not.
         if self._fleet.instances.refreshed_at is not None:
             known = self.targets.target_by_replica
-            for target in _targets.news(known, listed):
+            for target in _listed_targets.news(known, listed):
                 self._fleet.membership.publish_listed(
-                    _targets.listed_fact(target)
+                    _listed_targets.listed_fact(target)
                 )
         before = self.targets.target_by_replica
         self.targets.take_list(listed)
--- /dev/null
+++ b/src/topazlug/targets/_listed_targets.py
@@ -0,0 +1,106 @@
+"""Targets as the platform's list and peers' facts have them."""
+
+from collections.abc import Iterable
+from collections.abc import Mapping
+
+from topazlug import _ids
+from topazlug._generated import messages
+from topazlug.store import _instances
+from topazlug.targets import _target
+
+_KIND_BY_INSTANCE = {
+    _instances.InstanceKind.ENGINE: _target.TargetKind.ENGINE,
+    _instances.InstanceKind.SERVICE: _target.TargetKind.SERVICE,
+}
+
+
+def targets_of(
+    instances_by_id: Mapping[str, _instances.Instance],
+) -> list[_target.Target]:
+    """Pick the targets out of the platform's list of instances."""
+    return [
+        _target.Target(
+            replica=_ids.ReplicaId(instance.id),
+            kind=_KIND_BY_INSTANCE[instance.kind],
+            group=_ids.GroupName(instance.group),
+            host=instance.host,
+            port=instance.port,
+            zone=instance.zone,
+            incarnation=instance.incarnation,
+            slots=instance.slots,
+            leaving=instance.state is _instances.InstanceState.LEAVING,
+        )
+        for instance in instances_by_id.values()
+        if instance.kind in _KIND_BY_INSTANCE
+    ]
+
+
+def listed_fact(target: _target.Target) -> messages.Fact:
+    """Give what the list says of a target, as a fact for peers."""
+    state = messages.FactState.live
+    if target.leaving:
+        state = messages.FactState.leaving
+    return messages.Fact(
+        kind=messages.FactKind.target,
+        subject=target.replica,
+        incarnation=target.incarnation,
+        sequence=0,
+        state=state,
+        host=target.host,
+        port=target.port,
+        zone=target.zone,
+        group=target.group,
+        slots=target.slots,
+        engine=target.kind is _target.TargetKind.ENGINE,
+    )
+
+
+def told_target(fact: messages.Fact) -> _target.Target:
+    return _target.Target(
+        replica=_ids.ReplicaId(fact.subject),
+        kind=(
+            _target.TargetKind.ENGINE
+            if fact.engine
+            else _target.TargetKind.SERVICE
+        ),
+        group=_ids.GroupName(fact.group),
+        host=fact.host,
+        port=fact.port,
+        zone=fact.zone,
+        incarnation=fact.incarnation,
+        slots=fact.slots,
+        leaving=False,
+    )
+
+
+def restarted(
+    before: Mapping[_ids.ReplicaId, _target.Target],
+    after: Iterable[_target.Target],
+) -> list[_target.Target]:
+    """Give the targets that have started again under the id they had.
+
+    Any other start counts, not only a later one: their clocks may go back.
+    """
+    return [
+        target
+        for target in after
+        if target.replica in before
+        and before[target.replica].incarnation != target.incarnation
+    ]
+
+
+def news(
+    before: Mapping[_ids.ReplicaId, _target.Target],
+    after: Iterable[_target.Target],
+) -> list[_target.Target]:
+    """Give the targets that are new, newly started, or newly leaving."""
+    return [target for target in after if _is_news(target, before)]
+
+
+def _is_news(
+    target: _target.Target, before: Mapping[_ids.ReplicaId, _target.Target]
+) -> bool:
+    known = before.get(target.replica)
+    if known is None or known.incarnation < target.incarnation:
+        return True
+    return target.leaving and not known.leaving
--- a/src/topazlug/targets/_targets.py
+++ b/src/topazlug/targets/_targets.py
@@ -17,8 +17,8 @@
 from topazlug import _clock
 from topazlug import _ids
 from topazlug._generated import messages
-from topazlug.store import _instances
 from topazlug.targets import _cold_replicas
+from topazlug.targets import _listed_targets
 from topazlug.targets import _quiet_targets
 from topazlug.targets import _target
 from topazlug.targets import _target_word
@@ -144,7 +144,9 @@
             return
         for replica in self.target_by_replica:
             self._health(replica)
-        for target in restarted(self.target_by_replica, fresh.values()):
+        for target in _listed_targets.restarted(
+            self.target_by_replica, fresh.values()
+        ):
             self._forget_start(target.replica)
         self.target_by_replica = fresh
         self._note_gone_and_back(fresh, now)
@@ -263,7 +265,7 @@
         """Take over what a peer, or this daemon, saw of a target."""
         if fact.group and fact.port:
             self._told_by_replica[_ids.ReplicaId(fact.subject)] = _Told(
-                target=_told_target(fact),
+                target=_listed_targets.told_target(fact),
                 until=self._clock.monotonic() + _TOLD_SECONDS,
             )
             self._merge()
@@ -416,93 +418,3 @@
         self._choice_by_group.clear()
         for callback in self._callbacks:
             callback()
-
-
-_KIND_BY_INSTANCE = {
-    _instances.InstanceKind.ENGINE: TargetKind.ENGINE,
-    _instances.InstanceKind.SERVICE: TargetKind.SERVICE,
-}
-
-
-def targets_of(
-    instances_by_id: Mapping[str, _instances.Instance],
-) -> list[Target]:
-    """Pick the targets out of the platform's list of instances."""
-    return [
-        Target(
-            replica=_ids.ReplicaId(instance.id),
-            kind=_KIND_BY_INSTANCE[instance.kind],
-            group=_ids.GroupName(instance.group),
-            host=instance.host,
-            port=instance.port,
-            zone=instance.zone,
-            incarnation=instance.incarnation,
-            slots=instance.slots,
-            leaving=instance.state is _instances.InstanceState.LEAVING,
-        )
-        for instance in instances_by_id.values()
-        if instance.kind in _KIND_BY_INSTANCE
-    ]
-
-
-def listed_fact(target: Target) -> messages.Fact:
-    """Give what the list says of a target, as a fact for peers."""
-    state = messages.FactState.live
-    if target.leaving:
-        state = messages.FactState.leaving
-    return messages.Fact(
-        kind=messages.FactKind.target,
-        subject=target.replica,
-        incarnation=target.incarnation,
-        sequence=0,
-        state=state,
-        host=target.host,
-        port=target.port,
-        zone=target.zone,
-        group=target.group,
-        slots=target.slots,
-        engine=target.kind is TargetKind.ENGINE,
-    )
-
-
-def _told_target(fact: messages.Fact) -> Target:
-    return Target(
-        replica=_ids.ReplicaId(fact.subject),
-        kind=TargetKind.ENGINE if fact.engine else TargetKind.SERVICE,
-        group=_ids.GroupName(fact.group),
-        host=fact.host,
-        port=fact.port,
-        zone=fact.zone,
-        incarnation=fact.incarnation,
-        slots=fact.slots,
-        leaving=False,
-    )
-
-
-def restarted(
-    before: Mapping[_ids.ReplicaId, Target], after: Iterable[Target]
-) -> list[Target]:
-    """Give the targets that have started again under the id they had.
-
-    Any other start counts, not only a later one: their clocks may go back.
-    """
-    return [
-        target
-        for target in after
-        if target.replica in before
-        and before[target.replica].incarnation != target.incarnation
-    ]
-
-
-def news(
-    before: Mapping[_ids.ReplicaId, Target], after: Iterable[Target]
-) -> list[Target]:
-    """Give the targets that are new, newly started, or newly leaving."""
-    return [target for target in after if _is_news(target, before)]
-
-
-def _is_news(target: Target, before: Mapping[_ids.ReplicaId, Target]) -> bool:
-    known = before.get(target.replica)
-    if known is None or known.incarnation < target.incarnation:
-        return True
-    return target.leaving and not known.leaving
