Explain requests by what was learnt of replicas with earlier ones

What was seen: `explain-request` leaves out "R is held out", and would leave out "R asks for a backoff" and "R says that it is leaving", though they decided for the request: such lines bear the id of the request with which they were learnt, and lines with an id were taken for other requests' own. Change: lines on replicas are shown whichever request they were learnt with.

--- a/src/topazlug/cli/_request_logs.py
+++ b/src/topazlug/cli/_request_logs.py
@@ -24,8 +24,9 @@
 _QUOTED = re.compile(r"(?<!\w)'[^']*'")
 _FAILED = "failed with"
 _CUT = "a stream ends early"
-# Lines of a daemon within so many lines before a failure are shown with it.
 _BELIEFS = frozenset({"store", "replicas", "fleet", "daemon"})
+# What these write is learnt with one request, and decides on later ones.
+_LEARNT_WITH_REQUESTS = frozenset({"replicas"})
 
 
 def _records(files: tuple[TextIO, ...]) -> Iterator[dict[str, Any]]:
@@ -117,13 +118,21 @@
         one
         for one in records
         if one.get("daemon") in daemons
-        and one.get("logger") in _BELIEFS
-        and "request_id" not in one
+        and _is_belief(one)
+        and one.get("request_id") != own[0]["request_id"]
         and first - around <= _seconds(one) <= last
     ]
     return sorted([*own, *beliefs], key=_seconds)
 
 
+def _is_belief(record: dict[str, Any]) -> bool:
+    """Say whether a line tells of more than one request."""
+    logger = record.get("logger")
+    if "request_id" in record:
+        return logger in _LEARNT_WITH_REQUESTS
+    return logger in _BELIEFS
+
+
 def _seconds(record: dict[str, Any]) -> float:
     """Give the time of day of a line in seconds."""
     text = str(record.get("time", ""))[11:23]
--- a/src/topazlug/placement/_owner_search.py
+++ b/src/topazlug/placement/_owner_search.py
@@ -85,12 +85,7 @@
     ) -> _place.Place | None:
         """Ask owners in the order of the rank; None if none gave a word."""
         candidates = self._alone.candidates(request)
-        ranked = [
-            _ids.ReplicaId(name)
-            for name in _ranking.rank(
-                candidates, request.chat, count=_MOST_ASKS
-            )
-        ]
+        ranked = _ranked(candidates, request, count=_MOST_ASKS)
         ranked += self._warm_ones(candidates, request, ranked)
         home = ranked[0]
         seat: _ids.ReplicaId | None = None
@@ -105,7 +100,7 @@
                 return None
             verdict = answer.reply.verdict
             if answer.reply.backoff > 0:
-                others = self._next_of_rank(candidates, request, ranked)
+                others = _next_of_rank(candidates, request, ranked)
                 ranked += others
                 wanted += others
             elif verdict is messages.Verdict.granted:
@@ -122,24 +117,11 @@
             else:
                 return None
         if not refusals:
-            # All have asked for a backoff: none is a candidate any more.
-            self._alone.candidates(request)
+            # All have asked for a backoff.
             return None
         kept_at = home if home in refusals else next(iter(refusals))
         return self._refused(asks, request, refusals, kept_at)
 
-    def _next_of_rank(
-        self,
-        candidates: list[_ids.ReplicaId],
-        request: _place.PlaceRequest,
-        asked: list[_ids.ReplicaId],
-    ) -> list[_ids.ReplicaId]:
-        """Give whom to ask in place of one that wants nothing, if any."""
-        count = min(len(candidates), len(asked) + 1)
-        names = _ranking.rank(candidates, request.chat, count=count)
-        found = [_ids.ReplicaId(name) for name in names]
-        return [one for one in found if one not in asked][:1]
-
     def _warm_ones(
         self,
         candidates: list[_ids.ReplicaId],
@@ -154,8 +136,7 @@
         warm = self._alone.warm(candidates)
         if len(warm) == len(candidates) or not set(ranked) - set(warm):
             return []
-        names = _ranking.rank(warm, request.chat, count=_MOST_ASKS)
-        found = [_ids.ReplicaId(name) for name in names]
+        found = _ranked(warm, request, count=_MOST_ASKS)
         return [one for one in found if one not in ranked]
 
     def _ask_one(
@@ -297,3 +278,25 @@
         )
         asks.holdings.place_by_ask[place.ask] = place
         return place
+
+
+def _ranked(
+    candidates: list[_ids.ReplicaId],
+    request: _place.PlaceRequest,
+    *,
+    count: int,
+) -> list[_ids.ReplicaId]:
+    """Give the first replicas of a chat's rank."""
+    names = _ranking.rank(candidates, request.chat, count=count)
+    return [_ids.ReplicaId(name) for name in names]
+
+
+def _next_of_rank(
+    candidates: list[_ids.ReplicaId],
+    request: _place.PlaceRequest,
+    asked: list[_ids.ReplicaId],
+) -> list[_ids.ReplicaId]:
+    """Give whom to ask in place of one that wants nothing, if any."""
+    count = min(len(candidates), len(asked) + 1)
+    found = _ranked(candidates, request, count=count)
+    return [one for one in found if one not in asked][:1]
--- a/src/topazlug/targets/_quiet_targets.py
+++ b/src/topazlug/targets/_quiet_targets.py
@@ -71,19 +71,34 @@
         return True
 
     def _note_backoff(self, target: _target.Target, seconds: float) -> bool:
-        left = self.backoff_left(target)
-        if seconds <= left:
+        if not self._keep_longer(target, seconds):
             return False
-        until = self._clock.monotonic() + seconds
-        self._remembered(target).backoff_until = until
         _log.info(
             "{replica} asks for a backoff of {seconds:.1f} s",
             replica=target.replica,
             seconds=seconds,
-            left_before=round(left, 3),
         )
         return True
 
+    def note_told_backoff(
+        self, target: _target.Target, seconds: float
+    ) -> None:
+        """Take a peer's word that a target wants no request of anybody."""
+        if self._keep_longer(target, seconds):
+            _log.info(
+                "{replica} has asked others for a backoff: {seconds:.1f} s "
+                "are left",
+                replica=target.replica,
+                seconds=seconds,
+            )
+
+    def _keep_longer(self, target: _target.Target, seconds: float) -> bool:
+        if seconds <= self.backoff_left(target):
+            return False
+        until = self._clock.monotonic() + seconds
+        self._remembered(target).backoff_until = until
+        return True
+
     def _remembered(self, target: _target.Target) -> _Said:
         held = self._said_by_start
         start = _target.start_of(target)
--- a/src/topazlug/targets/_targets.py
+++ b/src/topazlug/targets/_targets.py
@@ -249,7 +249,7 @@
         target = self.target_by_replica.get(replica)
         if target is None:
             return
-        self.quiet.note(target, _target_word.TargetWord(backoff=seconds))
+        self.quiet.note_told_backoff(target, seconds)
         self._choice_by_group.pop(target.group, None)
 
     def is_leaving(self, target: Target) -> bool:
@@ -334,11 +334,11 @@
     def _look_through(self, group: _ids.GroupName, now: float) -> _Choice:
         choice = _Choice(in_service=[], usable=[], until=math.inf)
         for replica in self.known(group):
+            backoff = self.quiet.backoff_left(self.target_by_replica[replica])
             if self._is_in_service(replica, now):
                 choice.in_service.append(replica)
-            backoff = self.quiet.backoff_left(self.target_by_replica[replica])
-            if backoff <= 0 and self._is_in_service(replica, now):
-                choice.usable.append(replica)
+                if backoff <= 0:
+                    choice.usable.append(replica)
             health = self._health_by_replica.get(replica, _Health())
             ends = (health.held_until, health.avoid_until, now + backoff)
             choice.until = min(
--- a/tests/topazlug/cli/test_request_logs.py
+++ b/tests/topazlug/cli/test_request_logs.py
@@ -13,6 +13,7 @@
         "daemon": "d1",
         "logger": "replicas",
         "message": "r1 is held out for 1 s: 5 of 9 requests failed",
+        "request_id": "a0",
     },
     {
         "time": "2026-03-23T14:00:02.000Z",
@@ -38,6 +39,13 @@
         "logger": "replicas",
         "message": "of another daemon",
     },
+    {
+        "time": "2026-03-23T14:00:01.500Z",
+        "daemon": "d1",
+        "logger": "daemon",
+        "message": "another replica of g is tried",
+        "request_id": "a0",
+    },
 ]
 
 
@@ -59,6 +67,7 @@
         assert "stale: load report 3.5 s old" in shown
         assert "failed with target_failed" in shown
         assert "of another daemon" not in shown
+        assert "is tried" not in shown
 
     def test_unknown_request(self, run):
         result = run("explain-request", "a2")
