Read load reports with a fourth figure, report finished context reads

Cause: load headers with other than three figures were dropped. The end of a context's read is reported to the owner only with a load, so the owner took it for unfinished for 2 s and let the other requests of that context wait.

Ruled out: links (bodies are 1 byte a token, 15 ms at most), loops (0.03 cores at most), queues of owners (none waited).

Change: figures beyond the third are read (slowness) or ignored; the end of a read is reported whether or not the replica reports its load; the head of an answer goes to the owner as one struct.

Tests: TestLoad and test_second_request_waits_for_the_first_to_read fail before the change. Known to fail as before: test_load_is_the_sum_of_the_entries.

--- a/src/topazlug/_generated/messages.py
+++ b/src/topazlug/_generated/messages.py
@@ -127,6 +127,38 @@
             ),
         ]
     ) = False
+    tokens: (
+        Annotated[
+            int,
+            Meta(
+                description="Length of the whole prompt in tokens, 0 if unknown."
+            ),
+        ]
+    ) = 0
+    output_tokens: (
+        Annotated[
+            int,
+            Meta(
+                description="Maximum number of tokens to generate, 0 if unknown."
+            ),
+        ]
+    ) = 0
+    max_pause: (
+        Annotated[
+            float,
+            Meta(
+                description="Longest pause in seconds between two events for which the stream is on time, 0 if unknown."
+            ),
+        ]
+    ) = 0
+    accept_stall: (
+        Annotated[
+            bool,
+            Meta(
+                description="Whether the request is granted even if reading its prompt stalls running streams, as no other replica is better."
+            ),
+        ]
+    ) = False
 
 
 class Verdict(StrEnum):
@@ -137,6 +169,7 @@
     elsewhere = "elsewhere"
     expired = "expired"
     reading = "reading"
+    stalls = "stalls"
 
 
 class AdmitReply(Struct, kw_only=True, omit_defaults=True):
@@ -176,6 +209,14 @@
             ),
         ]
     ) = 0
+    stall: (
+        Annotated[
+            float,
+            Meta(
+                description="With verdict stalls, the seconds of delay that reading the prompt would cause to this request and to running streams, added up."
+            ),
+        ]
+    ) = 0
 
 
 class Release(Struct, kw_only=True, omit_defaults=True):
@@ -193,6 +234,14 @@
     team: str = ""
     batch: bool = False
     rank: int = -1
+    work: (
+        Annotated[
+            float,
+            Meta(
+                description="Estimated work of the request in tokens, 0 if unknown."
+            ),
+        ]
+    ) = 0
 
 
 class EngineWord(Struct, kw_only=True, omit_defaults=True):
@@ -223,6 +272,36 @@
             ),
         ]
     ) = 0
+    has_load: (
+        Annotated[
+            bool,
+            Meta(description="Whether running and waiting were reported."),
+        ]
+    ) = True
+    slowness: (
+        Annotated[
+            float,
+            Meta(
+                description="How long work takes on the replica at this moment, relative to its usual time; 0 if not reported."
+            ),
+        ]
+    ) = 0
+    seconds: (
+        Annotated[
+            float,
+            Meta(
+                description="Seconds from sending the request to the head of its answer, 0 if unknown."
+            ),
+        ]
+    ) = 0
+    ask: (
+        Annotated[
+            int,
+            Meta(
+                description="Number of the admission request of the answered request, 0 if unknown."
+            ),
+        ]
+    ) = 0
 
 
 class TurnedAway(Struct, kw_only=True, omit_defaults=True):
--- a/src/topazlug/forwarding/_call.py
+++ b/src/topazlug/forwarding/_call.py
@@ -92,6 +92,9 @@
             prompt=prompt_of(self.head),
             shared_tokens=sum(part.tokens for part in self.head.parts[:-1]),
             latency_objective=self.route.latency_objective,
+            prompt_tokens=sum(part.tokens for part in self.head.parts),
+            output_tokens=self.head.output_tokens,
+            max_pause=self.route.max_pause,
         )
 
 
--- a/src/topazlug/forwarding/_daemon.py
+++ b/src/topazlug/forwarding/_daemon.py
@@ -35,6 +35,7 @@
 from topazlug.placement import _replica_list
 from topazlug.placement import _replica_view
 from topazlug.placement import _view_admission
+from topazlug.routing import _owner_features
 from topazlug.targets import _listed_targets
 from topazlug.targets import _target_client
 from topazlug.targets import _targets
@@ -290,6 +291,7 @@
             daemon=self.name,
             links=links,
             targets=self.targets,
+            features=self._owner_features(),
             clock=self._clock,
         )
         self._owners.update_daemons(self._fleet.directory.daemons_by_id)
@@ -299,6 +301,16 @@
             self._admission.owner_client = self._owners.owner_client
             self.targets.on_report(self._owners.owner_client.report_backoff)
 
+    def _owner_features(self) -> _owner_features.OwnerFeatures:
+        disabled = self._options.disabled
+        mechanism = _mechanisms.Mechanism
+        return _owner_features.OwnerFeatures(
+            replica_speed=mechanism.REPLICA_SPEED not in disabled,
+            prompt_reads=mechanism.PROMPT_READS not in disabled,
+            fair_shares=self._options.fair_shares
+            and mechanism.FAIR_SHARES not in disabled,
+        )
+
     def _update_fleet_size(self, daemons: int) -> None:
         if self._owners is not None:
             self._owners.update_daemons(self._fleet.directory.daemons_by_id)
--- a/src/topazlug/forwarding/_exchange.py
+++ b/src/topazlug/forwarding/_exchange.py
@@ -67,9 +67,7 @@
         Called when the connection to a replica failed, with the placement
         and whether the connection timed out instead of being refused.
     on_answer_head : callable
-        Called when the head of an answer reports the replica's load, with
-        the placement, the numbers of running and waiting requests, and the
-        seconds from sending the request to that head.
+        Called with the placement and the head of its answer.
     clock : Clock
         Clock of the daemon.
     disabled : frozenset of Mechanism
@@ -86,7 +84,7 @@
         codec: _wire.ReplicaHeaderCodec,
         on_connection_failure: ConnectionFailureCallback,
         on_answer_head: Callable[
-            [_placement.Placement, int, int, float], None
+            [_placement.Placement, _placement.AnswerHead], None
         ],
         clock: _clock.Clock,
         disabled: _mechanisms.DisabledMechanisms = _mechanisms.NONE_DISABLED,
@@ -190,10 +188,15 @@
         view.record_latency(seconds)
         self._targets.reachability.record_answer(placement.target)
         load = self._codec.load(answer)
+        head = _placement.AnswerHead(seconds=seconds)
         if load is not None:
             view.record_report(load.running + load.waiting)
-            self._on_answer_head(
-                placement, load.running, load.waiting, seconds
+            head = _placement.AnswerHead(
+                seconds=seconds,
+                running=load.running,
+                waiting=load.waiting,
+                slowness=load.slowness,
             )
+        self._on_answer_head(placement, head)
         if call.route.has_context:
             self._contexts.record_read(call.chat, placement.target)
--- a/src/topazlug/forwarding/_options.py
+++ b/src/topazlug/forwarding/_options.py
@@ -42,6 +42,8 @@
         Whether the whole system starts for the first time.
     max_connections : int
         Maximum number of callers' connections served at once.
+    fair_shares : bool
+        Whether teams share the capacity of replicas fairly while it is short.
     disabled : frozenset of Mechanism
         Mechanisms that are switched off.
     """
@@ -61,4 +63,5 @@
     staleness_bounds: _staleness_bounds.StalenessBounds
     first_start: bool
     max_connections: int
+    fair_shares: bool = False
     disabled: _mechanisms.DisabledMechanisms = _mechanisms.NONE_DISABLED
--- a/src/topazlug/forwarding/_wire.py
+++ b/src/topazlug/forwarding/_wire.py
@@ -47,6 +47,8 @@
         Number of the last event that the caller has received.
     fields : tuple of (str, str)
         Fields that are forwarded to the replica unchanged.
+    output_tokens : int
+        Maximum number of tokens to generate, 0 if unknown.
     """
 
     attempt: _ids.RequestId
@@ -56,6 +58,7 @@
     parts: tuple[PromptPart, ...]
     resume_after: int | None
     fields: tuple[Field, ...]
+    output_tokens: int = 0
 
 
 class CallerHeaderDecoder(Protocol):
@@ -107,11 +110,23 @@
 
 @final
 class LoadReport(msgspec.Struct, frozen=True):
-    """A replica's report on its own load."""
+    """A replica's report on its own load.
+
+    Attributes
+    ----------
+    running, waiting : int
+        Requests that it runs, and that wait there.
+    slots : int
+        Requests that it can run concurrently.
+    slowness : float or None
+        How long work takes there at this moment, relative to its usual time;
+        None if it does not report that.
+    """
 
     running: int
     waiting: int
     slots: int
+    slowness: float | None = None
 
 
 class ReplicaHeaderCodec(_target_wire.TargetWire, Protocol):
--- a/src/topazlug/placement/_owner_admission.py
+++ b/src/topazlug/placement/_owner_admission.py
@@ -234,43 +234,52 @@
     def handle_response_head(
         self,
         placement: _placement.Placement,
-        running: int,
-        waiting: int,
-        seconds: float,
+        head: _placement.AnswerHead,
     ) -> None:
-        """Report the load in a response head to the replica's owner.
+        """Report the head of a response to the replica's owner.
+
+        It is reported if a context was read or requests wait on the replica,
+        once after the last of them has left its queue, and whenever the
+        replica reports its slowness, which changes many times per second.
+        Responses to requests that were placed without the owner are reported
+        too, as the owner could not apply its limits to these.
 
-        A report is sent if a context was read or requests wait on the
-        replica, and once after the last of them has left its queue. Responses
-        to requests that were placed without the owner are reported too, as
-        the owner could not apply its limits to these.
+        Without the report that a context was read, other requests for the
+        same context would wait for it until they are late.
 
         Parameters
         ----------
         placement : Placement
             Placement of the request that was answered.
-        running, waiting : int
-            Requests that the replica reports as running and as waiting.
-        seconds : float
-            Seconds until the head arrived.
+        head : AnswerHead
+            Head of the answer.
         """
         if self.owner_client is None:
             return
         replica = placement.target.replica
         was_queueing = replica in self._queueing_replicas
-        if waiting:
+        if head.waiting:
             self._queueing_replicas.add(replica)
         else:
             self._queueing_replicas.discard(replica)
-        if not (placement.reads_context or waiting or was_queueing):
+        if not (
+            placement.reads_context
+            or head.waiting
+            or was_queueing
+            or head.slowness is not None
+        ):
             return
         report = messages.EngineWord(
             replica=replica,
-            running=running,
-            waiting=waiting,
-            slow=seconds
+            running=head.running or 0,
+            waiting=head.waiting or 0,
+            has_load=head.running is not None,
+            slow=head.seconds
             > placement.request.latency_objective * _SLOW_FRACTION,
             read=placement.request.chat if placement.reads_context else 0,
+            slowness=head.slowness or 0.0,
+            seconds=head.seconds,
+            ask=placement.ask,
         )
         placement.reads_context = False
         self.owner_client.report_response_head(replica, report)
--- a/src/topazlug/placement/_owners.py
+++ b/src/topazlug/placement/_owners.py
@@ -13,6 +13,7 @@
 from topazlug.routing import _owner
 from topazlug.routing import _owner_client
 from topazlug.routing import _owner_endpoint
+from topazlug.routing import _owner_features
 from topazlug.routing import _ownership
 from topazlug.targets import _targets
 
@@ -70,6 +71,8 @@
         Connections to peers.
     targets : TargetDirectory
         Replicas.
+    features : OwnerFeatures
+        Optional decisions of the owner that are switched on.
     clock : Clock
         Time.
 
@@ -85,6 +88,7 @@
         daemon: _ids.DaemonId,
         links: _peers.PeerLinks,
         targets: _targets.TargetDirectory,
+        features: _owner_features.OwnerFeatures,
         clock: _clock.Clock,
     ) -> None:
         self._targets = targets
@@ -103,6 +107,7 @@
             routing=routing,
             clock=clock,
             startup_fraction=_STARTUP_FRACTION,
+            features=features,
         )
         self._owner = owner
         self.owner_client = _owner_client.OwnerClient(
--- a/src/topazlug/routing/_admission_control.py
+++ b/src/topazlug/routing/_admission_control.py
@@ -15,6 +15,7 @@
 from topazlug.capacity import _startup_allowance
 from topazlug.routing import _group_limits
 from topazlug.routing import _ledger
+from topazlug.routing import _owner_features
 from topazlug.routing import _owner_queue
 from topazlug.routing import _owner_replies
 from topazlug.targets import _targets
@@ -38,6 +39,8 @@
         Replicas, and which of them are cold.
     startup_allowance : StartupAllowance
         Load allowed on a replica just after this owner has started.
+    features : OwnerFeatures
+        Optional decisions that are switched on.
     clock : Clock
         Source of time.
     """
@@ -50,6 +53,7 @@
         queue: _owner_queue.OwnerQueue,
         targets: _targets.TargetDirectory,
         startup_allowance: _startup_allowance.StartupAllowance,
+        features: _owner_features.OwnerFeatures,
         clock: _clock.Clock,
     ) -> None:
         self._group_limits = group_limits
@@ -57,6 +61,7 @@
         self._queue = queue
         self._targets = targets
         self._startup_allowance = startup_allowance
+        self._features = features
         self._clock = clock
 
     def decide(
--- a/src/topazlug/routing/_owner.py
+++ b/src/topazlug/routing/_owner.py
@@ -21,6 +21,7 @@
 from topazlug.routing import _displaced_chats
 from topazlug.routing import _group_limits
 from topazlug.routing import _ledger
+from topazlug.routing import _owner_features
 from topazlug.routing import _owner_queue
 from topazlug.routing import _owner_replies
 from topazlug.routing import _ownership
@@ -72,6 +73,8 @@
     startup_fraction : float
         Fraction of a replica's slots that is admitted regardless of the
         mean load just after this daemon has started.
+    features : OwnerFeatures
+        Optional decisions that are switched on.
 
     Attributes
     ----------
@@ -95,6 +98,9 @@
         routing: _settings_types.RoutingSettings,
         clock: _clock.Clock,
         startup_fraction: float = 0.0,
+        features: _owner_features.OwnerFeatures = (
+            _owner_features.DEFAULT_FEATURES
+        ),
     ) -> None:
         self._daemon = daemon
         self._ownership = ownership
@@ -102,6 +108,7 @@
         self._rules = rules
         self._routing = routing
         self._clock = clock
+        self._features = features
         self.ledger_by_replica: dict[_ids.ReplicaId, _ledger.ReplicaLedger] = (
             {}
         )
@@ -131,6 +138,7 @@
             startup_allowance=_startup_allowance.StartupAllowance(
                 fraction=startup_fraction, started_at=clock.monotonic()
             ),
+            features=features,
             clock=clock,
         )
         self._last_received_at: dict[_ids.DaemonId, float] = {}
@@ -215,9 +223,10 @@
         if ledger is None:
             return
         now = self._clock.monotonic()
-        ledger.rank_limits.handle_report(
-            head.running, head.waiting, slow=head.slow, now=now
-        )
+        if head.has_load:
+            ledger.rank_limits.handle_report(
+                head.running, head.waiting, slow=head.slow, now=now
+            )
         if head.read:
             ledger.context_reads.record_read(_ids.ChatHash(head.read), now=now)
 
--- a/src/topazlug/routing/_owner_client.py
+++ b/src/topazlug/routing/_owner_client.py
@@ -110,6 +110,7 @@
         may_wait: bool = False,
         min_timeout: float = 0.0,
         cold: bool = False,
+        accept_stall: bool = False,
     ) -> OwnerReply | None:
         """Send an admission request to a replica's owner.
 
@@ -133,6 +134,9 @@
             wait longer for a reply.
         cold : bool
             Whether this daemon considers the replica cold.
+        accept_stall : bool
+            Whether the owner must not reply that reading the prompt would
+            stall running streams.
 
         Returns
         -------
@@ -165,6 +169,10 @@
             shared=request.shared_tokens,
             may_wait=may_wait,
             cold=cold,
+            tokens=request.prompt_tokens,
+            output_tokens=request.output_tokens,
+            max_pause=request.max_pause,
+            accept_stall=accept_stall,
         )
         self.held_placements.pending_by_ask[ask] = owner
         try:
--- a/src/topazlug/routing/_placement.py
+++ b/src/topazlug/routing/_placement.py
@@ -45,6 +45,13 @@
     latency_objective : float
         Seconds until the first byte of a response that is on time. Also the
         maximum wait while another request reads the same context.
+    prompt_tokens : int
+        Length of the whole prompt in tokens, 0 if unknown.
+    output_tokens : int
+        Maximum number of tokens to generate, 0 if unknown.
+    max_pause : float
+        Longest pause in seconds between two events for which a stream is on
+        time, 0 if unknown.
     """
 
     group: _ids.GroupName
@@ -60,6 +67,30 @@
     prompt: int = 0
     shared_tokens: int = 0
     latency_objective: float = 0.0
+    prompt_tokens: int = 0
+    output_tokens: int = 0
+    max_pause: float = 0.0
+
+
+class AnswerHead(msgspec.Struct, frozen=True, kw_only=True):
+    """What the head of a replica's answer shows of the replica.
+
+    Attributes
+    ----------
+    seconds : float
+        Seconds from sending the request to the head.
+    running, waiting : int or None
+        Requests that the replica reports as running and as waiting; None if
+        it does not report its load.
+    slowness : float or None
+        How long work takes there at this moment, relative to its usual time;
+        None if it does not report that.
+    """
+
+    seconds: float
+    running: int | None = None
+    waiting: int | None = None
+    slowness: float | None = None
 
 
 @final
--- a/tests/topazlug/placement/owner_fixtures.py
+++ b/tests/topazlug/placement/owner_fixtures.py
@@ -12,6 +12,7 @@
 from topazlug.placement import _owners
 from topazlug.placement import _replica_view
 from topazlug.placement import _view_admission
+from topazlug.routing import _owner_features
 from topazlug.routing import _placement
 from topazlug.targets import _targets
 
@@ -41,7 +42,14 @@
         Called after a message was handled, before the sender gets the reply.
     """
 
-    def __init__(self, *names, replicas, slots=64, is_starting=False):
+    def __init__(
+        self,
+        *names,
+        replicas,
+        slots=64,
+        is_starting=False,
+        features=_owner_features.DEFAULT_FEATURES,
+    ):
         self.clock = claim_fakes.FakeClock()
         self.unresponsive = set()
         self.last_received_at = {}
@@ -51,7 +59,9 @@
         self.targets = [
             fixtures.target(name, slots=slots) for name in replicas
         ]
-        self.daemon_by_name = {name: Daemon(self, name) for name in names}
+        self.daemon_by_name = {
+            name: Daemon(self, name, features) for name in names
+        }
         daemons = dict.fromkeys(map(_ids.DaemonId, names))
         for daemon in self.daemons:
             daemon.owners.update_daemons(daemons)
@@ -93,7 +103,7 @@
 class Daemon:
     """The objects of one daemon that place requests."""
 
-    def __init__(self, fleet, name):
+    def __init__(self, fleet, name, features):
         self.links = _Links(fleet, name)
         self.targets = _targets.TargetDirectory(
             clock=fleet.clock, flap_window=10.0
@@ -105,6 +115,7 @@
             daemon=_ids.DaemonId(name),
             links=self.links,
             targets=self.targets,
+            features=features,
             clock=fleet.clock,
         )
         self.admission = _owner_admission.OwnerOrViewAdmission(
--- a/tests/topazlug/placement/test_owner_admission.py
+++ b/tests/topazlug/placement/test_owner_admission.py
@@ -11,6 +11,7 @@
 from topazlug import _ids
 from topazlug._generated import messages
 from topazlug.routing import _group_load
+from topazlug.routing import _placement
 from topazlug.routing import _ranking
 
 DAEMONS = tuple(f"d{n}" for n in range(9))
@@ -437,11 +438,16 @@
 
 
 class TestContextReads:
-    def test_second_request_waits_for_the_first_to_read(self, fleet):
+    @pytest.mark.parametrize("running, waiting", [(1, 0), (None, None)])
+    def test_second_request_waits_for_the_first_to_read(
+        self, fleet, running, waiting
+    ):
         """An engine must not read a prompt once for each request of its chat.
 
         A chat moves to a replica that has not read its prompt, and its
-        requests arrive there at the same time through many daemons.
+        requests arrive there at the same time through many daemons. The end
+        of the read is reported whether or not the replica reports its load:
+        otherwise they all wait until they are late.
         """
         chat = next(chats())
         first = fleet.daemon_by_name["d0"]
@@ -453,7 +459,12 @@
 
         def report_head(seconds):
             slept.append(seconds)
-            first.admission.handle_response_head(placement, 1, 0, 0.1)
+            first.admission.handle_response_head(
+                placement,
+                _placement.AnswerHead(
+                    seconds=0.1, running=running, waiting=waiting
+                ),
+            )
             fleet.clock.advance(seconds)
 
         fleet.clock.sleep = report_head
--- a/tests/topazlug_platform/test_headers.py
+++ b/tests/topazlug_platform/test_headers.py
@@ -3,6 +3,7 @@
 import pytest
 from topazlug_platform import headers
 
+from topazlug.forwarding import _wire
 from topazlug.targets import _target_answer
 from topazlug.targets import _target_report
 
@@ -16,6 +17,9 @@
         self.status = status
         self._fields = fields
 
+    def header(self, name):
+        return ", ".join(self.header_values(name))
+
     def header_values(self, name):
         return [value for key, value in self._fields if key == name]
 
@@ -48,3 +52,55 @@
 
     def test_no_fields(self):
         assert report(200) == _target_report.EMPTY_REPORT
+
+
+def load(value) -> _wire.LoadReport | None:
+    answer: _target_answer.TargetAnswer = Answer(
+        200, ("X-Replica-Load", value)
+    )
+    return WIRE.load(answer)
+
+
+class TestLoad:
+    def test_three_figures(self):
+        assert load("3, 1,48") == _wire.LoadReport(3, 1, 48)
+
+    def test_fourth_figure_is_the_slowness(self):
+        """The load of replicas that share their machines was ignored.
+
+        Without it, requests for a context that had been read went on
+        waiting for the read until they were late.
+        """
+        assert load("3,1,48,250") == _wire.LoadReport(3, 1, 48, slowness=2.5)
+
+    def test_further_figures_are_ignored(self):
+        assert load("3,1,48,130,7") == _wire.LoadReport(3, 1, 48, slowness=1.3)
+
+    def test_zero_is_no_slowness(self):
+        assert load("3,1,48,0") == _wire.LoadReport(3, 1, 48)
+
+    @pytest.mark.parametrize(
+        "value",
+        ["", "3,1", "a,1,48", "3,1,-48", "3,1,48,", "3,1,48,x", "\u00b2,1,48"],
+    )
+    def test_malformed_figures(self, value):
+        assert load(value) is None
+
+
+def output_tokens(value) -> int:
+    return (
+        headers.ClientHeaders()
+        .decode([("X-Token-Counts", value)])
+        .output_tokens
+    )
+
+
+class TestTokenCounts:
+    def test_output_tokens(self):
+        assert output_tokens("1460,80") == 80
+
+    @pytest.mark.parametrize(
+        "value", ["", "1460", "1460,", "1460,x", "1460,-8"]
+    )
+    def test_malformed_counts(self, value):
+        assert output_tokens(value) == 0
