--- a/src/topazlug/routing/_ledger.py
+++ b/src/topazlug/routing/_ledger.py
@@ -18,6 +18,7 @@
 from topazlug.capacity import _cold_rate
 from topazlug.capacity import _context_reads
 from topazlug.capacity import _rank_limits
+from topazlug.capacity import _replica_speed
 from topazlug.capacity import _reservations
 from topazlug.capacity import _shared_backoff
 from topazlug.capacity import _slot_key
@@ -115,6 +116,7 @@
         self.cold_rate = _cold_rate.ColdRateLimiter()
         self.reservations = _reservations.Reservations()
         self.backoff = _shared_backoff.SharedBackoff()
+        self.speed = _replica_speed.ReplicaSpeed()
         self.entry_by_key: dict[_slot_key.SlotKey, LedgerEntry] = {}
         self.queued_by_key: dict[_slot_key.SlotKey, QueuedRequest] = {}
         self._interactive = _fair_queue.FairQueue[QueuedRequest](
--- a/src/topazlug/routing/_owner.py
+++ b/src/topazlug/routing/_owner.py
@@ -227,6 +227,8 @@
             ledger.rank_limits.handle_report(
                 head.running, head.waiting, slow=head.slow, now=now
             )
+        if head.slowness > 0:
+            ledger.speed.record(head.slowness, now=now)
         if head.read:
             ledger.context_reads.record_read(_ids.ChatHash(head.read), now=now)
 
