Divide the limits of a replica by its sustained slowness

Replicas at 1.3 times the usual time were late 2.6 times as often as the others and received as many chats. Owners now divide the multiple of the mean and the limits by rank by the slowness over about a second, where it is reported. The allowance is divided only while a replica is slower than it usually is, so that chats stay in place at low load. The entry daemon's own view divides its multiple of the mean in the same way.

--- a/src/topazlug/capacity/_rank_limits.py
+++ b/src/topazlug/capacity/_rank_limits.py
@@ -124,6 +124,7 @@
         reserved: int,
         is_due: bool,
         now: float,
+        slowness: float = 1.0,
     ) -> bool:
         """Return whether a rank may hold one more request.
 
@@ -140,16 +141,18 @@
             only half of the margin to more urgent ranks.
         now : float
             Monotonic seconds.
+        slowness : float
+            What the limit is divided by, at least 1; it never falls below one
+            request. The limit that the reports have led to is not changed.
         """
-        free = self._limit - load - reserved
+        limit = max(1.0, self._limit / max(1.0, slowness))
+        free = limit - load - reserved
         if free < 1:
             return False
-        share = max(1.0, self._limit * _MIN_SHARE_FRACTION)
+        share = max(1.0, limit * _MIN_SHARE_FRACTION)
         if self._held_by_rank[rank] < share:
             return True
-        margin = (
-            self._limit * _MARGIN_FRACTION * self._more_urgent_ranks(rank, now)
-        )
+        margin = limit * _MARGIN_FRACTION * self._more_urgent_ranks(rank, now)
         if is_due:
             margin *= _DUE_MARGIN_FRACTION
         return free - margin >= 1
--- a/src/topazlug/forwarding/_daemon.py
+++ b/src/topazlug/forwarding/_daemon.py
@@ -296,6 +296,7 @@
         )
         self._owners.update_daemons(self._fleet.directory.daemons_by_id)
         self._greenlets += self._owners.start()
+        _gauges.watch_owner(self.metrics, self._owners)
         self._crash_assembly.join(links)
         if _mechanisms.Mechanism.OWNERS not in self._options.disabled:
             self._admission.owner_client = self._owners.owner_client
--- a/src/topazlug/forwarding/_exchange.py
+++ b/src/topazlug/forwarding/_exchange.py
@@ -89,6 +89,9 @@
         clock: _clock.Clock,
         disabled: _mechanisms.DisabledMechanisms = _mechanisms.NONE_DISABLED,
     ) -> None:
+        self._uses_slowness = (
+            _mechanisms.Mechanism.REPLICA_SPEED not in disabled
+        )
         self._copies_contexts = _mechanisms.Mechanism.COPIES not in disabled
         self._on_connection_failure = on_connection_failure
         self._on_answer_head = on_answer_head
@@ -191,6 +194,8 @@
         head = _placement.AnswerHead(seconds=seconds)
         if load is not None:
             view.record_report(load.running + load.waiting)
+            if load.slowness is not None and self._uses_slowness:
+                view.record_slowness(load.slowness)
             head = _placement.AnswerHead(
                 seconds=seconds,
                 running=load.running,
--- a/src/topazlug/placement/_owners.py
+++ b/src/topazlug/placement/_owners.py
@@ -151,6 +151,10 @@
         """Return the ledger of a replica that this daemon owns."""
         return self._owner.ledger_by_replica.get(replica)
 
+    def slowness_by_replica(self) -> Mapping[_ids.ReplicaId, float]:
+        """Return what the limits of each replica owned here are divided by."""
+        return self._owner.slowness_by_replica()
+
     def report(self) -> None:
         """Report the load of the replicas owned here to collectors, if due."""
         self._endpoint.report()
--- a/src/topazlug/placement/_replica_view.py
+++ b/src/topazlug/placement/_replica_view.py
@@ -15,6 +15,7 @@
 from topazlug import _clock
 from topazlug import _ids
 from topazlug import _logs
+from topazlug.capacity import _replica_speed
 from topazlug.placement import _mechanisms
 from topazlug.targets import _targets
 
@@ -74,6 +75,7 @@
         self.report_seconds = report_seconds
         self.in_flight = 0
         self.latency = 0.0
+        self._speed = _replica_speed.ReplicaSpeed()
         self._load_of_others = 0
         self._reported_at = -math.inf
         self._outcomes: collections.deque[_Outcome] = collections.deque(
@@ -108,6 +110,15 @@
         age = self._clock.monotonic() - self._reported_at
         return age < self.report_seconds
 
+    def record_slowness(self, slowness: float) -> None:
+        """Record how slow the replica reports to be."""
+        self._speed.record(slowness, now=self._clock.monotonic())
+
+    @property
+    def slowness(self) -> float:
+        """Return how slow the replica has been for about a second."""
+        return max(1.0, self._speed.sustained(now=self._clock.monotonic()))
+
     def record_full(self, rank: int) -> None:
         """Record that an owner had no free capacity for a rank."""
         until = self._clock.monotonic() + _FULL_SECONDS
--- a/src/topazlug/placement/_view_admission.py
+++ b/src/topazlug/placement/_view_admission.py
@@ -160,11 +160,12 @@
         loads = self._loads(candidates)
         least = min(candidates, key=loads.__getitem__)
         self._check_capacity(request, least, loads[least])
-        bound = _BOUND_FACTOR * sum(loads.values()) / len(loads) + _MARGIN
+        bound = _BOUND_FACTOR * sum(loads.values()) / len(loads)
         ranked = _ranking.rank(candidates, request.chat, count=len(candidates))
         for name in ranked:
             replica = _ids.ReplicaId(name)
-            if loads[replica] + 1 <= bound:
+            slowness = self._views.of(replica).slowness
+            if loads[replica] + 1 <= bound / slowness + _MARGIN:
                 return replica, name == home
         return least, False
 
--- a/src/topazlug/routing/_admission_control.py
+++ b/src/topazlug/routing/_admission_control.py
@@ -12,6 +12,7 @@
 from topazlug._generated import messages
 from topazlug.capacity import _context_reads
 from topazlug.capacity import _slot_key
+from topazlug.capacity import _slow_limits
 from topazlug.capacity import _startup_allowance
 from topazlug.routing import _group_limits
 from topazlug.routing import _ledger
@@ -179,7 +180,7 @@
         if ask.total > total.load:
             total = total._replace(load=ask.total)
         limit = max(
-            self._group_limits.limit(ledger.group, total),
+            self._group_limits.limit_of(ledger, total),
             self._startup_allowance.limit(
                 ledger.slots, now=self._clock.monotonic()
             ),
@@ -212,6 +213,7 @@
                 load=ledger.load,
                 limit=limit,
                 mean=round(total.mean, 2),
+                slowness=round(self._group_limits.slowness_of(ledger), 2),
                 home=ask.home,
                 places_of_chat=ledger.placement_count(entry.chat),
                 judgement=fit.name.lower(),
@@ -244,7 +246,12 @@
             ask.rank, now=now, is_due=is_due
         )
         return ledger.rank_limits.has_capacity(
-            ask.rank, load=load, reserved=reserved, is_due=is_due, now=now
+            ask.rank,
+            load=load,
+            reserved=reserved,
+            is_due=is_due,
+            slowness=self._group_limits.slowness_of(ledger),
+            now=now,
         )
 
     def _reject_by_rank(
@@ -259,13 +266,15 @@
             max_delay=ask.longest,
             now=self._clock.monotonic(),
         )
+        slowness = self._group_limits.slowness_of(ledger)
         _log.info(
             "rejected at {replica} for rank {rank}: load {load}, "
             "limit {limit}",
             replica=ledger.replica,
             rank=ask.rank,
             load=ledger.load,
-            limit=ledger.rank_limits.limit,
+            limit=_slow_limits.divide(ledger.rank_limits.limit, slowness),
+            slowness=round(slowness, 2),
             home=ask.home,
             retry_after=round(retry_after, 3),
         )
--- a/src/topazlug/routing/_group_limits.py
+++ b/src/topazlug/routing/_group_limits.py
@@ -12,8 +12,10 @@
 from topazlug import _clock
 from topazlug import _ids
 from topazlug._generated import messages
+from topazlug.capacity import _slow_limits
 from topazlug.routing import _group_load
 from topazlug.routing import _ledger
+from topazlug.routing import _owner_features
 from topazlug.targets import _targets
 
 
@@ -53,6 +55,8 @@
         Bounds of groups.
     clock : Clock
         Source of time.
+    features : OwnerFeatures
+        Optional decisions that are switched on.
     """
 
     def __init__(
@@ -62,11 +66,15 @@
         targets: _targets.TargetDirectory,
         bounds: Bounds,
         clock: _clock.Clock,
+        features: _owner_features.OwnerFeatures = (
+            _owner_features.DEFAULT_FEATURES
+        ),
     ) -> None:
         self._ledger_by_replica = ledger_by_replica
         self._targets = targets
         self._bounds = bounds
         self._clock = clock
+        self._features = features
         self._estimate_by_group: dict[
             _ids.GroupName, _group_load.GroupEstimate
         ] = {}
@@ -98,6 +106,38 @@
             replicas=current.replicas,
         )
 
+    def limit_of(
+        self, ledger: _ledger.ReplicaLedger, total: GroupTotal
+    ) -> int:
+        """Return the load that the bound allows on one replica.
+
+        The multiple of the mean is divided by the replica's usual slowness,
+        without the allowance, which keeps chats in place at low load. While
+        the replica is slower than usual, the result is divided by how much
+        slower it is. That can be below the mean, as other replicas take the
+        difference.
+        """
+        limit = self.limit(ledger.group, total)
+        if not self._features.replica_speed or not ledger.speed.is_reported:
+            return limit
+        now = self._clock.monotonic()
+        usual = max(1.0, ledger.speed.usual(now=now))
+        usual_limit = _group_load.bound_limit(
+            bound=self._bounds.bound_of(ledger.group) / usual,
+            allowance=self._bounds.allowance_of(ledger.group),
+            total=total.load,
+            replicas=total.replicas,
+        )
+        return _slow_limits.divide(
+            usual_limit, ledger.speed.sustained(now=now) / usual
+        )
+
+    def slowness_of(self, ledger: _ledger.ReplicaLedger) -> float:
+        """Return what a replica's limits by rank are divided by."""
+        if not self._features.replica_speed:
+            return 1.0
+        return max(1.0, ledger.speed.sustained(now=self._clock.monotonic()))
+
     def ledgers_of(self, group: _ids.GroupName) -> list[_ledger.ReplicaLedger]:
         """Return the ledgers of a group's replicas that are owned here."""
         ledgers = self._ledger_by_replica.values()
--- a/src/topazlug/routing/_ledger.py
+++ b/src/topazlug/routing/_ledger.py
@@ -22,6 +22,7 @@
 from topazlug.capacity import _reservations
 from topazlug.capacity import _shared_backoff
 from topazlug.capacity import _slot_key
+from topazlug.capacity import _slow_limits
 from topazlug.limits import _fair_queue
 
 _INTERVAL_SMOOTHING = 0.1
@@ -117,6 +118,7 @@
         self.reservations = _reservations.Reservations()
         self.backoff = _shared_backoff.SharedBackoff()
         self.speed = _replica_speed.ReplicaSpeed()
+        self.slow_phase = _slow_limits.SlowPhase()
         self.entry_by_key: dict[_slot_key.SlotKey, LedgerEntry] = {}
         self.queued_by_key: dict[_slot_key.SlotKey, QueuedRequest] = {}
         self._interactive = _fair_queue.FairQueue[QueuedRequest](
--- a/src/topazlug/routing/_owner.py
+++ b/src/topazlug/routing/_owner.py
@@ -16,6 +16,7 @@
 from topazlug._generated import messages
 from topazlug._generated import settings as _settings_types
 from topazlug.capacity import _slot_key
+from topazlug.capacity import _slow_limits
 from topazlug.capacity import _startup_allowance
 from topazlug.routing import _admission_control
 from topazlug.routing import _displaced_chats
@@ -117,6 +118,7 @@
             targets=targets,
             bounds=rules,
             clock=clock,
+            features=features,
         )
         self.displaced = _displaced_chats.DisplacedChats(
             capacity=routing.displaced_capacity
@@ -229,9 +231,37 @@
             )
         if head.slowness > 0:
             ledger.speed.record(head.slowness, now=now)
+            self._update_slow_phase(ledger)
         if head.read:
             ledger.context_reads.record_read(_ids.ChatHash(head.read), now=now)
 
+    def _update_slow_phase(self, ledger: _ledger.ReplicaLedger) -> None:
+        slowness = self.group_limits.slowness_of(ledger)
+        change = ledger.slow_phase.update(
+            slowness, now=self._clock.monotonic()
+        )
+        if change is _slow_limits.PhaseChange.BEGAN:
+            _log.info(
+                "{replica} is slow: its limits are divided by {slowness:.1f}",
+                replica=ledger.replica,
+                slowness=round(slowness, 2),
+                load=ledger.load,
+            )
+        elif change is _slow_limits.PhaseChange.ENDED:
+            _log.info(
+                "{replica} is no longer slow: its limits are restored",
+                replica=ledger.replica,
+                slowness=round(slowness, 2),
+                load=ledger.load,
+            )
+
+    def slowness_by_replica(self) -> dict[_ids.ReplicaId, float]:
+        """Return what the limits of each owned replica are divided by."""
+        return {
+            replica: self.group_limits.slowness_of(ledger)
+            for replica, ledger in self.ledger_by_replica.items()
+        }
+
     def release(self, sender: _ids.DaemonId, asks: Iterable[int]) -> None:
         """Release placements and queued requests of an entry daemon."""
         now = self._clock.monotonic()
--- a/src/topazlug/routing/_owner_queue.py
+++ b/src/topazlug/routing/_owner_queue.py
@@ -119,7 +119,7 @@
             return
         total = self._group_limits.total(ledger.group)
         ledger.grant_queued(
-            limit=self._group_limits.limit(ledger.group, total),
+            limit=self._group_limits.limit_of(ledger, total),
             now=self._clock.monotonic(),
             mean=total.mean,
         )
--- a/src/topazlug/telemetry/_metrics.py
+++ b/src/topazlug/telemetry/_metrics.py
@@ -79,6 +79,8 @@
     UNREACHED_REPLICAS = "topazlug.replicas.unreached"
     LEAVING_REPLICAS = "topazlug.replicas.said_leaving"
     BACKOFF_REPLICAS = "topazlug.replicas.in_backoff"
+    SLOW_REPLICAS = "topazlug.replicas.slow"
+    MAX_SLOWNESS = "topazlug.replicas.max_slowness"
     TABLE_AGE = "topazlug.tables.age"
 
 
@@ -114,6 +116,10 @@
     "they are leaving.",
     Gauge.BACKOFF_REPLICAS: "Replicas that asked this daemon for a backoff "
     "that is not over.",
+    Gauge.SLOW_REPLICAS: "Owned replicas whose limits are at least halved "
+    "because they are slow.",
+    Gauge.MAX_SLOWNESS: "Largest number that the limits of an owned replica "
+    "are divided by; 1 if none is slow.",
     Gauge.TABLE_AGE: "Age of the oldest word of the store on a table.",
     Total.CONTROL_SENT: "Bytes sent to peers.",
     Total.CONTROL_RECEIVED: "Bytes received from peers.",
