Keep the slowness of a view only for replicas that report it

A view of each of 6,100 replicas would otherwise hold an unused window of figures, about 0.8 KB. test_exchange checks that the head of an answer brings the slowness to the view, and not when replica-speed is switched off.

--- a/src/topazlug/placement/_replica_view.py
+++ b/src/topazlug/placement/_replica_view.py
@@ -75,7 +75,7 @@
         self.report_seconds = report_seconds
         self.in_flight = 0
         self.latency = 0.0
-        self._speed = _replica_speed.ReplicaSpeed()
+        self._speed: _replica_speed.ReplicaSpeed | None = None
         self._load_of_others = 0
         self._reported_at = -math.inf
         self._outcomes: collections.deque[_Outcome] = collections.deque(
@@ -112,11 +112,15 @@
 
     def record_slowness(self, slowness: float) -> None:
         """Record how slow the replica reports to be."""
+        if self._speed is None:
+            self._speed = _replica_speed.ReplicaSpeed()
         self._speed.record(slowness, now=self._clock.monotonic())
 
     @property
     def slowness(self) -> float:
         """Return how slow the replica has been for about a second."""
+        if self._speed is None:
+            return 1.0
         return max(1.0, self._speed.sustained(now=self._clock.monotonic()))
 
     def record_full(self, rank: int) -> None:
--- /dev/null
+++ b/tests/topazlug/forwarding/test_exchange.py
@@ -0,0 +1,73 @@
+"""Figures that the head of a replica's answer brings."""
+
+import types
+
+import pytest
+
+from tests.topazlug import claim_fakes
+from tests.topazlug.forwarding import forwarding_fixtures as fixtures
+from topazlug.forwarding import _exchange
+from topazlug.forwarding import _wire
+from topazlug.placement import _mechanisms
+from topazlug.placement import _replica_view
+from topazlug.targets import _targets
+
+
+class Codec:
+    """Decodes each answer as one of a slow replica."""
+
+    def encode(self, head, metadata):
+        return []
+
+    def verdict(self, answer):
+        return _wire.AnswerVerdict.GENUINE
+
+    def load(self, answer):
+        return _wire.LoadReport(1, 0, 8, slowness=2.5)
+
+
+def view_after_answers(*disabled):
+    """Return the view of a replica that reported its slowness for 2 s."""
+    clock = claim_fakes.FakeClock()
+    views = _replica_view.ReplicaViews(clock=clock)
+    heads = []
+    exchange = _exchange.Exchange(
+        connections=types.SimpleNamespace(exchange=lambda *_, **__: None),
+        targets=_targets.TargetDirectory(clock=clock, flap_window=10.0),
+        views=views,
+        contexts=types.SimpleNamespace(),
+        codec=Codec(),
+        on_connection_failure=lambda *_, **__: None,
+        on_answer_head=lambda placement, head: heads.append(head),
+        clock=clock,
+        disabled=frozenset(disabled),
+    )
+    target = fixtures.target("i-1")
+    call = types.SimpleNamespace(
+        deadline=1e9,
+        team=None,
+        rank=0,
+        method="POST",
+        target="/a/",
+        body=b"",
+        fingerprint=0,
+        started_at=0.0,
+        route=types.SimpleNamespace(has_context=False, repeatable=True),
+        head=types.SimpleNamespace(attempt="a1"),
+    )
+    placement = types.SimpleNamespace(target=target)
+    for _ in range(20):
+        exchange.send(call, placement, head_timeout=1.0, resume_after=None)
+        clock.advance(0.1)
+    assert heads[-1].slowness == 2.5
+    return views.of(target.replica)
+
+
+class TestSlowness:
+    def test_is_recorded_for_placement_without_owners(self):
+        """Without an owner's reply, slow replicas got their full share."""
+        assert view_after_answers().slowness == pytest.approx(2.5)
+
+    def test_has_no_effect_where_it_is_switched_off(self):
+        disabled = _mechanisms.Mechanism.REPLICA_SPEED
+        assert view_after_answers(disabled).slowness == 1.0
