Send first reads away from replicas where they stall streams

Cause: a replica stalls its running streams while it reads a prompt.

PromptReads estimates when a replica's reading queue is empty and how long one more read takes; owners answer a first read that would stall streams with the verdict 'stalls', and the entry daemon asks the next replicas. AdmitAsk gains 'objective', without which an owner can't tell whether the first event stays on time, and 'held' for contexts that can be copied.

Ruled out: sending reads elsewhere while the counts of a new owner are uncertain, as it does not know the contexts of its replicas yet and prompts that these hold would be read again.

--- a/src/topazlug/_generated/messages.py
+++ b/src/topazlug/_generated/messages.py
@@ -159,6 +159,22 @@
             ),
         ]
     ) = False
+    objective: (
+        Annotated[
+            float,
+            Meta(
+                description="Seconds until the first byte of an answer that is on time, 0 if unknown."
+            ),
+        ]
+    ) = 0
+    held: (
+        Annotated[
+            int,
+            Meta(
+                description="Number of the shared tokens that a replica is known to hold, so that they can be copied from it."
+            ),
+        ]
+    ) = 0
 
 
 class Verdict(StrEnum):
--- a/src/topazlug/forwarding/_daemon.py
+++ b/src/topazlug/forwarding/_daemon.py
@@ -131,6 +131,7 @@
             views=self.views,
             clock=clock,
             disabled=options.disabled,
+            contexts=self.contexts,
         )
         self._owners: _owners.OwnerRole | None = None
         self._fleet = _fleet.Fleet(
@@ -203,6 +204,7 @@
             targets=self.targets,
             fleet=self._fleet,
             guard=self._crash_assembly.guard,
+            read_placements=self._admission.read_placements,
         )
         self._monitoring = _monitoring.MonitoringListeners(
             options=options, is_ready=self.is_ready, metrics=self.metrics
--- a/src/topazlug/forwarding/_gauges.py
+++ b/src/topazlug/forwarding/_gauges.py
@@ -5,6 +5,7 @@
 from topazlug.fleet import _fleet
 from topazlug.forwarding import _app
 from topazlug.forwarding import _table
+from topazlug.placement import _read_search
 from topazlug.targets import _target_gauges
 from topazlug.targets import _targets
 from topazlug.telemetry import _metrics
@@ -19,6 +20,7 @@
     targets: _targets.TargetDirectory,
     fleet: _fleet.Fleet,
     guard: _crash_guard.CrashGuard,
+    read_placements: _read_search.ReadPlacements,
 ) -> None:
     """Register the gauges and totals of a daemon with its metrics."""
     _target_gauges.watch(metrics, targets)
@@ -32,3 +34,5 @@
     total = _metrics.Total
     metrics.watch(total.CONTROL_SENT, lambda: fleet.bytes_sent)
     metrics.watch(total.CONTROL_RECEIVED, lambda: fleet.bytes_received)
+    metrics.watch(total.MOVED_READS, lambda: read_placements.moved_count)
+    metrics.watch(total.STALLING_READS, lambda: read_placements.stalling_count)
--- a/src/topazlug/placement/_context_locator.py
+++ b/src/topazlug/placement/_context_locator.py
@@ -108,10 +108,21 @@
         last_reader = self._last_reader(chat)
         if last_reader == chosen.replica:
             return None
-        if last_reader is not None and self._can_copy(last_reader, chosen):
+        if last_reader is not None and self._can_copy(
+            last_reader, chosen.group
+        ):
             return self._targets.target_by_replica[last_reader]
         return self._previous_home(chat, chosen)
 
+    def is_held(self, chat: _ids.ChatHash, group: _ids.GroupName) -> bool:
+        """Return whether a replica that can be copied from has a context.
+
+        Only reads that this daemon has seen count: a previous home may hold
+        nothing of a chat that is new.
+        """
+        last_reader = self._last_reader(chat)
+        return last_reader is not None and self._can_copy(last_reader, group)
+
     def _last_reader(self, chat: _ids.ChatHash) -> _ids.ReplicaId | None:
         last = self._last_read_by_chat.get(chat)
         if last is None:
@@ -124,10 +135,10 @@
         return last.replica
 
     def _can_copy(
-        self, replica: _ids.ReplicaId, chosen: _targets.Target
+        self, replica: _ids.ReplicaId, group: _ids.GroupName
     ) -> bool:
         target = self._targets.target_by_replica.get(replica)
-        if target is None or target.group != chosen.group:
+        if target is None or target.group != group:
             return False
         # A replica that is down or in an unreachable zone can't serve a copy.
         # The request would wait for the copy before its prompt is read.
@@ -145,7 +156,7 @@
         if home is None or home == chosen.replica:
             return None
         replica = _ids.ReplicaId(home)
-        if not self._can_copy(replica, chosen):
+        if not self._can_copy(replica, chosen.group):
             return None
         return self._targets.target_by_replica[replica]
 
--- a/src/topazlug/placement/_owner_admission.py
+++ b/src/topazlug/placement/_owner_admission.py
@@ -16,6 +16,7 @@
 from topazlug import _ids
 from topazlug import _logs
 from topazlug._generated import messages
+from topazlug.placement import _context_locator
 from topazlug.placement import _mechanisms
 from topazlug.placement import _owner_search
 from topazlug.placement import _replica_view
@@ -51,12 +52,16 @@
         Time.
     disabled : frozenset of Mechanism
         Mechanisms that are switched off.
+    contexts : ContextLocator or None
+        Knows whether a prompt's context can be copied; None if it never can.
 
     Attributes
     ----------
     owner_client : OwnerClient or None
         Sends admission requests to owners; None until this daemon has joined
         its fleet.
+    read_placements : ReadPlacements
+        Counts the reads that would stall streams where asked first.
     """
 
     def __init__(
@@ -67,7 +72,9 @@
         views: _replica_view.ReplicaViews,
         clock: _clock.Clock,
         disabled: _mechanisms.DisabledMechanisms = _mechanisms.NONE_DISABLED,
+        contexts: _context_locator.ContextLocator | None = None,
     ) -> None:
+        self._contexts = contexts
         self._clock = clock
         self._disabled = disabled
         self._view_admission = view_admission
@@ -81,6 +88,7 @@
             disabled=disabled,
         )
         self.owner_client: _owner_client.OwnerClient | None = None
+        self.read_placements = self._search.read_placements
         # Replicas whose last answer reported waiting requests.
         self._queueing_replicas: set[_ids.ReplicaId] = set()
 
@@ -103,6 +111,10 @@
             return self._place_by_latency(owner_client, request)
         if _mechanisms.Mechanism.RANK_LIMITS in self._disabled:
             request = msgspec.structs.replace(request, rank=-1)
+        if self._can_copy_context(request):
+            request = msgspec.structs.replace(
+                request, held_tokens=request.shared_tokens
+            )
         placement = self._search_owners(owner_client, request)
         return (
             self._place_by_view(owner_client, request)
@@ -110,6 +122,13 @@
             else placement
         )
 
+    def _can_copy_context(self, request: _placement.PlacementRequest) -> bool:
+        return (
+            self._contexts is not None
+            and _mechanisms.Mechanism.COPIES not in self._disabled
+            and self._contexts.is_held(request.chat, request.group)
+        )
+
     def _place_by_latency(
         self,
         owner_client: _owner_client.OwnerClient,
--- a/src/topazlug/placement/_owner_search.py
+++ b/src/topazlug/placement/_owner_search.py
@@ -7,6 +7,7 @@
 from topazlug import _logs
 from topazlug._generated import messages
 from topazlug.placement import _mechanisms
+from topazlug.placement import _read_search
 from topazlug.placement import _replica_view
 from topazlug.placement import _view_admission
 from topazlug.routing import _owner_client
@@ -25,6 +26,10 @@
 _REPLY_TIMEOUT_FRACTION = 0.15
 _MAX_REPLY_TIMEOUT_SECONDS = 0.12
 _REJECTION_VERDICTS = (messages.Verdict.full, messages.Verdict.over_bound)
+# Verdicts with the load of the replica, in which the request is not counted.
+_UNADMITTED_VERDICTS = (*_REJECTION_VERDICTS, messages.Verdict.stalls)
+# The owner does not count the replica, or does not know it.
+_UNKNOWN_VERDICTS = (messages.Verdict.not_owner, messages.Verdict.expired)
 
 
 @final
@@ -61,6 +66,11 @@
         Time.
     disabled : frozenset of Mechanism
         Mechanisms that are switched off.
+
+    Attributes
+    ----------
+    read_placements : ReadPlacements
+        Counts the reads that would stall streams where asked first.
     """
 
     def __init__(
@@ -77,6 +87,7 @@
         self._views = views
         self._clock = clock
         self._disabled = disabled
+        self.read_placements = _read_search.ReadPlacements()
 
     @property
     def _displacement_disabled(self) -> bool:
@@ -109,18 +120,32 @@
         displaced_to: _ids.ReplicaId | None = None
         pending = list(ranked)
         rejections: dict[_ids.ReplicaId, _owner_client.OwnerReply] = {}
-        while pending:
+        stalling = _read_search.StallingReplicas()
+        accept_stall = _mechanisms.Mechanism.PROMPT_READS in self._disabled
+        while pending or not stalling.is_empty:
+            if not pending:
+                pending = [stalling.pop_least()]
+                accept_stall = True
             replica = pending.pop(0)
             answer = self._request_admission(
                 owner_client,
                 request,
                 replica,
                 home=replica == home and displaced_to is None,
+                accept_stall=accept_stall,
             )
-            if answer is None:
-                return None
+            if answer is None or answer.reply.verdict in _UNKNOWN_VERDICTS:
+                if accept_stall or stalling.is_empty:
+                    return None
+                # Better one stalled read than a slot that no owner counts.
+                pending.clear()
+                continue
             verdict = answer.reply.verdict
-            if answer.reply.backoff > 0:
+            if verdict is messages.Verdict.stalls:
+                stalling.add(replica, answer.reply.stall)
+                if len(stalling.stall_by_replica) >= _MAX_RANKED:
+                    pending.clear()
+            elif answer.reply.backoff > 0:
                 others = _next_ranked(candidates, request, ranked)
                 ranked += others
                 pending += others
@@ -132,6 +157,8 @@
                     owner_client.report_displacement(
                         placement, home=home, displaced_to=displaced_to
                     )
+                if placement is not None:
+                    self.read_placements.record(placement, stalling)
                 return placement
             elif verdict is messages.Verdict.elsewhere:
                 displaced_to = _ids.ReplicaId(answer.reply.replica)
@@ -178,6 +205,7 @@
         replica: _ids.ReplicaId,
         *,
         home: bool,
+        accept_stall: bool,
     ) -> _owner_client.OwnerReply | None:
         """Ask one owner, again while another request reads the same context.
 
@@ -200,6 +228,7 @@
                     request.latency_objective * _REPLY_TIMEOUT_FRACTION,
                 ),
                 cold=self._view_admission.is_cold(replica),
+                accept_stall=accept_stall,
             )
             if answer is None:
                 return None
@@ -226,7 +255,7 @@
         view = self._views.of(replica)
         if reply.verdict is messages.Verdict.granted:
             view.record_report(reply.load - 1)
-        elif reply.verdict in _REJECTION_VERDICTS:
+        elif reply.verdict in _UNADMITTED_VERDICTS:
             view.record_report(reply.load)
         is_full = reply.verdict is messages.Verdict.full
         if is_full and request.rank >= 0 and not reply.cold:
--- a/src/topazlug/routing/_admission_control.py
+++ b/src/topazlug/routing/_admission_control.py
@@ -18,6 +18,7 @@
 from topazlug.routing import _owner_features
 from topazlug.routing import _owner_queue
 from topazlug.routing import _owner_replies
+from topazlug.routing import _read_admission
 from topazlug.targets import _targets
 
 _log = _logs.logger("owner")
@@ -62,6 +63,9 @@
         self._targets = targets
         self._startup_allowance = startup_allowance
         self._features = features
+        self._read_admission = _read_admission.ReadAdmission(
+            replies=replies, features=features, clock=clock
+        )
         self._clock = clock
 
     def decide(
@@ -174,6 +178,7 @@
             batch=ask.batch,
             chat=_ids.ChatHash(ask.chat),
             rank=ask.rank,
+            max_pause=ask.max_pause,
         )
         total = self._group_limits.total(ledger.group)
         if ask.total > total.load:
@@ -284,7 +289,7 @@
         ask: messages.AdmitAsk,
         reply: _owner_replies.Reply,
     ) -> None:
-        """Grant the request, unless its context is being read there."""
+        """Grant the request, unless its prompt is read by another request."""
         now = self._clock.monotonic()
         state = _context_reads.ReadState.KNOWN
         if ask.shared >= _context_reads.MIN_SHARED_TOKENS:
@@ -297,6 +302,9 @@
                 retry_after=ledger.context_reads.wait(entry.chat, now=now),
             )
             return
+        if self._read_admission.redirect(ledger, ask, state, reply):
+            return
+        self._read_admission.record_granted(ledger, key, ask, state)
         ledger.admit(key, entry)
         if self._tolerated_rate(ledger) is not None:
             ledger.cold_rate.record_admitted()
--- a/src/topazlug/routing/_ledger.py
+++ b/src/topazlug/routing/_ledger.py
@@ -17,6 +17,7 @@
 from topazlug._generated import messages
 from topazlug.capacity import _cold_rate
 from topazlug.capacity import _context_reads
+from topazlug.capacity import _prompt_reads
 from topazlug.capacity import _rank_limits
 from topazlug.capacity import _replica_speed
 from topazlug.capacity import _reservations
@@ -40,6 +41,7 @@
     batch: bool
     chat: _ids.ChatHash = _ids.ChatHash(0)
     rank: int = UNRANKED
+    max_pause: float = 0.0
 
 
 class QueuedRequest(msgspec.Struct):
@@ -78,6 +80,8 @@
         Maximum number of queued requests, for each request class.
     incarnation : int
         Incarnation of the replica's process.
+    read_rate : float
+        Prompt tokens that it reads a second, until that is measured.
 
     Attributes
     ----------
@@ -102,6 +106,7 @@
         batch_slots: int,
         queue_capacity: int,
         incarnation: int = 1,
+        read_rate: float = _prompt_reads.DEFAULT_RATE,
     ) -> None:
         self.replica = replica
         self.incarnation = incarnation
@@ -112,6 +117,7 @@
         self.batch_load = 0
         self.uncertain_until = 0.0
         self.context_reads = _context_reads.ContextReads()
+        self.prompt_reads = _prompt_reads.PromptReads(rate=read_rate)
         self.rank_limits = _rank_limits.RankLimits(slots=slots)
         self.cold_rate = _cold_rate.ColdRateLimiter()
         self.reservations = _reservations.Reservations()
@@ -266,6 +272,7 @@
         if entry.batch:
             self.batch_load -= entry.weight
         self.context_reads.record_end(key)
+        self.prompt_reads.record_end(key)
         self._record_release(now)
         return True
 
--- a/src/topazlug/routing/_owner.py
+++ b/src/topazlug/routing/_owner.py
@@ -15,6 +15,7 @@
 from topazlug import _logs
 from topazlug._generated import messages
 from topazlug._generated import settings as _settings_types
+from topazlug.capacity import _prompt_reads
 from topazlug.capacity import _slot_key
 from topazlug.capacity import _startup_allowance
 from topazlug.routing import _admission_control
@@ -217,8 +218,10 @@
                 now=self._clock.monotonic(),
             )
 
-    def record_response_head(self, head: messages.EngineWord) -> None:
-        """Apply the load that a replica reported in a response head."""
+    def record_response_head(
+        self, sender: _ids.DaemonId, head: messages.EngineWord
+    ) -> None:
+        """Apply what a response head shows of the load of a replica."""
         ledger = self.ledger_by_replica.get(_ids.ReplicaId(head.replica))
         if ledger is None:
             return
@@ -229,6 +232,13 @@
             )
         if head.slowness > 0:
             ledger.speed.record(head.slowness, now=now)
+        if head.ask:
+            ledger.prompt_reads.record_head(
+                _slot_key.SlotKey(sender, _ids.AdmissionRequestId(head.ask)),
+                seconds=head.seconds,
+                slowness=ledger.speed.current(now=now),
+                now=now,
+            )
         if head.read:
             ledger.context_reads.record_read(_ids.ChatHash(head.read), now=now)
 
@@ -422,7 +432,17 @@
             batch_slots=batch_slots,
             queue_capacity=self._routing.queue_per_replica,
             incarnation=target.incarnation,
+            read_rate=self._learnt_read_rate(target.group),
         )
         ledger.uncertain_until = self._clock.monotonic() + UNCERTAIN_SECONDS
         _log.info("opened ledger of {replica}", replica=target.replica)
         return ledger
+
+    def _learnt_read_rate(self, group: _ids.GroupName) -> float:
+        """Return the median rate at which a group's replicas read prompts."""
+        rates = sorted(
+            ledger.prompt_reads.rate
+            for ledger in self.group_limits.ledgers_of(group)
+            if ledger.prompt_reads.is_rate_learnt
+        )
+        return rates[len(rates) // 2] if rates else _prompt_reads.DEFAULT_RATE
--- a/src/topazlug/routing/_owner_client.py
+++ b/src/topazlug/routing/_owner_client.py
@@ -173,6 +173,8 @@
             output_tokens=request.output_tokens,
             max_pause=request.max_pause,
             accept_stall=accept_stall,
+            objective=request.latency_objective,
+            held=request.held_tokens,
         )
         self.held_placements.pending_by_ask[ask] = owner
         try:
@@ -254,7 +256,7 @@
         """Send the load from a response head to the replica's owner."""
         owner = self._ownership.owner_of(replica)
         if owner == self._daemon:
-            self._owner.record_response_head(head)
+            self._owner.record_response_head(self._daemon, head)
         elif owner is not None:
             self.held_placements.send(owner, head)
 
--- a/src/topazlug/routing/_owner_endpoint.py
+++ b/src/topazlug/routing/_owner_endpoint.py
@@ -101,7 +101,7 @@
     def _on_engine_word(
         self, sender: _ids.DaemonId, message: Any, reply: _peers.Reply
     ) -> None:
-        self._owner.record_response_head(message)
+        self._owner.record_response_head(sender, message)
 
     def _on_turned_away(
         self, sender: _ids.DaemonId, message: Any, reply: _peers.Reply
--- a/src/topazlug/routing/_owner_replies.py
+++ b/src/topazlug/routing/_owner_replies.py
@@ -32,6 +32,7 @@
         reads: bool = False,
         cold: bool = False,
         backoff: float = 0.0,
+        stall: float = 0.0,
     ) -> None:
         """Reply to one admission request.
 
@@ -53,6 +54,8 @@
             Whether the request was rejected because the replica is cold.
         backoff : float
             Remaining seconds of the replica's backoff for all daemons.
+        stall : float
+            Seconds of delay that reading the prompt there would cause.
         """
         self.count_by_verdict[verdict] += 1
         reply(
@@ -64,5 +67,6 @@
                 reads=reads,
                 cold=cold,
                 backoff=backoff,
+                stall=stall,
             )
         )
--- a/src/topazlug/routing/_placement.py
+++ b/src/topazlug/routing/_placement.py
@@ -52,6 +52,9 @@
     max_pause : float
         Longest pause in seconds between two events for which a stream is on
         time, 0 if unknown.
+    held_tokens : int
+        Shared tokens that a replica is known to hold, so that any replica
+        has them or can copy them.
     """
 
     group: _ids.GroupName
@@ -70,6 +73,7 @@
     prompt_tokens: int = 0
     output_tokens: int = 0
     max_pause: float = 0.0
+    held_tokens: int = 0
 
 
 class AnswerHead(msgspec.Struct, frozen=True, kw_only=True):
--- a/src/topazlug/telemetry/_metrics.py
+++ b/src/topazlug/telemetry/_metrics.py
@@ -88,6 +88,8 @@
     CONTROL_SENT = "topazlug.control.sent"
     CONTROL_RECEIVED = "topazlug.control.received"
     PAUSES = "topazlug.pauses"
+    MOVED_READS = "topazlug.prompt_reads.moved"
+    STALLING_READS = "topazlug.prompt_reads.stalling"
 
 
 _UNITS: dict[Gauge | Total, str] = {
@@ -118,6 +120,10 @@
     Total.CONTROL_SENT: "Bytes sent to peers.",
     Total.CONTROL_RECEIVED: "Bytes received from peers.",
     Total.PAUSES: "Jumps of the clock: the daemon was frozen and thawed.",
+    Total.MOVED_READS: "Prompts read on another replica, as they would have "
+    "stalled streams on the first that was asked.",
+    Total.STALLING_READS: "Prompts read although they stall streams, as no "
+    "replica that was asked was better.",
 }
 
 ValueCallback = Callable[[], float]
