--- a/src/topazlug/capacity/_prompt_reads.py
+++ b/src/topazlug/capacity/_prompt_reads.py
@@ -18,10 +18,13 @@
 # Tokens a second at a slowness of 1.0, until it is known (measured: 55,000
 # and 140,000). Too low an assumption only sends some reads elsewhere.
 DEFAULT_RATE = 40_000.0
-# Greatest change of the logarithm of the rate by one reading. Some readings
-# are wrong by far, as the replica held a part of the prompt or was slow for a
-# moment; with equal steps up and down the rate approaches their median.
-_MAX_RATE_STEP = 0.05
+# Greatest change of the rate by one reading. Some readings are wrong by far,
+# as the replica held a part of the prompt or was slow for a moment; with equal
+# steps up and down the rate approaches their median.
+_MAX_RATE_FACTOR = 1.05
+# The longest prompt takes 4 s on a slow replica in a slow moment. Without a
+# limit, an implausible length would close a replica to reads for long.
+_MAX_READ_SECONDS = 5.0
 # The time to the head of a shorter read is mostly spent on the network.
 _MIN_LEARNT_TOKENS = 2000
 # An event holds several tokens, a slow moment may begin during the read, and
@@ -142,7 +145,7 @@
         )
 
     def _duration(self, tokens: float, slowness: float) -> float:
-        return tokens * slowness / self.rate
+        return min(_MAX_READ_SECONDS, tokens * slowness / self.rate)
 
     def record_granted(
         self,
@@ -199,9 +202,8 @@
             self._learn_rate(read.tokens * mean_slowness / seconds)
 
     def _learn_rate(self, measured: float) -> None:
-        step = math.log(measured / self.rate)
-        step = min(_MAX_RATE_STEP, max(-_MAX_RATE_STEP, step))
-        self.rate *= math.exp(step)
+        factor = min(_MAX_RATE_FACTOR, measured / self.rate)
+        self.rate *= max(1 / _MAX_RATE_FACTOR, factor)
         self.is_rate_learnt = True
 
     def record_end(self, key: _slot_key.SlotKey) -> None:
