--- a/tests/topazlug/placement/test_read_search.py
+++ b/tests/topazlug/placement/test_read_search.py
@@ -223,6 +223,26 @@
         ]
         assert granted.count("known") == 1 and "wait" not in granted
 
+    def test_home_that_turns_free_during_a_search(self, scene):
+        """A later request must not read at home what an earlier one moves."""
+        scene.run_streams(scene.home)
+        placements = []
+
+        def place():
+            placements.append(scene.admit(tokens=15_000))
+            scene.report_read(placements[-1])
+
+        def free_home_and_place():
+            scene.ledger(scene.home).entry_by_key.clear()
+            placements.append(scene.admit(by=1, tokens=15_000))
+
+        gevent.joinall(
+            [gevent.spawn(place), gevent.spawn(free_home_and_place)],
+            raise_error=True,
+        )
+        replicas = [placement.target.replica for placement in placements]
+        assert replicas == [scene.second, scene.second]
+
 
 class TestInactive:
     @pytest.mark.parametrize(
