Merge the placement of prompt reads

Reviewed by the lead. Conflicts: both sides of record_response_head; its sender is now passed, so a test of replica speed passes it too.

--- a/tests/topazlug/routing/test_owner.py
+++ b/tests/topazlug/routing/test_owner.py
@@ -174,9 +174,10 @@
     def report(self, entry, clock, slowness, *, count=20):
         for _ in range(count):
             entry.owner.record_response_head(
+                PEER,
                 messages.EngineWord(
                     replica=R0, running=0, waiting=0, slowness=slowness
-                )
+                ),
             )
             clock.advance(0.1)
 
