--- a/src/topazlug/capacity/_replica_speed.py
+++ b/src/topazlug/capacity/_replica_speed.py
@@ -13,8 +13,8 @@
 import msgspec
 
 _NOT_SLOW = 1.0
-# Highest figure that was measured: 1.3 usually, times 2.5 on a slow instance,
-# times 2.5 in a slow moment, makes 8.1. Figures outside of this range are
+# The highest expected figure is 8.1: 1.3 usually, times 2.5 on a slow
+# instance, times 2.5 in a slow moment. Figures outside of this range are
 # faults of the replica.
 _MIN_PLAUSIBLE = 0.2
 _MAX_PLAUSIBLE = 20.0
@@ -24,7 +24,7 @@
 _CURRENT_SECONDS = 0.4
 _CURRENT_FADE_SECONDS = 0.6
 # Half of the window must be slow before the sustained slowness rises, which is
-# longer than most slow moments. In the replay of the tests with 4 figures a
+# longer than most slow moments. In a replay of the pattern with 4 figures a
 # second, a slow instance was detected after .98 s (median) with a window of
 # 1.1 s and after .86 s with 1.0 s; slow moments passed for one 3 and 4% of the
 # time.
