--- a/bench/experiments/overload.py
+++ b/bench/experiments/overload.py
@@ -190,7 +190,7 @@
         self, slots: int = 64, *, with_reservations: bool = True
     ) -> None:
         self.limits = _rank_limits.RankLimits(slots=slots)
-        self._reservations = _reservations.Reservations(
+        self.reservations = _reservations.Reservations(
             random_fraction=random.Random(slots).random
         )
         self._with_reservations = with_reservations
@@ -201,30 +201,45 @@
         """Check the limits; reserve a slot if a retry can be on time."""
         rank = request.kind.rank
         self.limits.record_request(rank, now=now)
-        is_due = self._reservations.is_due(request.number, now=now)
+        is_due = self.reservations.is_due(request.number, now=now)
         if self.limits.has_capacity(
             rank,
             load=load,
-            reserved=self._reservations.reserved(rank, now=now, is_due=is_due),
+            reserved=self.reservations.reserved(rank, now=now, is_due=is_due),
             is_due=is_due,
             now=now,
         ):
             return None
-        remaining = request.deadline_at - now
-        retry_after = self._reservations.retry_after(
-            rank, interval=self._interval, max_delay=remaining * 0.3, now=now
+        return self.reject(request, now)
+
+    def reject(self, request: Request, now: float) -> float:
+        """Return the delay of the retry, for which a slot is reserved."""
+        retry_after = self.reservations.retry_after(
+            request.kind.rank,
+            interval=self._interval,
+            max_delay=(request.deadline_at - now) * 0.3,
+            now=now,
         )
+        self.reserve(request, retry_after, now)
+        return retry_after
+
+    def reserve(
+        self, request: Request, retry_after: float, now: float
+    ) -> None:
+        """Reserve a slot if the retry can be on time."""
         on_time_until = request.arrived + request.kind.latency_objective
         if self._with_reservations and now + retry_after <= on_time_until:
-            self._reservations.add(
-                request.number, rank, seconds=retry_after, now=now
+            self.reservations.add(
+                request.number,
+                request.kind.rank,
+                seconds=retry_after,
+                now=now,
             )
-        return retry_after
 
     def note_held(self, request: Request, now: float) -> None:
         """Count it as held and remove its reservation."""
         self.limits.add_held(request.kind.rank)
-        self._reservations.remove(request.number)
+        self.reservations.remove(request.number)
 
     def note_released(self, request: Request, now: float) -> None:
         """Stop counting it; update the mean interval of releases."""
--- /dev/null
+++ b/bench/experiments/team_shares.py
@@ -0,0 +1,256 @@
+"""Simulates teams that compete for one replica, with and without fair shares.
+
+Uses the simulation of `bench.experiments.overload`. The decisions are made by
+the product's own code: rank limits, reservations and team shares.
+
+    python -m bench.experiments.team_shares [--seeds N]
+"""
+
+import argparse
+import collections
+from collections.abc import Iterable
+from collections.abc import Mapping
+import random
+from typing import NamedTuple
+
+from bench.experiments import overload
+from topazlug import _ids
+from topazlug.capacity import _team_shares
+
+# Callers of the replay wait this fraction of their remaining time at most.
+_MAX_DELAY_FRACTION = 0.3
+START = 5.0
+END = 20.0
+ENGINE = overload.Engine(slots=32)
+
+
+class TeamLoad(NamedTuple):
+    """A team and its requests at usual load."""
+
+    name: _ids.TeamName
+    kind: overload.Kind
+
+
+def _team(
+    name: str, *, rate: float, prompt: int, output: int, deadline: float
+) -> TeamLoad:
+    kind = overload.Kind(name, 0, rate, prompt, output, 1.5, deadline)
+    return TeamLoad(_ids.TeamName(name), kind)
+
+
+# Teams that want equal work: many small requests, medium ones, few large ones.
+# Together they use somewhat more than half of the replica.
+TEAMS = (
+    _team("small", rate=24.0, prompt=200, output=12, deadline=4.0),
+    _team("medium-0", rate=6.0, prompt=800, output=48, deadline=6.0),
+    _team("medium-1", rate=6.0, prompt=800, output=48, deadline=6.0),
+    _team("large", rate=1.5, prompt=3200, output=192, deadline=15.0),
+)
+# A team that wants a fifth of what the others do.
+LITTLE = _team("little", rate=1.2, prompt=800, output=48, deadline=6.0)
+
+
+def work_of(request: overload.Request) -> float:
+    """Return the work of a request as owners count it."""
+    return _team_shares.work_of(
+        unread_tokens=request.kind.prompt, output_tokens=request.kind.output
+    )
+
+
+class FairLimits(overload.LearnedLimits):
+    """The product's decisions with shares of teams.
+
+    Parameters
+    ----------
+    slots : int
+        Slots that the replica reports.
+    """
+
+    def __init__(self, slots: int) -> None:
+        super().__init__(slots)
+        self.shares = _team_shares.TeamShares(
+            random_fraction=random.Random(slots).random
+        )
+        self.fairness_rejections: collections.Counter[_ids.TeamName] = (
+            collections.Counter()
+        )
+
+    def decide(
+        self, request: overload.Request, load: int, now: float
+    ) -> float | None:
+        """Check the limits, then the shares."""
+        demand = self._demand(request)
+        rank = request.kind.rank
+        self.limits.record_request(rank, now=now)
+        is_due = self.reservations.is_due(request.number, now=now)
+        reserved = self.reservations.reserved(rank, now=now, is_due=is_due)
+        has_capacity = self._has_capacity(rank, load, reserved, is_due, now)
+        is_ahead = (
+            has_capacity
+            and not is_due
+            and self.shares.compare(demand, now=now) is not None
+            and not self._has_capacity(
+                rank, load, reserved + _team_shares.KEPT_SLOTS, is_due, now
+            )
+        )
+        if has_capacity and not is_ahead:
+            return None
+        if is_ahead:
+            self.fairness_rejections[request.team] += 1
+        remaining = request.deadline_at - now
+        retry_after = self.shares.reject(
+            demand,
+            max_delay=remaining * _MAX_DELAY_FRACTION,
+            is_for_fairness=is_ahead,
+            now=now,
+        )
+        if retry_after is None:
+            return self.reject(request, now)
+        if self.shares.may_reserve(
+            request.number, seconds=retry_after, now=now
+        ):
+            self.reserve(request, retry_after, now)
+        return retry_after
+
+    def _has_capacity(
+        self, rank: int, load: int, reserved: int, is_due: bool, now: float
+    ) -> bool:
+        return self.limits.has_capacity(
+            rank, load=load, reserved=reserved, is_due=is_due, now=now
+        )
+
+    def _demand(self, request: overload.Request) -> _team_shares.Demand:
+        return _team_shares.Demand(
+            request.team, request.kind.rank, work_of(request), request.number
+        )
+
+    def note_held(self, request: overload.Request, now: float) -> None:
+        """Count its work for its team too."""
+        super().note_held(request, now)
+        self.shares.record_admitted(self._demand(request), now=now)
+
+
+def arrivals(
+    seed: int,
+    *,
+    teams: Iterable[TeamLoad],
+    factor_by_team: Mapping[_ids.TeamName, float],
+) -> list[overload.Request]:
+    """Return the teams' requests in the order of their arrival.
+
+    A team's requests depend on the seed and its name only, so that it sends
+    the same ones alone and beside others.
+    """
+    found = []
+    for team in teams:
+        factor = factor_by_team.get(team.name, 1.0)
+        requests = overload.arrivals(
+            # A string's seed does not depend on the hash seed of the process.
+            random.Random(f"{seed} {team.name}").randrange(1 << 30),
+            surges=[overload.Surge(START, END, factor)],
+            teams=1,
+            end=END,
+            kinds=[team.kind],
+        )
+        for request in requests:
+            request.team = team.name
+        found += requests
+    found.sort(key=lambda one: one.arrived)
+    for number, request in enumerate(found, start=1):
+        request.number = number
+    return found
+
+
+def simulate(
+    policy: overload.Policy,
+    requests: list[overload.Request],
+    *,
+    engine: overload.Engine = ENGINE,
+) -> list[overload.Request]:
+    """Return the requests that arrived under load, with their outcomes."""
+    simulation = overload.Simulation(policy, engine=engine, end=END)
+    simulated = simulation.simulate(requests)
+    return [one for one in simulated if START <= one.arrived < END]
+
+
+def served_work(
+    requests: Iterable[overload.Request],
+) -> collections.Counter[_ids.TeamName]:
+    """Return the work of the requests that were answered, by team."""
+    served: collections.Counter[_ids.TeamName] = collections.Counter()
+    answered = (overload.Outcome.ON_TIME, overload.Outcome.LATE)
+    for request in requests:
+        if request.outcome in answered:
+            served[request.team] += work_of(request)
+    return served
+
+
+def share_of(engine: overload.Engine, fraction: float) -> overload.Engine:
+    """Return a replica that has a fraction of the capacity of another.
+
+    Its streams are as fast as on the whole replica when that is full.
+    """
+    token_seconds = (
+        engine.token_seconds + engine.token_seconds_per_slot * engine.slots
+    )
+    return engine._replace(
+        slots=round(engine.slots * fraction),
+        memory=round(engine.memory * fraction),
+        read_rate=engine.read_rate * fraction,
+        token_seconds=token_seconds,
+        token_seconds_per_slot=0.0,
+    )
+
+
+def main() -> None:
+    """Print the work of each team with and without shares, and alone."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seeds", type=int, default=3)
+    seeds = range(parser.parse_args().seeds)
+    teams = (*TEAMS, LITTLE)
+    names = [team.name for team in teams]
+    print("| load | policy | " + " | ".join(names) + " | total |")
+    print("|---|---|" + "---|" * (len(names) + 1))
+    part = share_of(ENGINE, 1 / len(teams))
+    for kind in ("all", "medium-0"):
+        for load in (1, 2, 4, 8):
+            factors = {
+                name: float(load) for name in names if kind in ("all", name)
+            }
+            if kind != "all":
+                factors = {name: load * 4.0 for name in factors}
+            rows: dict[str, collections.Counter[_ids.TeamName]] = {
+                key: collections.Counter() for key in ("off", "on", "alone")
+            }
+            for seed in seeds:
+                for key, policy in (
+                    ("off", overload.LearnedLimits(ENGINE.slots)),
+                    ("on", FairLimits(ENGINE.slots)),
+                ):
+                    requests = arrivals(
+                        seed, teams=teams, factor_by_team=factors
+                    )
+                    rows[key] += served_work(simulate(policy, requests))
+                for team in teams:
+                    requests = arrivals(
+                        seed, teams=[team], factor_by_team=factors
+                    )
+                    alone = simulate(
+                        overload.LearnedLimits(part.slots),
+                        requests,
+                        engine=part,
+                    )
+                    rows["alone"] += served_work(alone)
+            for key, served in rows.items():
+                seconds = (END - START) * len(seeds)
+                cells = [f"{served[name] / seconds:.0f}" for name in names]
+                total = sum(served.values()) / seconds
+                print(
+                    f"| {kind} x{load} | {key} | "
+                    + " | ".join(cells)
+                    + f" | {total:.0f} |"
+                )
+
+
+if __name__ == "__main__":
+    main()
