Let owners reject requests of teams that are ahead of waiting ones

Purpose: fair shares of teams while a replica's capacity is short, only if OwnerFeatures.fair_shares is on. The work of a request is kept in the ledger entry and sent with renewals. A reservation is made only for a retry that the share of its team has room for: with a reservation for each rejection, a team got as much as it was rejected.

--- a/bench/experiments/overload.py
+++ b/bench/experiments/overload.py
@@ -120,6 +120,8 @@
     prompt_remaining: float = 0.0
     output_remaining: float = 0.0
     has_started: bool = False
+    admitted: float = 0.0
+    ended: float = 0.0
 
     @property
     def deadline_at(self) -> float:
@@ -301,6 +303,7 @@
         load = len(self._running) + len(self._waiting)
         retry_after = self._policy.decide(request, load, now)
         if retry_after is None:
+            request.admitted = now
             request.prompt_remaining = float(request.kind.prompt)
             request.output_remaining = float(request.kind.output)
             self._waiting.append(request)
@@ -336,6 +339,7 @@
                     and is_within_deadline
                 ):
                     request.outcome = Outcome.LATE
+                request.ended = now
                 self._running.remove(request)
                 self._policy.note_released(request, now)
 
--- a/bench/experiments/team_shares.py
+++ b/bench/experiments/team_shares.py
@@ -85,12 +85,15 @@
         is_due = self.reservations.is_due(request.number, now=now)
         reserved = self.reservations.reserved(rank, now=now, is_due=is_due)
         has_capacity = self._has_capacity(rank, load, reserved, is_due, now)
+        self.shares.record_request(demand, now=now)
+        standing = self.shares.compare(
+            demand, limit=self.limits.limit, now=now
+        )
         is_ahead = (
             has_capacity
             and not is_due
-            and self.shares.compare(demand, now=now) is not None
             and not self._has_capacity(
-                rank, load, reserved + _team_shares.KEPT_SLOTS, is_due, now
+                rank, load, reserved + standing.kept_slots, is_due, now
             )
         )
         if has_capacity and not is_ahead:
@@ -100,6 +103,7 @@
         remaining = request.deadline_at - now
         retry_after = self.shares.reject(
             demand,
+            standing,
             max_delay=remaining * _MAX_DELAY_FRACTION,
             is_for_fairness=is_ahead,
             now=now,
@@ -167,21 +171,26 @@
     *,
     engine: overload.Engine = ENGINE,
 ) -> list[overload.Request]:
-    """Return the requests that arrived under load, with their outcomes."""
+    """Return the requests with their outcomes."""
     simulation = overload.Simulation(policy, engine=engine, end=END)
-    simulated = simulation.simulate(requests)
-    return [one for one in simulated if START <= one.arrived < END]
+    return simulation.simulate(requests)
 
 
 def served_work(
     requests: Iterable[overload.Request],
-) -> collections.Counter[_ids.TeamName]:
-    """Return the work of the requests that were answered, by team."""
-    served: collections.Counter[_ids.TeamName] = collections.Counter()
+) -> dict[_ids.TeamName, float]:
+    """Return the work done while there was load, by team.
+
+    Of a request that was answered, the part of its time on the replica that
+    lies between the start and the end of the load is counted.
+    """
+    served: dict[_ids.TeamName, float] = collections.defaultdict(float)
     answered = (overload.Outcome.ON_TIME, overload.Outcome.LATE)
     for request in requests:
         if request.outcome in answered:
-            served[request.team] += work_of(request)
+            seconds = min(END, request.ended) - max(START, request.admitted)
+            fraction = seconds / (request.ended - request.admitted)
+            served[request.team] += work_of(request) * max(0.0, fraction)
     return served
 
 
--- a/src/topazlug/capacity/_team_shares.py
+++ b/src/topazlug/capacity/_team_shares.py
@@ -8,6 +8,7 @@
 
 import collections
 from collections.abc import Callable
+from collections.abc import Iterable
 import math
 import random
 from typing import NamedTuple
@@ -25,22 +26,25 @@
 # requests of a team, and short enough that a team that was idle gets more
 # than its share for a moment only.
 _MEMORY_SECONDS = 2.0
-# A team that was rejected within this time still wants capacity. Its caller
+# A team that was rejected within this time waits for capacity. Its caller
 # retries after 0.2 s at the earliest.
 _WAITING_SECONDS = 0.5
+# A team without requests for this long does not want capacity.
+_WANTING_SECONDS = 2.0
 # Accounts not used for this long hold less than 1% of their work.
 _IDLE_SECONDS = 5 * _MEMORY_SECONDS
-# Accounts, waiting teams of a rank and promised retries kept for one replica;
+# Accounts, wanting teams of a rank and promised retries kept for one replica;
 # the least recently used is dropped, so 13,000 teams need no more memory.
 _MAX_TEAMS = 4096
-_MAX_WAITING = 512
+_MAX_WANTING = 512
 _MAX_RETRIES = 2000
 # Minimum delay of a retry, and jitter as a fraction of the delay, as for
 # reservations.
 _MIN_DELAY_SECONDS = 0.05
 _JITTER = 0.25
-# A promised retry that is this late is no longer expected.
-_EXPIRY_SECONDS = 0.5
+# Upper limit of promised delays. No caller waits longer, and a promise must
+# not outlive the shortage by much.
+_MAX_DELAY_SECONDS = 30.0
 # A reservation may be due this much earlier than the retry was promised. The
 # report of the rejection arrives some milliseconds after the promise.
 _REPORT_SECONDS = 0.05
@@ -48,10 +52,9 @@
 _INITIAL_WORK = 1000.0
 _WORK_SMOOTHING = 0.1
 
-# Slots that requests of teams which are ahead leave to waiting teams. More
-# would stand empty, as a waiting team takes the next slot within the time of
-# a few arrivals.
-KEPT_SLOTS = 1
+# A request leaves one slot to each waiting team that has got less than its
+# own, but at most this fraction of the limit: more would stand empty.
+_MAX_KEPT_FRACTION = 1 / 8
 
 
 def work_of(*, unread_tokens: int, output_tokens: int) -> float:
@@ -72,30 +75,38 @@
         Its work in tokens, 0 if unknown.
     prompt : int
         Hash of its whole prompt, the same when it is retried; 0 for none.
+    weight : float
+        The team's weight, above 0.
     """
 
     team: _ids.TeamName
     rank: int
     work: float
     prompt: int = 0
+    weight: float = 1.0
 
 
 class Standing(NamedTuple):
-    """How a team compares with the others that want capacity of one rank.
+    """How a team compares with those that wait for capacity of its rank.
 
     Attributes
     ----------
     share : float
-        Fraction of the capacity that is the team's by weight.
+        Fraction of the capacity that is the team's by weight, among the
+        teams that want capacity now.
     recent : float
-        Its recent work, with the requested work, divided by its weight.
+        Its recent work with half of the requested work, over its weight.
     least : float
-        The same for the waiting team with the least recent work.
+        The same for the waiting team that has got least; infinity if none
+        waits.
+    kept_slots : int
+        Slots that the request leaves to other teams.
     """
 
     share: float
     recent: float
     least: float
+    kept_slots: int
 
 
 class _Account(msgspec.Struct):
@@ -103,29 +114,45 @@
 
     updated_at: float
     work_by_rank: dict[int, float] = msgspec.field(default_factory=dict)
-    # Ranks in which a request was rejected for fairness, with the time.
+    # Last rejection for fairness of each rank, until one is admitted.
     rejected_at_by_rank: dict[int, float] = msgspec.field(default_factory=dict)
+    # Time until which the team's share is promised to its retries.
+    promised_until_by_rank: dict[int, float] = msgspec.field(
+        default_factory=dict
+    )
 
-    def decay(self, now: float) -> None:
-        """Reduce the work by what is forgotten until now."""
-        factor = math.exp(-max(0.0, now - self.updated_at) / _MEMORY_SECONDS)
-        for rank in self.work_by_rank:
-            self.work_by_rank[rank] *= factor
-        self.updated_at = max(self.updated_at, now)
+    def add(self, rank: int, work: float, *, now: float) -> None:
+        """Add the work of an admitted request."""
+        self._decay(now)
+        self.work_by_rank[rank] = self.work_by_rank.get(rank, 0.0) + work
 
     def recent(self, rank: int, *, now: float) -> float:
-        """Return the work of a rank and of more urgent ones."""
-        self.decay(now)
+        """Return the recent work of a rank and of more urgent ones."""
+        self._decay(now)
         return sum(
             work for other, work in self.work_by_rank.items() if other <= rank
         )
 
+    def recent_of_rank(self, rank: int, *, now: float) -> float:
+        """Return the recent work of a rank alone."""
+        self._decay(now)
+        return self.work_by_rank.get(rank, 0.0)
+
+    def _decay(self, now: float) -> None:
+        elapsed = max(0.0, now - self.updated_at)
+        factor = math.exp(-elapsed / _MEMORY_SECONDS)
+        for rank in self.work_by_rank:
+            self.work_by_rank[rank] *= factor
+        self.updated_at = max(self.updated_at, now)
 
-class _Retry(NamedTuple):
-    """A rejected request, and when it was promised capacity."""
 
-    demand: Demand
-    due: float
+class _Want(msgspec.Struct):
+    """Last request of a team in a rank, and its last rejection."""
+
+    asked_at: float
+    weight: float
+    rejected_at: float = -math.inf
+    rejected_work: float = 0.0
 
 
 @final
@@ -134,84 +161,106 @@
 
     Parameters
     ----------
-    weight_of : callable
-        Returns a team's weight, above 0.
     random_fraction : callable
         Returns random numbers from 0 to 1, for jitter.
     """
 
     def __init__(
-        self,
-        *,
-        weight_of: Callable[[_ids.TeamName], float] = lambda team: 1.0,
-        random_fraction: Callable[[], float] = random.random,
+        self, *, random_fraction: Callable[[], float] = random.random
     ) -> None:
-        self._weight_of = weight_of
         self._random_fraction = random_fraction
         self._account_by_team: collections.OrderedDict[
             _ids.TeamName, _Account
         ] = collections.OrderedDict()
         self._total = _Account(updated_at=0.0)
-        # Times of the last rejections, in order of time.
-        self._waiting_by_rank: dict[
-            int, collections.OrderedDict[_ids.TeamName, float]
+        # In order of the last request.
+        self._want_by_team_by_rank: dict[
+            int, collections.OrderedDict[_ids.TeamName, _Want]
         ] = {}
-        self._retry_by_prompt: collections.OrderedDict[int, _Retry]
-        self._retry_by_prompt = collections.OrderedDict()
+        self._due_by_prompt: collections.OrderedDict[int, float]
+        self._due_by_prompt = collections.OrderedDict()
         self._average_work = _INITIAL_WORK
 
     def __len__(self) -> int:
         """Return the number of accounts."""
         return len(self._account_by_team)
 
+    def record_request(self, demand: Demand, *, now: float) -> None:
+        """Record that a team wants capacity."""
+        wants = self._want_by_team_by_rank.setdefault(
+            demand.rank, collections.OrderedDict()
+        )
+        want = wants.get(demand.team)
+        if want is None:
+            wants[demand.team] = _Want(now, demand.weight)
+        else:
+            want.asked_at = now
+            want.weight = demand.weight
+            wants.move_to_end(demand.team)
+        if len(wants) > _MAX_WANTING:
+            wants.popitem(last=False)
+
     def record_admitted(self, demand: Demand, *, now: float) -> None:
         """Count the work of a request that holds a slot from now on."""
-        self._retry_by_prompt.pop(demand.prompt, None)
+        self._due_by_prompt.pop(demand.prompt, None)
         if demand.work > 0:
             change = demand.work - self._average_work
             self._average_work += _WORK_SMOOTHING * change
-        work = self._estimated(demand)
         account = self._use_account(demand.team, now=now)
         account.rejected_at_by_rank.pop(demand.rank, None)
-        for one in (account, self._total):
-            one.decay(now)
-            before = one.work_by_rank.get(demand.rank, 0.0)
-            one.work_by_rank[demand.rank] = before + work
+        work = self._estimated(demand.work)
+        account.add(demand.rank, work, now=now)
+        self._total.add(demand.rank, work, now=now)
 
-    def compare(self, demand: Demand, *, now: float) -> Standing | None:
-        """Return the standing of a request's team if the team is ahead.
+    def compare(self, demand: Demand, *, limit: int, now: float) -> Standing:
+        """Compare a request's team with those that wait for its rank.
 
-        The team is ahead if a team that waits for capacity of the same rank
-        has got less, or if a more urgent request of the team was rejected for
-        fairness just now: a less urgent one must not overtake that.
+        The request leaves a slot to each waiting team that has got less. It
+        also leaves one to a more urgent request of its own team that was
+        rejected for fairness just now, and must not be overtaken.
+
+        Half of the requested work is added to the recent work. Without it, a
+        team with large requests would be ahead by half a request on average.
 
         Parameters
         ----------
         demand : Demand
             The request.
+        limit : int
+            Maximum number of requests on the replica.
         now : float
             Monotonic seconds.
-
-        Returns
-        -------
-        Standing or None
-            None if the request may take a free slot.
         """
-        waiting = self._waiting(demand.rank, now=now)
-        standing = self._standing(demand, waiting, now=now)
-        if standing.least < standing.recent:
-            return standing
-        account = self._account_by_team.get(demand.team)
-        if account is None:
-            return None
-        for rank, rejected_at in account.rejected_at_by_rank.items():
-            if rank < demand.rank and now - rejected_at <= _WAITING_SECONDS:
-                return standing
-        return None
+        weight = demand.weight
+        total_weight = weight
+        recent = self._recent(demand.team, demand.rank, now=now)
+        recent = (recent + self._estimated(demand.work) / 2) / weight
+        least = math.inf
+        kept = 0
+        for team, want in self._wanting(demand.rank, now=now):
+            if team == demand.team:
+                continue
+            total_weight += want.weight
+            if now - want.rejected_at > _WAITING_SECONDS:
+                continue
+            other = self._recent(team, demand.rank, now=now)
+            other = (other + want.rejected_work / 2) / want.weight
+            least = min(least, other)
+            kept += other < recent
+        kept = min(kept, max(1, int(limit * _MAX_KEPT_FRACTION)))
+        if self._would_overtake(demand, now=now):
+            kept = max(1, kept)
+        return Standing(
+            share=weight / total_weight,
+            recent=recent,
+            least=least,
+            kept_slots=kept,
+        )
 
     def reject(
         self,
         demand: Demand,
+        standing: Standing,
         *,
         max_delay: float,
         is_for_fairness: bool,
@@ -220,13 +269,15 @@
         """Record a rejected request; return when to retry it.
 
         The delay is the time that the team's share of the current throughput
-        takes to serve what the team is ahead by, the retries promised to it
-        before, and this request.
+        takes to serve the retries promised to it before and this request,
+        and that the others take to catch up with it.
 
         Parameters
         ----------
         demand : Demand
             The request.
+        standing : Standing
+            Its team's standing.
         max_delay : float
             Maximum seconds that the caller would wait.
         is_for_fairness : bool
@@ -239,32 +290,35 @@
         float or None
             Seconds; None if nothing of this rank has run recently.
         """
-        waiting = self._waiting(demand.rank, now=now)
-        self._record_waiting(demand, now=now)
+        work = self._estimated(demand.work)
+        want = self._want_by_team_by_rank[demand.rank][demand.team]
+        want.rejected_at = now
+        want.rejected_work = work
+        account = self._use_account(demand.team, now=now)
         if is_for_fairness:
-            account = self._use_account(demand.team, now=now)
             account.rejected_at_by_rank[demand.rank] = now
-        self._total.decay(now)
-        rate = self._total.work_by_rank.get(demand.rank, 0.0)
+        rate = self._total.recent_of_rank(demand.rank, now=now)
         rate /= _MEMORY_SECONDS
         if rate <= 0:
             return None
-        standing = self._standing(demand, waiting, now=now)
-        weight = self._weight_of(demand.team)
-        others = weight / standing.share - weight
-        lead = max(0.0, standing.recent - standing.least)
-        promised = self._promised(demand, now=now) + self._estimated(demand)
-        seconds = _MIN_DELAY_SECONDS + (
-            lead * others / rate + promised / (rate * standing.share)
-        )
+        share_rate = rate * standing.share
+        lead_seconds = 0.0
+        if standing.least < standing.recent:
+            lead = (standing.recent - standing.least) * demand.weight
+            lead_seconds = lead * (1.0 - standing.share) / share_rate
+        promised_until = account.promised_until_by_rank.get(demand.rank, now)
+        promised_until = max(promised_until, now + lead_seconds)
+        promised_until += work / share_rate
+        # Retries beyond this would come too late for any caller.
+        promised_until = min(promised_until, now + _MAX_DELAY_SECONDS)
+        account.promised_until_by_rank[demand.rank] = promised_until
+        seconds = max(_MIN_DELAY_SECONDS, promised_until - now)
         seconds *= 1.0 + _JITTER * self._random_fraction()
         if demand.prompt:
-            self._retry_by_prompt.pop(demand.prompt, None)
-            self._retry_by_prompt[demand.prompt] = _Retry(
-                demand, now + seconds
-            )
-            if len(self._retry_by_prompt) > _MAX_RETRIES:
-                self._retry_by_prompt.popitem(last=False)
+            self._due_by_prompt[demand.prompt] = now + seconds
+            self._due_by_prompt.move_to_end(demand.prompt)
+            if len(self._due_by_prompt) > _MAX_RETRIES:
+                self._due_by_prompt.popitem(last=False)
         return min(seconds, max_delay)
 
     def may_reserve(self, prompt: int, *, seconds: float, now: float) -> bool:
@@ -274,87 +328,38 @@
         team's share has room for it has no claim to a slot; otherwise a team
         could get any amount by being rejected often.
         """
-        retry = self._retry_by_prompt.get(prompt)
-        return retry is None or retry.due <= now + seconds + _REPORT_SECONDS
+        due = self._due_by_prompt.get(prompt)
+        return due is None or due <= now + seconds + _REPORT_SECONDS
 
-    def _estimated(self, demand: Demand) -> float:
-        return demand.work if demand.work > 0 else self._average_work
+    def _estimated(self, work: float) -> float:
+        return work if work > 0 else self._average_work
 
-    def _standing(
-        self,
-        demand: Demand,
-        waiting: list[_ids.TeamName],
-        *,
-        now: float,
-    ) -> Standing:
-        """Return a team's standing among the waiting teams.
-
-        Half of the requested work is added, so that a team with large
-        requests is neither served before its turn nor a whole request late.
-        """
-        weight = self._weight_of(demand.team)
-        due = sum(
-            self._estimated(retry.demand)
-            for retry in self._retry_by_prompt.values()
-            if retry.demand.team == demand.team
-            and retry.demand.rank <= demand.rank
-            and retry.demand.prompt != demand.prompt
-            and retry.due <= now <= retry.due + _EXPIRY_SECONDS
-        )
-        recent = self._recent(demand.team, demand.rank, now=now) + due
-        recent = (recent + self._estimated(demand) / 2) / weight
-        least = math.inf
-        total_weight = weight
-        for team in waiting:
-            if team == demand.team:
-                continue
-            other_weight = self._weight_of(team)
-            total_weight += other_weight
-            other = self._recent(team, demand.rank, now=now)
-            least = min(
-                least, (other + self._average_work / 2) / other_weight
-            )
-        return Standing(weight / total_weight, recent, least)
-
-    def _recent(
-        self, team: _ids.TeamName, rank: int, *, now: float
-    ) -> float:
+    def _recent(self, team: _ids.TeamName, rank: int, *, now: float) -> float:
         account = self._account_by_team.get(team)
         return 0.0 if account is None else account.recent(rank, now=now)
 
-    def _promised(self, demand: Demand, *, now: float) -> float:
-        """Return the work of the retries promised to a team in a rank."""
-        return sum(
-            self._estimated(retry.demand)
-            for retry in self._retry_by_prompt.values()
-            if retry.demand.team == demand.team
-            and retry.demand.rank == demand.rank
-            and retry.demand.prompt != demand.prompt
-            and now <= retry.due
+    def _would_overtake(self, demand: Demand, *, now: float) -> bool:
+        account = self._account_by_team.get(demand.team)
+        if account is None:
+            return False
+        return any(
+            rank < demand.rank and now - rejected_at <= _WAITING_SECONDS
+            for rank, rejected_at in account.rejected_at_by_rank.items()
         )
 
-    def _waiting(self, rank: int, *, now: float) -> list[_ids.TeamName]:
-        """Return the teams rejected in a rank just now."""
-        rejected_at_by_team = self._waiting_by_rank.get(rank)
-        if rejected_at_by_team is None:
-            return []
-        since = now - _WAITING_SECONDS
-        while rejected_at_by_team:
-            team, rejected_at = next(iter(rejected_at_by_team.items()))
-            if rejected_at >= since:
-                return list(rejected_at_by_team)
-            del rejected_at_by_team[team]
-        del self._waiting_by_rank[rank]
-        return []
-
-    def _record_waiting(self, demand: Demand, *, now: float) -> None:
-        rejected_at_by_team = self._waiting_by_rank.setdefault(
-            demand.rank, collections.OrderedDict()
-        )
-        rejected_at_by_team[demand.team] = now
-        rejected_at_by_team.move_to_end(demand.team)
-        if len(rejected_at_by_team) > _MAX_WAITING:
-            rejected_at_by_team.popitem(last=False)
+    def _wanting(
+        self, rank: int, *, now: float
+    ) -> Iterable[tuple[_ids.TeamName, _Want]]:
+        """Return the teams that want capacity of a rank now."""
+        wants = self._want_by_team_by_rank.get(rank)
+        if wants is None:
+            return ()
+        while wants:
+            team, want = next(iter(wants.items()))
+            if now - want.asked_at <= _WANTING_SECONDS:
+                break
+            del wants[team]
+        return wants.items()
 
     def _use_account(self, team: _ids.TeamName, *, now: float) -> _Account:
         """Return a team's account, and drop those of idle teams."""
@@ -364,11 +369,9 @@
             self._account_by_team[team] = account
         self._account_by_team.move_to_end(team)
         while len(self._account_by_team) > 1:
-            oldest = next(iter(self._account_by_team))
-            is_idle = (
-                now - self._account_by_team[oldest].updated_at > _IDLE_SECONDS
-            )
+            oldest = next(iter(self._account_by_team.values()))
+            is_idle = now - oldest.updated_at > _IDLE_SECONDS
             if not is_idle and len(self._account_by_team) <= _MAX_TEAMS:
                 break
-            del self._account_by_team[oldest]
+            self._account_by_team.popitem(last=False)
         return account
--- a/src/topazlug/forwarding/_daemon.py
+++ b/src/topazlug/forwarding/_daemon.py
@@ -203,6 +203,7 @@
             targets=self.targets,
             fleet=self._fleet,
             guard=self._crash_assembly.guard,
+            fairness_rejections=self._fairness_rejections,
         )
         self._monitoring = _monitoring.MonitoringListeners(
             options=options, is_ready=self.is_ready, metrics=self.metrics
@@ -311,6 +312,9 @@
             and mechanism.FAIR_SHARES not in disabled,
         )
 
+    def _fairness_rejections(self) -> int:
+        return 0 if self._owners is None else self._owners.fairness_rejections
+
     def _update_fleet_size(self, daemons: int) -> None:
         if self._owners is not None:
             self._owners.update_daemons(self._fleet.directory.daemons_by_id)
--- a/src/topazlug/forwarding/_gauges.py
+++ b/src/topazlug/forwarding/_gauges.py
@@ -1,5 +1,7 @@
 """Gauges and totals of a forwarding daemon, read at each scrape."""
 
+from collections.abc import Callable
+
 from topazlug.callers import _caller_server
 from topazlug.crashes import _crash_guard
 from topazlug.fleet import _fleet
@@ -19,6 +21,7 @@
     targets: _targets.TargetDirectory,
     fleet: _fleet.Fleet,
     guard: _crash_guard.CrashGuard,
+    fairness_rejections: Callable[[], int],
 ) -> None:
     """Register the gauges and totals of a daemon with its metrics."""
     _target_gauges.watch(metrics, targets)
@@ -30,5 +33,6 @@
     metrics.watch(gauge.MEMBERS, lambda: fleet.size)
     metrics.watch(gauge.BLOCKED, lambda: guard.blocked)
     total = _metrics.Total
+    metrics.watch(total.FAIRNESS_REJECTIONS, fairness_rejections)
     metrics.watch(total.CONTROL_SENT, lambda: fleet.bytes_sent)
     metrics.watch(total.CONTROL_RECEIVED, lambda: fleet.bytes_received)
--- a/src/topazlug/placement/_owners.py
+++ b/src/topazlug/placement/_owners.py
@@ -151,6 +151,11 @@
         """Return the ledger of a replica that this daemon owns."""
         return self._owner.ledger_by_replica.get(replica)
 
+    @property
+    def fairness_rejections(self) -> int:
+        """Return the number of rejections for fairness between teams."""
+        return self._owner.fairness_rejections
+
     def report(self) -> None:
         """Report the load of the replicas owned here to collectors, if due."""
         self._endpoint.report()
--- a/src/topazlug/routing/_admission_control.py
+++ b/src/topazlug/routing/_admission_control.py
@@ -4,6 +4,7 @@
 an exact count.
 """
 
+from collections.abc import Callable
 from typing import final
 
 from topazlug import _clock
@@ -13,6 +14,7 @@
 from topazlug.capacity import _context_reads
 from topazlug.capacity import _slot_key
 from topazlug.capacity import _startup_allowance
+from topazlug.capacity import _team_shares
 from topazlug.routing import _group_limits
 from topazlug.routing import _ledger
 from topazlug.routing import _owner_features
@@ -41,8 +43,15 @@
         Load allowed on a replica just after this owner has started.
     features : OwnerFeatures
         Optional decisions that are switched on.
+    weight_of : callable
+        Returns a team's weight.
     clock : Clock
         Source of time.
+
+    Attributes
+    ----------
+    fairness_rejections : int
+        Requests rejected because their team was ahead of others.
     """
 
     def __init__(
@@ -54,6 +63,7 @@
         targets: _targets.TargetDirectory,
         startup_allowance: _startup_allowance.StartupAllowance,
         features: _owner_features.OwnerFeatures,
+        weight_of: Callable[[_ids.TeamName], float],
         clock: _clock.Clock,
     ) -> None:
         self._group_limits = group_limits
@@ -62,7 +72,9 @@
         self._targets = targets
         self._startup_allowance = startup_allowance
         self._features = features
+        self._weight_of = weight_of
         self._clock = clock
+        self.fairness_rejections = 0
 
     def decide(
         self,
@@ -174,6 +186,7 @@
             batch=ask.batch,
             chat=_ids.ChatHash(ask.chat),
             rank=ask.rank,
+            work=self._work_of(ask, ledger),
         )
         total = self._group_limits.total(ledger.group)
         if ask.total > total.load:
@@ -194,7 +207,10 @@
         if fit is _ledger.Fit.OVER_BOUND:
             fit = self._recheck_returning_chat(ledger, entry, fit)
         if ask.rank != _ledger.UNRANKED:
-            if not self._has_rank_capacity(ledger, ask):
+            if self._features.fair_shares:
+                if self._reject_by_share(ledger, entry, ask, reply):
+                    return
+            elif not self._has_rank_capacity(ledger, ask):
                 self._reject_by_rank(ledger, ask, reply)
                 return
             if fit is _ledger.Fit.FULL:
@@ -233,8 +249,27 @@
             return
         self._queue.enqueue(ledger, key, entry, ask.wait, reply)
 
+    def _work_of(
+        self, ask: messages.AdmitAsk, ledger: _ledger.ReplicaLedger
+    ) -> float:
+        """Return the work that the request causes there, 0 if unknown."""
+        shared = ask.shared
+        if shared >= _context_reads.MIN_SHARED_TOKENS:
+            state = ledger.context_reads.state(
+                _ids.ChatHash(ask.chat), now=self._clock.monotonic()
+            )
+            if state is _context_reads.ReadState.FIRST:
+                shared = 0
+        return _team_shares.work_of(
+            unread_tokens=ask.tokens - shared, output_tokens=ask.output_tokens
+        )
+
     def _has_rank_capacity(
-        self, ledger: _ledger.ReplicaLedger, ask: messages.AdmitAsk
+        self,
+        ledger: _ledger.ReplicaLedger,
+        ask: messages.AdmitAsk,
+        *,
+        kept_slots: int = 0,
     ) -> bool:
         now = self._clock.monotonic()
         ledger.rank_limits.record_request(ask.rank, now=now)
@@ -243,22 +278,100 @@
         reserved = ledger.reservations.reserved(
             ask.rank, now=now, is_due=is_due
         )
+        # A retry that is due was promised its slot.
+        if not is_due:
+            reserved += kept_slots
         return ledger.rank_limits.has_capacity(
             ask.rank, load=load, reserved=reserved, is_due=is_due, now=now
         )
 
-    def _reject_by_rank(
+    def _reject_by_share(
         self,
         ledger: _ledger.ReplicaLedger,
+        entry: _ledger.LedgerEntry,
         ask: messages.AdmitAsk,
         reply: _owner_replies.Reply,
-    ) -> None:
-        retry_after = ledger.reservations.retry_after(
+    ) -> bool:
+        """Reject the request by its rank, or if its team is ahead of others.
+
+        Returns
+        -------
+        bool
+            Whether it was rejected.
+        """
+        now = self._clock.monotonic()
+        demand = _team_shares.Demand(
+            team=entry.team,
+            rank=entry.rank,
+            work=entry.work,
+            prompt=ask.request,
+            weight=self._weight_of(entry.team),
+        )
+        shares = ledger.team_shares
+        shares.record_request(demand, now=now)
+        standing = shares.compare(
+            demand, limit=ledger.rank_limits.limit, now=now
+        )
+        if self._has_rank_capacity(
+            ledger, ask, kept_slots=standing.kept_slots
+        ):
+            return False
+        is_for_fairness = self._has_rank_capacity(ledger, ask)
+        retry_after = shares.reject(
+            demand,
+            standing,
+            max_delay=ask.longest,
+            is_for_fairness=is_for_fairness,
+            now=now,
+        )
+        if not is_for_fairness:
+            self._reject_by_rank(ledger, ask, reply, retry_after=retry_after)
+            return True
+        self.fairness_rejections += 1
+        if retry_after is None:
+            retry_after = self._retry_after(ledger, ask)
+        _log.info(
+            "rejected at {replica} for fairness: team {team} has {recent:.0f} "
+            "tokens of recent work, the least of those that wait {least:.0f}",
+            replica=ledger.replica,
+            team=entry.team,
+            recent=standing.recent,
+            least=standing.least,
+            share=round(standing.share, 3),
+            rank=ask.rank,
+            load=ledger.load,
+            limit=ledger.rank_limits.limit,
+            kept=standing.kept_slots,
+            retry_after=round(retry_after, 3),
+        )
+        self._replies.send(
+            reply,
+            messages.Verdict.full,
+            load=ledger.load,
+            retry_after=retry_after,
+        )
+        return True
+
+    def _retry_after(
+        self, ledger: _ledger.ReplicaLedger, ask: messages.AdmitAsk
+    ) -> float:
+        return ledger.reservations.retry_after(
             ask.rank,
             interval=ledger.release_interval,
             max_delay=ask.longest,
             now=self._clock.monotonic(),
         )
+
+    def _reject_by_rank(
+        self,
+        ledger: _ledger.ReplicaLedger,
+        ask: messages.AdmitAsk,
+        reply: _owner_replies.Reply,
+        *,
+        retry_after: float | None = None,
+    ) -> None:
+        if retry_after is None:
+            retry_after = self._retry_after(ledger, ask)
         _log.info(
             "rejected at {replica} for rank {rank}: load {load}, "
             "limit {limit}",
@@ -298,6 +411,8 @@
             )
             return
         ledger.admit(key, entry)
+        if self._features.fair_shares:
+            ledger.record_work(entry, prompt=ask.request, now=now)
         if self._tolerated_rate(ledger) is not None:
             ledger.cold_rate.record_admitted()
         ledger.reservations.remove(ask.request)
--- a/src/topazlug/routing/_held_placements.py
+++ b/src/topazlug/routing/_held_placements.py
@@ -15,6 +15,7 @@
 from topazlug import _errors
 from topazlug import _ids
 from topazlug._generated import messages
+from topazlug.capacity import _team_shares
 from topazlug.routing import _owner
 from topazlug.routing import _ownership
 from topazlug.routing import _placement
@@ -209,6 +210,8 @@
 
 
 def _held_place_message(placement: _placement.Placement) -> messages.HeldPlace:
+    request = placement.request
+    shared = 0 if placement.reads_context else request.shared_tokens
     return messages.HeldPlace(
         ask=placement.ask,
         replica=placement.target.replica,
@@ -216,4 +219,8 @@
         team=placement.request.team,
         batch=placement.request.batch,
         rank=placement.request.rank,
+        work=_team_shares.work_of(
+            unread_tokens=request.prompt_tokens - shared,
+            output_tokens=request.output_tokens,
+        ),
     )
--- a/src/topazlug/routing/_ledger.py
+++ b/src/topazlug/routing/_ledger.py
@@ -22,6 +22,7 @@
 from topazlug.capacity import _reservations
 from topazlug.capacity import _shared_backoff
 from topazlug.capacity import _slot_key
+from topazlug.capacity import _team_shares
 from topazlug.limits import _fair_queue
 
 _INTERVAL_SMOOTHING = 0.1
@@ -40,6 +41,7 @@
     batch: bool
     chat: _ids.ChatHash = _ids.ChatHash(0)
     rank: int = UNRANKED
+    work: float = 0.0
 
 
 class QueuedRequest(msgspec.Struct):
@@ -117,6 +119,7 @@
         self.reservations = _reservations.Reservations()
         self.backoff = _shared_backoff.SharedBackoff()
         self.speed = _replica_speed.ReplicaSpeed()
+        self.team_shares = _team_shares.TeamShares()
         self.entry_by_key: dict[_slot_key.SlotKey, LedgerEntry] = {}
         self.queued_by_key: dict[_slot_key.SlotKey, QueuedRequest] = {}
         self._interactive = _fair_queue.FairQueue[QueuedRequest](
@@ -235,6 +238,16 @@
         self.hold(key, entry)
         self.backoff.record_admitted()
 
+    def record_work(
+        self, entry: LedgerEntry, *, prompt: int = 0, now: float
+    ) -> None:
+        """Count the work of a request for its team, if it has a rank."""
+        if entry.rank != UNRANKED:
+            demand = _team_shares.Demand(
+                entry.team, entry.rank, entry.work, prompt
+            )
+            self.team_shares.record_admitted(demand, now=now)
+
     def holds_chat_once(self, chat: _ids.ChatHash) -> bool:
         """Return whether exactly one admitted request is this chat's.
 
@@ -390,15 +403,17 @@
             if key.ask not in held_by_ask and key.ask not in pending:
                 self.release(key, now=now)
         for ask, placement in held_by_ask.items():
-            self.hold(
-                _slot_key.SlotKey(daemon, ask),
-                LedgerEntry(
-                    weight=placement.weight,
-                    team=_ids.TeamName(placement.team),
-                    batch=placement.batch,
-                    rank=placement.rank,
-                ),
+            key = _slot_key.SlotKey(daemon, ask)
+            entry = LedgerEntry(
+                weight=placement.weight,
+                team=_ids.TeamName(placement.team),
+                batch=placement.batch,
+                rank=placement.rank,
+                work=placement.work,
             )
+            if key not in self.entry_by_key:
+                self.record_work(entry, now=now)
+            self.hold(key, entry)
 
     def drop_daemon(self, daemon: _ids.DaemonId, *, now: float) -> None:
         """Release all admitted and queued requests of a dead daemon."""
--- a/src/topazlug/routing/_owner.py
+++ b/src/topazlug/routing/_owner.py
@@ -139,6 +139,7 @@
                 fraction=startup_fraction, started_at=clock.monotonic()
             ),
             features=features,
+            weight_of=rules.weight_of,
             clock=clock,
         )
         self._last_received_at: dict[_ids.DaemonId, float] = {}
@@ -209,13 +210,16 @@
     def record_rejection(self, message: messages.TurnedAway) -> None:
         """Reserve a slot for a rejected request that may be sent again."""
         ledger = self.ledger_by_replica.get(_ids.ReplicaId(message.replica))
-        if ledger is not None and message.request:
-            ledger.reservations.add(
-                message.request,
-                message.rank,
-                seconds=message.seconds,
-                now=self._clock.monotonic(),
-            )
+        if ledger is None or not message.request:
+            return
+        now = self._clock.monotonic()
+        if self._features.fair_shares and not ledger.team_shares.may_reserve(
+            message.request, seconds=message.seconds, now=now
+        ):
+            return
+        ledger.reservations.add(
+            message.request, message.rank, seconds=message.seconds, now=now
+        )
 
     def record_response_head(self, head: messages.EngineWord) -> None:
         """Apply the load that a replica reported in a response head."""
@@ -395,6 +399,11 @@
         for ledger in self.group_limits.ledgers_of(group):
             self._queue.grant_queued(ledger)
 
+    @property
+    def fairness_rejections(self) -> int:
+        """Return the number of rejections for fairness between teams."""
+        return self._admission_control.fairness_rejections
+
     def queued_count(self) -> int:
         """Return the number of requests in this owner's queues."""
         ledgers = self.ledger_by_replica.values()
--- a/src/topazlug/telemetry/_metrics.py
+++ b/src/topazlug/telemetry/_metrics.py
@@ -88,6 +88,7 @@
     CONTROL_SENT = "topazlug.control.sent"
     CONTROL_RECEIVED = "topazlug.control.received"
     PAUSES = "topazlug.pauses"
+    FAIRNESS_REJECTIONS = "topazlug.owner.fairness_rejections"
 
 
 _UNITS: dict[Gauge | Total, str] = {
@@ -117,6 +118,8 @@
     Gauge.TABLE_AGE: "Age of the oldest word of the store on a table.",
     Total.CONTROL_SENT: "Bytes sent to peers.",
     Total.CONTROL_RECEIVED: "Bytes received from peers.",
+    Total.FAIRNESS_REJECTIONS: "Requests that this daemon, as the owner of "
+    "replicas, rejected as their team was ahead of others that waited.",
     Total.PAUSES: "Jumps of the clock: the daemon was frozen and thawed.",
 }
 
