--- a/bench/experiments/team_shares.py
+++ b/bench/experiments/team_shares.py
@@ -10,7 +10,9 @@
 import collections
 from collections.abc import Iterable
 from collections.abc import Mapping
+import functools
 import random
+import statistics
 from typing import NamedTuple
 
 from bench.experiments import overload
@@ -21,7 +23,7 @@
 _MAX_DELAY_FRACTION = 0.3
 START = 5.0
 END = 20.0
-ENGINE = overload.Engine(slots=32)
+ENGINE = overload.Engine(slots=40)
 
 
 class TeamLoad(NamedTuple):
@@ -38,16 +40,17 @@
     return TeamLoad(_ids.TeamName(name), kind)
 
 
-# Teams that want equal work: many small requests, medium ones, few large ones.
-# Together they use somewhat more than half of the replica.
+# Four teams that want equal work by many small, medium and few large requests,
+# and one that wants a fifth of that. Together they use somewhat more than half
+# of the replica.
 TEAMS = (
-    _team("small", rate=24.0, prompt=200, output=12, deadline=4.0),
-    _team("medium-0", rate=6.0, prompt=800, output=48, deadline=6.0),
-    _team("medium-1", rate=6.0, prompt=800, output=48, deadline=6.0),
-    _team("large", rate=1.5, prompt=3200, output=192, deadline=15.0),
+    _team("small", rate=26.0, prompt=200, output=12, deadline=4.0),
+    _team("medium-0", rate=6.5, prompt=800, output=48, deadline=6.0),
+    _team("medium-1", rate=6.5, prompt=800, output=48, deadline=6.0),
+    _team("large", rate=1.625, prompt=3200, output=192, deadline=15.0),
+    _team("little", rate=1.3, prompt=800, output=48, deadline=6.0),
 )
-# A team that wants a fifth of what the others do.
-LITTLE = _team("little", rate=1.2, prompt=800, output=48, deadline=6.0)
+Served = dict[_ids.TeamName, float]
 
 
 def work_of(request: overload.Request) -> float:
@@ -178,13 +181,13 @@
 
 def served_work(
     requests: Iterable[overload.Request],
-) -> dict[_ids.TeamName, float]:
+) -> Served:
     """Return the work done while there was load, by team.
 
     Of a request that was answered, the part of its time on the replica that
     lies between the start and the end of the load is counted.
     """
-    served: dict[_ids.TeamName, float] = collections.defaultdict(float)
+    served: Served = collections.defaultdict(float)
     answered = (overload.Outcome.ON_TIME, overload.Outcome.LATE)
     for request in requests:
         if request.outcome in answered:
@@ -211,54 +214,76 @@
     )
 
 
+def factors(
+    load: float, *, surging: _ids.TeamName | None = None
+) -> dict[_ids.TeamName, float]:
+    """Return the load of all teams, or of a single one."""
+    names = [team.name for team in TEAMS] if surging is None else [surging]
+    return dict.fromkeys(names, load)
+
+
+def served_together(
+    seed: int,
+    *,
+    factor_by_team: Mapping[_ids.TeamName, float],
+    fair_shares: bool,
+) -> Served:
+    """Return the work of all teams on one replica."""
+    policy = (
+        FairLimits(ENGINE.slots)
+        if fair_shares
+        else overload.LearnedLimits(ENGINE.slots)
+    )
+    requests = arrivals(seed, teams=TEAMS, factor_by_team=factor_by_team)
+    return served_work(simulate(policy, requests))
+
+
+def served_alone(
+    seed: int, *, factor_by_team: Mapping[_ids.TeamName, float]
+) -> Served:
+    """Return the work of each team alone on its share of the replica."""
+    part = share_of(ENGINE, 1 / len(TEAMS))
+    served: Served = {}
+    for team in TEAMS:
+        requests = arrivals(seed, teams=[team], factor_by_team=factor_by_team)
+        policy = overload.LearnedLimits(part.slots)
+        served.update(served_work(simulate(policy, requests, engine=part)))
+    return served
+
+
 def main() -> None:
     """Print the work of each team with and without shares, and alone."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--seeds", type=int, default=3)
     seeds = range(parser.parse_args().seeds)
-    teams = (*TEAMS, LITTLE)
-    names = [team.name for team in teams]
-    print("| load | policy | " + " | ".join(names) + " | total |")
+    names = [team.name for team in TEAMS]
+    print("| load | shares | " + " | ".join(names) + " | total |")
     print("|---|---|" + "---|" * (len(names) + 1))
-    part = share_of(ENGINE, 1 / len(teams))
-    for kind in ("all", "medium-0"):
+    for surging in (None, names[1], names[3]):
         for load in (1, 2, 4, 8):
-            factors = {
-                name: float(load) for name in names if kind in ("all", name)
-            }
-            if kind != "all":
-                factors = {name: load * 4.0 for name in factors}
-            rows: dict[str, collections.Counter[_ids.TeamName]] = {
-                key: collections.Counter() for key in ("off", "on", "alone")
+            by_team = factors(load, surging=surging)
+            rows = {
+                "off": functools.partial(
+                    served_together, factor_by_team=by_team, fair_shares=False
+                ),
+                "on": functools.partial(
+                    served_together, factor_by_team=by_team, fair_shares=True
+                ),
+                "alone": functools.partial(
+                    served_alone, factor_by_team=by_team
+                ),
             }
-            for seed in seeds:
-                for key, policy in (
-                    ("off", overload.LearnedLimits(ENGINE.slots)),
-                    ("on", FairLimits(ENGINE.slots)),
-                ):
-                    requests = arrivals(
-                        seed, teams=teams, factor_by_team=factors
-                    )
-                    rows[key] += served_work(simulate(policy, requests))
-                for team in teams:
-                    requests = arrivals(
-                        seed, teams=[team], factor_by_team=factors
-                    )
-                    alone = simulate(
-                        overload.LearnedLimits(part.slots),
-                        requests,
-                        engine=part,
-                    )
-                    rows["alone"] += served_work(alone)
-            for key, served in rows.items():
-                seconds = (END - START) * len(seeds)
-                cells = [f"{served[name] / seconds:.0f}" for name in names]
-                total = sum(served.values()) / seconds
-                print(
-                    f"| {kind} x{load} | {key} | "
-                    + " | ".join(cells)
-                    + f" | {total:.0f} |"
+            for row, serve in rows.items():
+                found = [serve(seed) for seed in seeds]
+                means = [
+                    statistics.mean(served[name] for served in found)
+                    / (END - START)
+                    for name in names
+                ]
+                cells = " | ".join(
+                    f"{mean:.0f}" for mean in (*means, sum(means))
                 )
+                print(f"| {surging or 'all'} x{load} | {row} | {cells} |")
 
 
 if __name__ == "__main__":
--- a/src/topazlug/capacity/_team_shares.py
+++ b/src/topazlug/capacity/_team_shares.py
@@ -25,7 +25,7 @@
 # Time constant with which work is forgotten. Long enough to hold several
 # requests of a team, and short enough that a team that was idle gets more
 # than its share for a moment only.
-_MEMORY_SECONDS = 2.0
+_MEMORY_SECONDS = 1.5
 # A team that was rejected within this time waits for capacity. Its caller
 # retries after 0.2 s at the earliest.
 _WAITING_SECONDS = 0.5
