--- a/src/topazlug/capacity/_team_shares.py
+++ b/src/topazlug/capacity/_team_shares.py
@@ -26,9 +26,9 @@
 # requests of a team, and short enough that a team that was idle gets more
 # than its share for a moment only.
 _MEMORY_SECONDS = 1.5
-# A team that was rejected within this time waits for capacity. Its caller
-# retries after 0.2 s at the earliest.
-_WAITING_SECONDS = 0.5
+# A team that was rejected within this time waits for capacity. Callers retry
+# after 0.2 s at the earliest.
+_WAITING_SECONDS = 1.0
 # A team without requests for this long does not want capacity.
 _WANTING_SECONDS = 2.0
 # Accounts not used for this long hold less than 1% of their work.
@@ -42,9 +42,12 @@
 # reservations.
 _MIN_DELAY_SECONDS = 0.05
 _JITTER = 0.25
-# Upper limit of promised delays. No caller waits longer, and a promise must
-# not outlive the shortage by much.
-_MAX_DELAY_SECONDS = 30.0
+# Rejected requests queue for their team's share up to this multiple of what a
+# caller waits, so that the delays are short again soon after the shortage.
+# With a queue that ends where callers give up, half of the capacity went to
+# retries, and teams whose small requests fit in had half as much again as the
+# others.
+_MAX_PROMISED_DELAYS = 2.0
 # A reservation may be due this much earlier than the retry was promised. The
 # report of the rejection arrives some milliseconds after the promise.
 _REPORT_SECONDS = 0.05
@@ -185,6 +188,11 @@
         """Return the number of accounts."""
         return len(self._account_by_team)
 
+    def recent(self, team: _ids.TeamName, rank: int, *, now: float) -> float:
+        """Return a team's recent work in a rank and more urgent ones."""
+        account = self._account_by_team.get(team)
+        return 0.0 if account is None else account.recent(rank, now=now)
+
     def record_request(self, demand: Demand, *, now: float) -> None:
         """Record that a team wants capacity."""
         wants = self._want_by_team_by_rank.setdefault(
@@ -215,8 +223,8 @@
     def compare(self, demand: Demand, *, limit: int, now: float) -> Standing:
         """Compare a request's team with those that wait for its rank.
 
-        The request leaves a slot to each waiting team that has got less. It
-        also leaves one to a more urgent request of its own team that was
+        If the team has got more than its share, the request leaves a slot to
+        each waiting team that has got less. It also leaves one to a more urgent request of its own team that was
         rejected for fairness just now, and must not be overtaken.
 
         Half of the requested work is added to the recent work. Without it, a
@@ -233,7 +241,7 @@
         """
         weight = demand.weight
         total_weight = weight
-        recent = self._recent(demand.team, demand.rank, now=now)
+        recent = self.recent(demand.team, demand.rank, now=now)
         recent = (recent + self._estimated(demand.work) / 2) / weight
         least = math.inf
         kept = 0
@@ -243,15 +251,19 @@
             total_weight += want.weight
             if now - want.rejected_at > _WAITING_SECONDS:
                 continue
-            other = self._recent(team, demand.rank, now=now)
+            other = self.recent(team, demand.rank, now=now)
             other = (other + want.rejected_work / 2) / want.weight
             least = min(least, other)
             kept += other < recent
+        share = weight / total_weight
+        total = self._total.recent(demand.rank, now=now)
+        if recent * weight <= share * total:
+            kept = 0
         kept = min(kept, max(1, int(limit * _MAX_KEPT_FRACTION)))
         if self._would_overtake(demand, now=now):
             kept = max(1, kept)
         return Standing(
-            share=weight / total_weight,
+            share=share,
             recent=recent,
             least=least,
             kept_slots=kept,
@@ -269,8 +281,8 @@
         """Record a rejected request; return when to retry it.
 
         The delay is the time that the team's share of the current throughput
-        takes to serve the retries promised to it before and this request,
-        and that the others take to catch up with it.
+        takes to serve the requests rejected before and this one, longer by
+        what the team is ahead of the others, shorter by what it is behind.
 
         Parameters
         ----------
@@ -302,18 +314,17 @@
         if rate <= 0:
             return None
         share_rate = rate * standing.share
-        lead_seconds = 0.0
-        if standing.least < standing.recent:
-            lead = (standing.recent - standing.least) * demand.weight
-            lead_seconds = lead * (1.0 - standing.share) / share_rate
         promised_until = account.promised_until_by_rank.get(demand.rank, now)
-        promised_until = max(promised_until, now + lead_seconds)
-        promised_until += work / share_rate
-        # Retries beyond this would come too late for any caller.
-        promised_until = min(promised_until, now + _MAX_DELAY_SECONDS)
-        account.promised_until_by_rank[demand.rank] = promised_until
-        seconds = max(_MIN_DELAY_SECONDS, promised_until - now)
+        promised_until = max(promised_until, now) + work / share_rate
+        seconds = promised_until - now
+        if standing.least < math.inf:
+            lead = (standing.recent - standing.least) * demand.weight
+            seconds += lead / share_rate
+        seconds = max(_MIN_DELAY_SECONDS, seconds)
         seconds *= 1.0 + _JITTER * self._random_fraction()
+        account.promised_until_by_rank[demand.rank] = min(
+            promised_until, now + max_delay * _MAX_PROMISED_DELAYS
+        )
         if demand.prompt:
             self._due_by_prompt[demand.prompt] = now + seconds
             self._due_by_prompt.move_to_end(demand.prompt)
@@ -334,10 +345,6 @@
     def _estimated(self, work: float) -> float:
         return work if work > 0 else self._average_work
 
-    def _recent(self, team: _ids.TeamName, rank: int, *, now: float) -> float:
-        account = self._account_by_team.get(team)
-        return 0.0 if account is None else account.recent(rank, now=now)
-
     def _would_overtake(self, demand: Demand, *, now: float) -> bool:
         account = self._account_by_team.get(demand.team)
         if account is None:
