--- a/src/topazlug/forwarding/_gauges.py
+++ b/src/topazlug/forwarding/_gauges.py
@@ -1,5 +1,7 @@
 """Gauges and totals of a forwarding daemon, read at each scrape."""
 
+from collections.abc import Callable
+
 from topazlug.callers import _caller_server
 from topazlug.crashes import _crash_guard
 from topazlug.fleet import _fleet
@@ -21,6 +23,7 @@
     fleet: _fleet.Fleet,
     guard: _crash_guard.CrashGuard,
     read_placements: _read_search.ReadPlacements,
+    fairness_rejections: Callable[[], int],
 ) -> None:
     """Register the gauges and totals of a daemon with its metrics."""
     _target_gauges.watch(metrics, targets)
@@ -32,6 +35,7 @@
     metrics.watch(gauge.MEMBERS, lambda: fleet.size)
     metrics.watch(gauge.BLOCKED, lambda: guard.blocked)
     total = _metrics.Total
+    metrics.watch(total.FAIRNESS_REJECTIONS, fairness_rejections)
     metrics.watch(total.CONTROL_SENT, lambda: fleet.bytes_sent)
     metrics.watch(total.CONTROL_RECEIVED, lambda: fleet.bytes_received)
     metrics.watch(total.MOVED_READS, lambda: read_placements.moved_count)
--- a/src/topazlug/placement/_owners.py
+++ b/src/topazlug/placement/_owners.py
@@ -155,6 +155,11 @@
         """Return what the limits of each replica owned here are divided by."""
         return self._owner.slowness_by_replica()
 
+    @property
+    def fairness_rejections(self) -> int:
+        """Return the number of rejections for fairness between teams."""
+        return self._owner.fairness_rejections
+
     def report(self) -> None:
         """Report the load of the replicas owned here to collectors, if due."""
         self._endpoint.report()
--- a/src/topazlug/telemetry/_metrics.py
+++ b/src/topazlug/telemetry/_metrics.py
@@ -92,6 +92,7 @@
     PAUSES = "topazlug.pauses"
     MOVED_READS = "topazlug.prompt_reads.moved"
     STALLING_READS = "topazlug.prompt_reads.stalling"
+    FAIRNESS_REJECTIONS = "topazlug.owner.fairness_rejections"
 
 
 _UNITS: dict[Gauge | Total, str] = {
@@ -125,6 +126,8 @@
     Gauge.TABLE_AGE: "Age of the oldest word of the store on a table.",
     Total.CONTROL_SENT: "Bytes sent to peers.",
     Total.CONTROL_RECEIVED: "Bytes received from peers.",
+    Total.FAIRNESS_REJECTIONS: "Requests that this daemon, as the owner of "
+    "replicas, rejected as their team was ahead of others that waited.",
     Total.PAUSES: "Jumps of the clock: the daemon was frozen and thawed.",
     Total.MOVED_READS: "Prompts read on another replica, as they would have "
     "stalled streams on the first that was asked.",
