Replace what a restarted daemon's previous process has under a key

Cause: the ledger kept the held entry when a queued request of the same key was granted. Within one process of a daemon a key is never queued and held at once: each admission request has a new number, frames are sent once, and a renewal lists an ask as held only after its grant. But a daemon keeps its id when it restarts and numbers its requests from 1 again, while its owner still has the requests of the previous process (until the first renewal, or 2.5 renewal intervals of silence). Then the held entry is the one that has ended, so the model is right and the ledger wrong: - a granted request was counted with the weight, class, chat and rank of the old one; - an old entry was kept by renewals while its key was pending, so a queued request waited for a slot that nobody used; - a key that was queued twice was granted twice: KeyError in grant_queued. The last two were found while the first was traced.

Ruled out: duplicated admission requests (the peer link never sends a frame again), a placement made by view or at another owner (new numbers), a late reply after a time-out (the ask is released and never held).

Change: what is queued or granted replaces what is there under its key. Entries from renewals still don't replace counted ones, which also have the chat.

--- a/src/topazlug/routing/_ledger.py
+++ b/src/topazlug/routing/_ledger.py
@@ -232,6 +232,7 @@
 
     def admit(self, key: _slot_key.SlotKey, entry: LedgerEntry) -> None:
         """Count a request that is granted now."""
+        self._remove_earlier(key)
         self.hold(key, entry)
         self.backoff.record_admitted()
 
@@ -255,9 +256,19 @@
         bool
             Whether slots were released.
         """
+        self._remove_from_queue(key)
+        if not self._remove_entry(key):
+            return False
+        self._record_release(now)
+        return True
+
+    def _remove_from_queue(self, key: _slot_key.SlotKey) -> None:
         queued = self.queued_by_key.pop(key, None)
         if queued is not None:
             self._queue_of(queued).remove(queued)
+
+    def _remove_entry(self, key: _slot_key.SlotKey) -> bool:
+        """Stop counting an admitted request; return whether it was counted."""
         entry = self.entry_by_key.pop(key, None)
         if entry is None:
             return False
@@ -266,9 +277,18 @@
         if entry.batch:
             self.batch_load -= entry.weight
         self.context_reads.record_end(key)
-        self._record_release(now)
         return True
 
+    def _remove_earlier(self, key: _slot_key.SlotKey) -> None:
+        """Remove what an earlier process of a daemon has under a key.
+
+        A restarted daemon keeps its id and numbers its requests from 1 again.
+        Until its first renewal, requests of its previous process are counted
+        and queued, and a new request may have the key of one of them.
+        """
+        self._remove_from_queue(key)
+        self._remove_entry(key)
+
     def _record_release(self, now: float) -> None:
         """Update the moving average of the time between two releases.
 
@@ -310,6 +330,7 @@
 
     def enqueue(self, queued: QueuedRequest, *, team_weight: float) -> None:
         """Add a request to its queue; reject the one that is evicted."""
+        self._remove_earlier(queued.key)
         self.queued_by_key[queued.key] = queued
         evicted = self._queue_of(queued).push(
             queued, team=queued.entry.team, weight=team_weight
--- a/tests/topazlug/routing/test_ledger.py
+++ b/tests/topazlug/routing/test_ledger.py
@@ -129,6 +129,12 @@
     ),
     strategies.tuples(strategies.just("drop"), DAEMON_NAMES),
     strategies.tuples(strategies.just("queue"), DAEMON_NAMES, ASK_NUMBERS),
+    strategies.tuples(
+        strategies.just("admit"),
+        DAEMON_NAMES,
+        ASK_NUMBERS,
+        strategies.integers(1, 3),
+    ),
     strategies.tuples(strategies.just("grant")),
 )
 
@@ -140,8 +146,9 @@
         """Each request must be counted exactly once.
 
         Holds, releases, renewals and deaths of daemons may come in any order
-        and repeatedly. A wrong count makes an idle replica reject all
-        requests, or overloads it.
+        and repeatedly, and a restarted daemon uses its request numbers again.
+        A wrong count makes an idle replica reject all requests, or overloads
+        it.
         """
         ledger, model = make_ledger(), {}
         for step in steps:
@@ -183,9 +190,14 @@
             del model[old]
 
     def queue(self, ledger, model, daemon, ask):
-        if key(daemon, ask) in ledger.queued_by_key | model:
-            return
         Waiter(ledger, ask, daemon=daemon)
+        model.pop(key(daemon, ask), None)
+
+    def admit(self, ledger, model, daemon, ask, weight):
+        admitted = entry(weight, batch=ask % 2 == 0)
+        ledger.admit(key(daemon, ask), admitted)
+        assert key(daemon, ask) not in ledger.queued_by_key
+        model[key(daemon, ask)] = admitted
 
     def grant(self, ledger, model):
         before = dict(ledger.queued_by_key)
--- a/tests/topazlug/routing/test_owner.py
+++ b/tests/topazlug/routing/test_owner.py
@@ -101,6 +101,50 @@
         assert entry.owner.ledger_by_replica[R0].load == 1
 
 
+class TestRestartedDaemon:
+    """A restarted daemon keeps its id and numbers its requests from 1 again.
+
+    Until it renews, its owner has requests of the previous process under the
+    same keys.
+    """
+
+    def test_entry_of_the_previous_process_is_replaced(
+        self, requester, entry, clock
+    ):
+        """The load was counted with the weight and class of an old request."""
+        clock.advance(5)
+        requester.fill(1, weight=3, batch=True)
+        requester.count = 0
+        requester.fill(1)
+        ledger = entry.owner.ledger_by_replica[R0]
+        assert (ledger.load, ledger.batch_load) == (1, 0)
+
+    def test_queued_requests_do_not_wait_for_their_own_keys(
+        self, requester, entry, clock
+    ):
+        """Old entries were kept while renewals listed their keys."""
+        clock.advance(5)
+        requester.fill(10)
+        requester.count = 0
+        for _ in range(10):
+            requester.ask(wait=9.0)
+        pending = list(range(1, 11))
+        entry.owner.renew(PEER, messages.Renew(held=[], pending=pending))
+        assert entry.owner.count_by_verdict[VERDICT.granted] == 20
+        assert entry.owner.ledger_by_replica[R0].load == 10
+
+    def test_key_that_is_queued_twice(self, requester, entry, clock):
+        """Granting the second one failed with a KeyError."""
+        clock.advance(5)
+        requester.fill(10)
+        for number in (21, 21, 22):
+            requester.count = number - 1
+            assert requester.ask(wait=9.0) is None
+        entry.owner.release(PEER, range(1, 11))
+        ledger = entry.owner.ledger_by_replica[R0]
+        assert (ledger.load, len(ledger.queued_by_key)) == (2, 0)
+
+
 class TestUncertainCounts:
     """A replica must not be overloaded just after a change of owner.
 
