Have all daemons hold back a request that may crash replicas

Cause: records of crashes go over streams to the two daemons that rank first for the fingerprint. These count five crashes and hold the chat back for the second until they decide. The third daemon of the test is not one of them. It gets nothing before the block, holds its own two records and runs the chat. The same applies to daemons on the platform while the store can't be written.

Evidence: decisions are logged now with what they are based on (_decision_log). In a run on the code before, daemon-1 counts the crashes of others and decides 1.0 s after the fifth; daemon-2 runs the chat without a line, though the others had recorded three crashes by then, and its first line is that of the block. Whether the test failed depended on whether the sixth attempt came before that decision. With spare engines, so that nothing is waited for between attempts, it always does.

Ruled out: records that get lost or are replaced by a read of the table (it is read once a minute), an analysis that counts too little (the block names all five), a hold that ends early (1.5 s, and the decision comes by 1.3 s).

Change: a collector that finds a likely cause sends all daemons a hold (RequestHold in CrashNotes: fingerprint and count), by the ways of decisions, if a crash under it is not in the table yet. A daemon that has answered the request in the last minute ignores it. The records themselves are not sent: each daemon would then decide on a part of them, and all would announce the block.

--- a/src/topazlug/_daemon.py
+++ b/src/topazlug/_daemon.py
@@ -91,7 +91,9 @@
             links=self.fleet.links,
             daemons=self.fleet.membership.usable,
             on_records=self.guard.add_peer_records,
+            on_holds=self.guard.add_peer_holds,
         )
+        self.guard.announce_hold = distributor.send_hold
         self._crash_record_sync = _record_sync.RecordSync(
             store=self.fleet.new_store(),
             distributor=distributor,
--- a/src/topazlug/_generated/messages.py
+++ b/src/topazlug/_generated/messages.py
@@ -660,6 +660,17 @@
     ) = 0
 
 
+class RequestHold(Struct, kw_only=True, omit_defaults=True):
+    """
+    A request that probably crashes the replicas that run it.
+    """
+
+    fingerprint: str
+    crashes: Annotated[
+        int, Meta(description="Number of crashes that count against it.")
+    ]
+
+
 class CrashNotes(Struct, kw_only=True, omit_defaults=True):
     """
     Crash records as rows of the crash table, from a daemon that currently cannot write them.
@@ -682,3 +693,11 @@
             ),
         ]
     ) = False
+    holds: (
+        Annotated[
+            list[RequestHold],
+            Meta(
+                description="Requests to hold back until the cause of crashes is decided."
+            ),
+        ]
+    ) = field(default_factory=list)
--- a/src/topazlug/crashes/_crash_guard.py
+++ b/src/topazlug/crashes/_crash_guard.py
@@ -1,5 +1,6 @@
 """Rejects requests that crash replicas, to protect further replicas."""
 
+from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Mapping
 from collections.abc import Sequence
@@ -14,10 +15,12 @@
 from topazlug import _errors
 from topazlug import _ids
 from topazlug import _logs
+from topazlug._generated import messages
 from topazlug.crashes import _cause_analysis
 from topazlug.crashes import _crash_detector
 from topazlug.crashes import _crash_history
 from topazlug.crashes import _crash_records
+from topazlug.crashes import _decision_log
 from topazlug.crashes import _likely_causes
 from topazlug.targets import _target
 from topazlug.targets import _target_runs
@@ -34,6 +37,9 @@
 _MAX_CRASHES_PER_ATTEMPT = 2
 
 
+AnnounceHold = Callable[[_ids.Fingerprint, int], None]
+
+
 class RecordPublisher(Protocol):
     """Publishes crash records to all daemons."""
 
@@ -68,6 +74,10 @@
     publisher : RecordPublisher or None
         Publishes records to other daemons; None until this daemon has joined
         its fleet.
+    announce_hold : callable or None
+        Called with each request that is held back from now on, and the
+        number of crashes that count against it; has other daemons hold it
+        back too. None until this daemon has joined its fleet.
     """
 
     def __init__(
@@ -83,6 +93,7 @@
         self._targets = targets
         self._clock = clock
         self.publisher: RecordPublisher | None = None
+        self.announce_hold: AnnounceHold | None = None
         self._history = _crash_history.CrashHistory(daemon=daemon, clock=clock)
         self._detector = _crash_detector.CrashDetector(
             runs=runs,
@@ -97,6 +108,7 @@
         # written by then.
         self._due_by_key: dict[str, float] = {}
         self._likely_causes = _likely_causes.LikelyCauses(clock=clock)
+        self._decision_log = _decision_log.DecisionLog()
 
     @property
     def blocked(self) -> int:
@@ -135,10 +147,15 @@
         analysis = self._history.analysis
         count = analysis.crash_count_of(fingerprint)
         # The count is lower if this daemon has answered the request since.
-        if (
+        is_held = (
             count >= _cause_analysis.MIN_CRASHES
             and self._likely_causes.is_held(fingerprint)
-        ):
+        )
+        if not is_held and self._is_held_for_peers(fingerprint):
+            is_held = True
+            count = self._likely_causes.peer_crash_count(fingerprint)
+        self._log_decision(fingerprint, is_held=is_held)
+        if is_held:
             raise _errors.RequestBlocked(
                 f"{count} replicas crashed while running this request; it is"
                 " held back until the cause is determined",
@@ -155,6 +172,38 @@
                 retry_after=remaining.total_seconds(),
             )
 
+    def _is_held_for_peers(self, fingerprint: _ids.Fingerprint) -> bool:
+        """Return whether peers hold a request that got no answer here."""
+        return self._likely_causes.peer_crash_count(
+            fingerprint
+        ) > 0 and not self._history.is_answered(fingerprint)
+
+    def _log_decision(
+        self, fingerprint: _ids.Fingerprint, *, is_held: bool
+    ) -> None:
+        analysis = self._history.analysis
+        incarnations = analysis.incarnations_of(fingerprint)
+        is_blocked = analysis.is_blocked(fingerprint)
+        if not (incarnations or is_held or is_blocked):
+            return
+        decision = _decision_log.Decision.RUN
+        if is_held:
+            decision = _decision_log.Decision.HOLD
+        elif is_blocked:
+            decision = _decision_log.Decision.BLOCK
+        counts = self._history.record_counts()
+        self._decision_log.add(
+            fingerprint,
+            decision,
+            _decision_log.Basis(
+                crashes=analysis.crash_count_of(fingerprint),
+                incarnations=len(incarnations),
+                own=counts.own,
+                received=counts.received,
+                shared=counts.shared,
+            ),
+        )
+
     def may_repeat(
         self, fingerprint: _ids.Fingerprint, target: _targets.Target
     ) -> bool:
@@ -167,6 +216,8 @@
             return True
         if self._history.analysis.is_blocked(fingerprint):
             return False
+        if self._is_held_for_peers(fingerprint):
+            return False
         # Replicas may crash so fast that the second target of an attempt fails
         # while the first one is still being checked.
         self._detector.wait_for_other_checks(fingerprint, target)
@@ -212,10 +263,31 @@
             self._set_due(record, random.uniform(*_FALLBACK_WRITE_SECONDS))
         self._update_likely_causes()
 
+    def add_peer_holds(self, holds: Iterable[messages.RequestHold]) -> None:
+        """Hold back requests that are likely causes at other daemons.
+
+        The records of their crashes go to few daemons. The others would run
+        such a request again until these have decided.
+        """
+        for hold in holds:
+            self._likely_causes.add_peer_hold(
+                _ids.Fingerprint(hold.fingerprint), crashes=hold.crashes
+            )
+
     def _update_likely_causes(self) -> None:
-        self._likely_causes.update(self._history.analysis.likely_causes())
+        self._refresh_likely_causes()
         self._changed.set()
 
+    def _refresh_likely_causes(self) -> None:
+        causes = self._history.analysis.likely_causes()
+        for fingerprint in self._likely_causes.update(causes):
+            # Crashes that are in the table are known to all daemons.
+            if (
+                self.announce_hold is not None
+                and self._history.has_unshared_crash(fingerprint)
+            ):
+                self.announce_hold(fingerprint, causes[fingerprint])
+
     def _on_run_end(self, run: _target_runs.Run) -> None:
         if run.is_success:
             self._history.add_answered(run.fingerprint)
@@ -254,7 +326,7 @@
         cleared = self._history.add_clearances()
         if cleared:
             self._publish(cleared)
-        self._likely_causes.update(self._history.analysis.likely_causes())
+        self._refresh_likely_causes()
         while causes := self._history.analysis.causes():
             if not all(map(self._likely_causes.is_settled, causes)):
                 break
--- a/src/topazlug/crashes/_crash_history.py
+++ b/src/topazlug/crashes/_crash_history.py
@@ -6,6 +6,7 @@
 import datetime
 import functools
 import math
+from typing import NamedTuple
 from typing import final
 
 import msgspec
@@ -42,6 +43,14 @@
 RecordByKey = dict[str, _crash_records.CrashRecord]
 
 
+class RecordCounts(NamedTuple):
+    """Numbers of records by where this daemon has them from."""
+
+    own: int
+    received: int
+    shared: int
+
+
 @final
 class CrashHistory:
     """Crash records of all daemons, as far as this daemon has them.
@@ -213,17 +222,20 @@
         if self.analysis.incarnations_of(fingerprint):
             self._analysis = None
 
+    def is_answered(self, fingerprint: _ids.Fingerprint) -> bool:
+        """Return whether this daemon has answered a request lately."""
+        at = self._answered_at.get(fingerprint, -math.inf)
+        return at > self._clock.monotonic() - _RECENT_ANSWER_SECONDS
+
     def _clear_answered(
         self, records: Iterable[_crash_records.CrashRecord]
     ) -> None:
         """Discount crashes of requests that were answered here recently."""
-        oldest = self._clock.monotonic() - _RECENT_ANSWER_SECONDS
         for record in records:
             if not isinstance(record, _crash_records.Crash):
                 continue
             for suspect in record.suspects:
-                at = self._answered_at.get(suspect.fingerprint, -math.inf)
-                if at > oldest:
+                if self.is_answered(suspect.fingerprint):
                     self._clear(suspect.fingerprint, record.start)
         while len(self._answered) > _MAX_ANSWERED:
             self._answered.popitem(last=False)
@@ -294,6 +306,24 @@
         shared = self._shared_by_key.get(_crash_records.record_key(record))
         return shared is not None and _covers(shared, record)
 
+    def record_counts(self) -> RecordCounts:
+        """Return how many records this daemon has, by their source."""
+        return RecordCounts(
+            own=len(self._own_by_key),
+            received=len(self._received_by_key),
+            shared=len(self._shared_by_key),
+        )
+
+    def has_unshared_crash(self, fingerprint: _ids.Fingerprint) -> bool:
+        """Return whether a crash under a request is not in the table yet."""
+        return any(
+            suspect.fingerprint == fingerprint
+            for source in (self._own_by_key, self._received_by_key)
+            for record in source.values()
+            if isinstance(record, _crash_records.Crash)
+            for suspect in record.suspects
+        )
+
     def obsolete_keys(self) -> list[str]:
         """Return the keys of rows that are expired or over the limits."""
         retained = _retained(self._shared_by_key, self._clock.now())
--- a/src/topazlug/crashes/_likely_causes.py
+++ b/src/topazlug/crashes/_likely_causes.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Mapping
 import math
+from typing import NamedTuple
 from typing import final
 
 from topazlug import _clock
@@ -17,6 +18,23 @@
 # A likely cause is held back this long, as each further run may crash another
 # replica: callers that retry at once send ten in this time.
 HOLD_SECONDS = 1.5
+# Bounds the requests that other daemons hold back at one time.
+_MAX_PEER_HOLDS = 256
+
+
+class _PeerHold(NamedTuple):
+    """A hold that another daemon has announced.
+
+    Attributes
+    ----------
+    until : float
+        Monotonic seconds.
+    crashes : int
+        Crashes that count against the request at that daemon.
+    """
+
+    until: float
+    crashes: int
 
 
 @final
@@ -38,11 +56,18 @@
         # Monotonic seconds.
         self._likely_since: dict[_ids.Fingerprint, float] = {}
         self._held_until: dict[_ids.Fingerprint, float] = {}
+        self._peer_hold_by_fingerprint: dict[_ids.Fingerprint, _PeerHold] = {}
 
     def update(
         self, count_by_fingerprint: Mapping[_ids.Fingerprint, int]
-    ) -> None:
-        """Set how many crashes count against each likely cause."""
+    ) -> list[_ids.Fingerprint]:
+        """Set how many crashes count against each likely cause.
+
+        Returns
+        -------
+        list of Fingerprint
+            Requests whose hold begins now, or is extended.
+        """
         now = self._clock.monotonic()
         likely_since, held_until = self._likely_since, self._held_until
         before = self._count_by_fingerprint
@@ -59,6 +84,36 @@
             for fingerprint, count in count_by_fingerprint.items()
         }
         self._count_by_fingerprint = dict(count_by_fingerprint)
+        return [
+            fingerprint
+            for fingerprint, count in count_by_fingerprint.items()
+            if count > before.get(fingerprint, 0)
+        ]
+
+    def add_peer_hold(
+        self, fingerprint: _ids.Fingerprint, *, crashes: int
+    ) -> None:
+        """Hold back a request that is a likely cause at another daemon."""
+        now = self._clock.monotonic()
+        held = {
+            other: hold
+            for other, hold in self._peer_hold_by_fingerprint.items()
+            if now < hold.until
+        }
+        before = held.get(fingerprint)
+        if before is not None and before.crashes >= crashes:
+            return
+        if before is None and len(held) >= _MAX_PEER_HOLDS:
+            return
+        held[fingerprint] = _PeerHold(now + HOLD_SECONDS, crashes)
+        self._peer_hold_by_fingerprint = held
+
+    def peer_crash_count(self, fingerprint: _ids.Fingerprint) -> int:
+        """Return the crashes for which peers hold a request, 0 if none."""
+        hold = self._peer_hold_by_fingerprint.get(fingerprint)
+        if hold is None or self._clock.monotonic() >= hold.until:
+            return 0
+        return hold.crashes
 
     def is_held(self, fingerprint: _ids.Fingerprint) -> bool:
         """Return whether a request is held back now."""
--- a/src/topazlug/crashes/_record_distributor.py
+++ b/src/topazlug/crashes/_record_distributor.py
@@ -18,6 +18,8 @@
 from typing import Protocol
 from typing import final
 
+import msgspec
+
 from topazlug import _errors
 from topazlug import _ids
 from topazlug import _logs
@@ -52,6 +54,13 @@
         """Process records; `stand_in` is as in the message."""
 
 
+class ReceiveHolds(Protocol):
+    """Callback for holds received from a peer."""
+
+    def __call__(self, holds: Sequence[messages.RequestHold]) -> None:
+        """Process holds."""
+
+
 @final
 class RecordDistributor:
     """Sends crash records to other daemons and receives theirs.
@@ -66,6 +75,8 @@
         Returns the daemons of the fleet by their ids.
     on_records : ReceiveRecords
         Called with records that a peer has sent.
+    on_holds : ReceiveHolds
+        Called with holds that a peer has sent.
     """
 
     def __init__(
@@ -75,11 +86,13 @@
         links: _peers.PeerLinks,
         daemons: Callable[[], Mapping[_ids.DaemonId, Any]],
         on_records: ReceiveRecords,
+        on_holds: ReceiveHolds,
     ) -> None:
         self._daemon = daemon
         self._links = links
         self._daemons = daemons
         self._on_records = on_records
+        self._on_holds = on_holds
         links.handle(messages.CrashNotes, self._on_message)
 
     def send(self, records: Iterable[_crash_records.CrashRecord]) -> None:
@@ -92,29 +105,48 @@
             if not isinstance(record, _crash_records.Crash):
                 decisions.append(record)
                 continue
-            for daemon in self._collectors_of(record):
+            suspects = [suspect.fingerprint for suspect in record.suspects]
+            for daemon in self.collectors_of(*suspects):
                 records_by_daemon.setdefault(daemon, []).append(record)
         for daemon, batch in records_by_daemon.items():
             if daemon != self._daemon:
-                self._send(daemon, _encode_rows(batch))
+                self._send(
+                    daemon, messages.CrashNotes(rows=_encode_rows(batch))
+                )
         if decisions:
-            self._broadcast(_encode_rows(decisions))
-
-    def _collectors_of(
-        self, crash: _crash_records.Crash
+            self._broadcast(messages.CrashNotes(rows=_encode_rows(decisions)))
+
+    def send_hold(self, fingerprint: _ids.Fingerprint, crashes: int) -> None:
+        """Have all daemons hold back a request, if this is a collector of it.
+
+        Parameters
+        ----------
+        fingerprint : Fingerprint
+            The request.
+        crashes : int
+            Number of crashes that count against it.
+        """
+        if self._daemon not in self.collectors_of(fingerprint):
+            return
+        hold = messages.RequestHold(fingerprint=fingerprint, crashes=crashes)
+        self._broadcast(messages.CrashNotes(rows=[], holds=[hold]))
+
+    def collectors_of(
+        self, *fingerprints: _ids.Fingerprint
     ) -> set[_ids.DaemonId]:
+        """Return the daemons that receive the crashes of some requests."""
         daemons = list(self._daemons())
         return {
             _ids.DaemonId(name)
-            for suspect in crash.suspects
+            for fingerprint in fingerprints
             for name in _ranking.rank(
                 daemons,
-                _ranking.chat_hash("crashes", suspect.fingerprint),
+                _ranking.chat_hash("crashes", fingerprint),
                 count=_COLLECTORS,
             )
         }
 
-    def _broadcast(self, rows: list[messages.TableRow]) -> None:
+    def _broadcast(self, message: messages.CrashNotes) -> None:
         others = [
             daemon for daemon in self._daemons() if daemon != self._daemon
         ]
@@ -122,21 +154,16 @@
         stand_ins = others[:_STAND_INS]
         for daemon, rest in _relay_plan(others):
             self._send(
-                daemon, rows, pass_on=rest, stand_in=daemon in stand_ins
+                daemon,
+                msgspec.structs.replace(
+                    message, pass_on=[*rest], stand_in=daemon in stand_ins
+                ),
             )
 
     def _send(
-        self,
-        daemon: _ids.DaemonId,
-        rows: list[messages.TableRow],
-        *,
-        pass_on: Sequence[_ids.DaemonId] = (),
-        stand_in: bool = False,
+        self, daemon: _ids.DaemonId, message: messages.CrashNotes
     ) -> None:
-        """Send rows to one daemon; log it if the daemon is unreachable."""
-        message = messages.CrashNotes(
-            rows=rows, pass_on=[*pass_on], stand_in=stand_in
-        )
+        """Send a message to one daemon; log it if that is unreachable."""
         try:
             self._links.send(daemon, message)
         except _errors.PeerUnreachable as error:
@@ -161,9 +188,16 @@
                     sender=sender,
                     why=str(error),
                 )
-        self._on_records(records, stand_in=message.stand_in)
+        if records:
+            self._on_records(records, stand_in=message.stand_in)
+        holds = message.holds[:_MAX_RECORDS]
+        if holds:
+            self._on_holds(holds)
         for daemon in message.pass_on[:_MAX_RECIPIENTS]:
-            self._send(_ids.DaemonId(daemon), rows)
+            self._send(
+                _ids.DaemonId(daemon),
+                messages.CrashNotes(rows=rows, holds=holds),
+            )
 
 
 def _relay_plan(
--- a/src/topazlug/forwarding/_crash_assembly.py
+++ b/src/topazlug/forwarding/_crash_assembly.py
@@ -119,7 +119,9 @@
             links=links,
             daemons=self._daemons,
             on_records=self.guard.add_peer_records,
+            on_holds=self.guard.add_peer_holds,
         )
+        self.guard.announce_hold = self._distributor.send_hold
 
     def tasks(self) -> list[Callable[[], None]]:
         """Return the tasks that run as long as the daemon does."""
--- a/tests/fleet/test_crashing_chats.py
+++ b/tests/fleet/test_crashing_chats.py
@@ -14,6 +14,7 @@
 _NUMBERS = itertools.count(_FIRST_NEW)
 _QUESTION = "the one that ends engines"
 _ENGINES = 4
+_MANY_ENGINES = 12
 _ASKED = 8
 # Three attempts identify the chat. The first of them may crash a second
 # engine, and each of the others one before its daemon is notified.
@@ -32,6 +33,18 @@
         yield started
 
 
+@pytest.fixture
+def large_fleet() -> Iterator[_fleet.Fleet]:
+    """Return a fleet with enough engines that none need be replaced."""
+    described = fleet_fixtures.deployment(
+        daemons=3, engines=_MANY_ENGINES, services=0
+    )
+    with _fleet.Fleet(described) as started:
+        for engine in started.engines:
+            arm(engine)
+        yield started
+
+
 def arm(engine: _fleet.TargetProcess) -> None:
     """Have an engine crash on the question."""
     fleet_calls.set_faults(engine.url, crash_text=_QUESTION)
@@ -74,6 +87,25 @@
             "request_blocked"
         ] * 3
 
+    def test_few_engines_get_it_when_it_is_repeated_at_once(
+        self, large_fleet: _fleet.Fleet
+    ) -> None:
+        """A chat must be held back by all daemons before it is blocked.
+
+        Two of three daemons had the records of its crashes and held it back.
+        The third one sent it to an engine again until they had decided.
+        """
+        fleet = large_fleet
+        answers = [
+            fleet_fixtures.chat(fleet.daemons[n % 3], question=_QUESTION)
+            for n in range(_ASKED)
+        ]
+        ended = [one for one in fleet.engines if not one.process.is_running()]
+        assert len(ended) <= _MOST_ENDED
+        assert [answer.code for answer in answers[-3:]] == [
+            "request_blocked"
+        ] * 3
+
     def test_daemon_that_starts_later_blocks_it(
         self, fleet: _fleet.Fleet
     ) -> None:
--- a/tests/topazlug/crashes/test_record_distributor.py
+++ b/tests/topazlug/crashes/test_record_distributor.py
@@ -39,6 +39,7 @@
         names = [_ids.DaemonId(f"d{n}") for n in range(count)]
         self.links = {}
         self.received = {name: [] for name in names}
+        self.holds = {name: [] for name in names}
         self.distributors = {}
         self.stand_ins = set()
         for name in names:
@@ -48,6 +49,7 @@
                 links=self.links[name],
                 daemons=lambda: dict.fromkeys(names),
                 on_records=functools.partial(self._on_records, name),
+                on_holds=functools.partial(self._on_holds, name),
             )
 
     def _on_records(self, name, records, *, stand_in):
@@ -55,6 +57,9 @@
         if stand_in:
             self.stand_ins.add(name)
 
+    def _on_holds(self, name, holds):
+        self.holds[name] += holds
+
     def receivers(self):
         return {name for name, records in self.received.items() if records}
 
@@ -128,6 +133,23 @@
         assert max(map(len, fleet.received.values())) <= 2
 
 
+class TestHold:
+    def test_all_daemons_of_a_large_fleet_receive_a_hold(self):
+        """A daemon that does not receive it may lose one more replica."""
+        fleet = Fleet(880)
+        first = sorted(fleet.distributors["d0"].collectors_of("f"))[0]
+        fleet.distributors[first].send_hold("f", 3)
+        assert sum(map(bool, fleet.holds.values())) == 879
+        assert fleet.receivers() == set()
+
+    def test_only_collectors_send_holds(self, fleet):
+        """All daemons that crashed a replica would send it to all others."""
+        collectors = fleet.distributors["d0"].collectors_of("f")
+        other = next(name for name in fleet.links if name not in collectors)
+        fleet.distributors[other].send_hold("f", 3)
+        assert fleet.links[other].sent == 0
+
+
 class TestMessage:
     def test_invalid_row_is_skipped(self, fleet):
         block = fixtures.block("f", "i-1@1")
