--- a/src/topazlug/routing/_admission_control.py
+++ b/src/topazlug/routing/_admission_control.py
@@ -426,8 +426,8 @@
             return
         if self._read_admission.redirect(ledger, ask, state, reply):
             return
-        self._read_admission.record_granted(ledger, key, ask, state)
         ledger.admit(key, entry)
+        self._read_admission.record_granted(ledger, key, ask, state)
         if self._features.fair_shares:
             ledger.record_work(entry, prompt=ask.request, now=now)
         if self._tolerated_rate(ledger) is not None:
