Test the soak's load reports, rule sets and description of shares

Purpose: the header that replicas send (none, three figures, four), the settings file of runs under pressure, and the line on streams during surges have tests. A stream that its caller leaves no longer counts as running.

--- a/tests/soak/test_load_guarantees.py
+++ b/tests/soak/test_load_guarantees.py
@@ -137,3 +137,22 @@
         ]
         (line,) = _load_guarantees.check_shares([SURGE], reads + streams)
         assert line.startswith("SHARE /stream/")
+
+
+class TestDescription:
+    def test_streams_during_surges(self):
+        outcomes = [
+            outcome(team=team, status=status, started=started)
+            for team, status, started in (
+                ("other", 200, 12.0),
+                ("other", 200, 9.0),
+                ("other", 503, 12.0),
+                ("other", 502, 12.0),
+                (_expected.SURGING_TEAM, 200, 12.0),
+            )
+        ]
+        outcomes.append(outcome(path=_expected.READ))
+        assert _load_guarantees.describe_shares([SURGE], outcomes) == (
+            "1 of 2 streams of other in surges, "
+            "1 of 1 streams of surging in surges"
+        )
--- /dev/null
+++ b/tests/soak/test_replica.py
@@ -0,0 +1,72 @@
+"""What a replica reports of its load in responses."""
+
+import types
+
+import pytest
+
+from soak import _expected
+from soak import _replica
+from soak import _run_plan
+
+REPORT = _run_plan.LoadReport
+
+
+@pytest.fixture
+def new_replica(tmp_path):
+    def new(report, *, slots=4):
+        return _replica.Replica(
+            {
+                "id": "i-1",
+                "seed": 1,
+                "cold": False,
+                "slots": slots,
+                "load_report": report.value,
+                "ledger": str(tmp_path / "runs.txt"),
+                "words": str(tmp_path / "words.txt"),
+            }
+        )
+
+    return new
+
+
+def answer(replica, path):
+    header_by_name = {"X-Attempt-Id": "a1", "X-Expected-Replica": "i-1"}
+    request = types.SimpleNamespace(
+        path=path,
+        body=b"{}",
+        header=lambda name, default="": header_by_name.get(name, default),
+    )
+    return replica.answer(request)
+
+
+def reported(replica, path=_expected.READ):
+    return dict(answer(replica, path).headers).get("X-Replica-Load")
+
+
+class TestLoadReport:
+    def test_none(self, new_replica):
+        assert reported(new_replica(REPORT.NONE)) is None
+
+    def test_load(self, new_replica):
+        assert reported(new_replica(REPORT.LOAD)) == "1,0,4"
+
+    def test_slowness(self, new_replica):
+        replica = new_replica(REPORT.SLOWNESS)
+        usual = int(reported(replica).rpartition(",")[2])
+        replica.toggle_slow()
+        slow = int(reported(replica).rpartition(",")[2])
+        assert usual in (100, 130)
+        assert slow == 2.5 * usual
+
+    def test_streams_in_progress_are_counted(self, new_replica):
+        """A replica that is full of streams must not report that it is idle.
+
+        Requests above its slots count as waiting, and a stream that its
+        caller leaves no longer counts.
+        """
+        replica = new_replica(REPORT.LOAD, slots=1)
+        body = answer(replica, _expected.STREAM).body
+        next(body)
+        assert reported(replica) == "1,1,1"
+        body.close()
+        assert reported(replica) == "1,0,1"
--- a/tests/soak/test_world.py
+++ b/tests/soak/test_world.py
@@ -3,6 +3,8 @@
 import types
 
 import gevent
+import pytest
+from topazlug_platform import boot_file
 
 from soak import _world
 
@@ -36,6 +38,20 @@
         gevent.joinall([gevent.spawn(daemon.start) for _ in range(2)])
         assert daemon.process.started == 1
 
+    @pytest.mark.parametrize("has_pressure", [False, True])
+    def test_rule_sets(self, tmp_path, has_pressure):
+        """Runs under pressure must not be without fair shares of teams."""
+        _world.Daemon(
+            number=0,
+            folder=tmp_path,
+            store_port=1,
+            seed=1,
+            has_pressure=has_pressure,
+        )
+        boot = boot_file.load(tmp_path / "boot-0.json")
+        options = boot_file.options_from_boot(boot)
+        assert options.fair_shares is has_pressure
+
 
 class TestReplica:
     def test_concurrent_replacements_start_one_replica(
