--- a/soak/_world.py
+++ b/soak/_world.py
@@ -26,8 +26,9 @@
 _PEER_PORT = 7340
 _SLOTS = 16
 # The usual 15 callers hold about 9 slots for streams and 3 for other requests
-# at a time, of the 16 of four replicas. A surge adds 21 callers.
-_SLOTS_UNDER_PRESSURE = 4
+# at a time, of the 24 of four replicas. A surge adds 21 callers, which makes
+# that 29. With fewer slots too few requests are served to compare the teams.
+_SLOTS_UNDER_PRESSURE = 6
 
 
 class Evacuation(NamedTuple):
