--- a/src/topazlug/placement/_owner_admission.py
+++ b/src/topazlug/placement/_owner_admission.py
@@ -259,7 +259,7 @@
 
         It is reported if a context was read or requests wait on the replica,
         once after the last of them has left its queue, and whenever the
-        replica reports its slowness, which changes many times per second.
+        replica reports its slowness, which its owner can't know otherwise.
         Responses to requests that were placed without the owner are reported
         too, as the owner could not apply its limits to these.
 
@@ -279,7 +279,7 @@
         was_queueing = replica in self._queueing_replicas
         if head.waiting:
             self._queueing_replicas.add(replica)
-        else:
+        elif head.waiting is not None:
             self._queueing_replicas.discard(replica)
         if not (
             placement.reads_context
--- a/src/topazlug/routing/_owner.py
+++ b/src/topazlug/routing/_owner.py
@@ -227,7 +227,7 @@
     def record_response_head(
         self, sender: _ids.DaemonId, head: messages.EngineWord
     ) -> None:
-        """Apply what a response head shows of the load of a replica."""
+        """Apply the load, slowness and finished reads of a response head."""
         ledger = self.ledger_by_replica.get(_ids.ReplicaId(head.replica))
         if ledger is None:
             return
--- a/tests/topazlug/placement/test_owner_admission.py
+++ b/tests/topazlug/placement/test_owner_admission.py
@@ -473,6 +473,24 @@
         assert other.target.replica == placement.target.replica
         assert not other.reads_context
 
+    def test_answer_without_load_does_not_end_a_queue(self, fleet):
+        """The owner must still hear that a replica's queue is empty."""
+        daemon = fleet.daemon_by_name["d0"]
+        placement = daemon.admit(next(chats()))
+        heads = [(3, 1), (None, None), (2, 0), (2, 0)]
+        sent = []
+        daemon.owners.owner_client.report_response_head = (
+            lambda replica, head: sent.append((head.running, head.waiting))
+        )
+        for running, waiting in heads:
+            daemon.admission.handle_response_head(
+                placement,
+                _placement.AnswerHead(
+                    seconds=0.1, running=running, waiting=waiting
+                ),
+            )
+        assert sent == [(3, 1), (0, 0), (2, 0)]
+
     def test_wait_for_a_read_is_bounded(self, fleet):
         chat = next(chats())
         fields = ranked_request(
