--- a/src/topazlug/capacity/_team_shares.py
+++ b/src/topazlug/capacity/_team_shares.py
@@ -38,9 +38,7 @@
 _MAX_TEAMS = 4096
 _MAX_WANTING = 512
 _MAX_RETRIES = 2000
-# Minimum delay of a retry, and jitter as a fraction of the delay, as for
-# reservations.
-_MIN_DELAY_SECONDS = 0.05
+# Jitter as a fraction of the delay, as for reservations.
 _JITTER = 0.25
 # Rejected requests queue for their team's share up to this multiple of what a
 # caller waits, so that the delays are short again soon after the shortage.
@@ -274,10 +272,11 @@
         demand: Demand,
         standing: Standing,
         *,
+        min_delay: float,
         max_delay: float,
         is_for_fairness: bool,
         now: float,
-    ) -> float | None:
+    ) -> float:
         """Record a rejected request; return when to retry it.
 
         The delay is the time that the team's share of the current throughput
@@ -290,6 +289,8 @@
             The request.
         standing : Standing
             Its team's standing.
+        min_delay : float
+            Seconds until a slot is due for a retry of its rank.
         max_delay : float
             Maximum seconds that the caller would wait.
         is_for_fairness : bool
@@ -299,8 +300,8 @@
 
         Returns
         -------
-        float or None
-            Seconds; None if nothing of this rank has run recently.
+        float
+            Seconds.
         """
         work = self._estimated(demand.work)
         want = self._want_by_team_by_rank[demand.rank][demand.team]
@@ -312,7 +313,7 @@
         rate = self._total.recent_of_rank(demand.rank, now=now)
         rate /= _MEMORY_SECONDS
         if rate <= 0:
-            return None
+            return min(min_delay, max_delay)
         share_rate = rate * standing.share
         promised_until = account.promised_until_by_rank.get(demand.rank, now)
         promised_until = max(promised_until, now) + work / share_rate
@@ -320,8 +321,8 @@
         if standing.least < math.inf:
             lead = (standing.recent - standing.least) * demand.weight
             seconds += lead / share_rate
-        seconds = max(_MIN_DELAY_SECONDS, seconds)
         seconds *= 1.0 + _JITTER * self._random_fraction()
+        seconds = max(min_delay, seconds)
         account.promised_until_by_rank[demand.rank] = min(
             promised_until, now + max_delay * _MAX_PROMISED_DELAYS
         )
--- a/src/topazlug/routing/_admission_control.py
+++ b/src/topazlug/routing/_admission_control.py
@@ -320,6 +320,7 @@
         retry_after = shares.reject(
             demand,
             standing,
+            min_delay=self._retry_after(ledger, ask),
             max_delay=ask.longest,
             is_for_fairness=is_for_fairness,
             now=now,
@@ -328,8 +329,6 @@
             self._reject_by_rank(ledger, ask, reply, retry_after=retry_after)
             return True
         self.fairness_rejections += 1
-        if retry_after is None:
-            retry_after = self._retry_after(ledger, ask)
         _log.info(
             "rejected at {replica} for fairness: team {team} has {recent:.0f} "
             "tokens of recent work, the least of those that wait {least:.0f}",
