Leave more slots to waiting teams the further ahead a team is

Work is remembered for 4 s: with 1.5 to 2 s, teams of large requests got 5% less work than others. Ruled out: a longer time for which a rejected team counts as waiting, half of the capacity for promised retries.

--- a/src/topazlug/capacity/_team_shares.py
+++ b/src/topazlug/capacity/_team_shares.py
@@ -22,10 +22,11 @@
 # tokens per millisecond and generates about 3 tokens per millisecond for all
 # its streams together (32 streams, 12 ms per token).
 _OUTPUT_TOKEN_WORK = 14.0
-# Time constant with which work is forgotten. Long enough to hold several
-# requests of a team, and short enough that a team that was idle gets more
-# than its share for a moment only.
-_MEMORY_SECONDS = 1.5
+# Time constant with which work is forgotten. A team that was idle is ahead of
+# nobody until it has got its share of this time, so it should be short. With
+# 2 s, a team of large requests got 5% less than one of small requests in the
+# replay: part of its account was forgotten before its next request came.
+_MEMORY_SECONDS = 4.0
 # A team that was rejected within this time waits for capacity. Callers retry
 # after 0.2 s at the earliest.
 _WAITING_SECONDS = 1.0
@@ -54,8 +55,12 @@
 _WORK_SMOOTHING = 0.1
 
 # A request leaves one slot to each waiting team that has got less than its
-# own, but at most this fraction of the limit: more would stand empty.
+# own, but at most this fraction of the limit: more would stand empty. A team
+# that has got a multiple of its share leaves as many more, up to this factor.
+# With one slot each, a team at eight times its load filled the replica with
+# long requests, and the others got .85 of their share in the replay.
 _MAX_KEPT_FRACTION = 1 / 8
+_MAX_EXCESS = 2.0
 
 
 def work_of(*, unread_tokens: int, output_tokens: int) -> float:
@@ -255,9 +260,12 @@
             kept += other < recent
         share = weight / total_weight
         total = self._total.recent(demand.rank, now=now)
-        if recent * weight <= share * total:
+        # How many times its share the team has got.
+        excess = recent * weight / max(1.0, share * total)
+        if excess <= 1.0:
             kept = 0
-        kept = min(kept, max(1, int(limit * _MAX_KEPT_FRACTION)))
+        max_kept = max(1.0, limit * _MAX_KEPT_FRACTION)
+        kept = int(min(kept, max_kept) * min(excess, _MAX_EXCESS))
         if self._would_overtake(demand, now=now):
             kept = max(1, kept)
         return Standing(
