--- a/src/topazlug/capacity/_team_shares.py
+++ b/src/topazlug/capacity/_team_shares.py
@@ -227,8 +227,10 @@
         """Compare a request's team with those that wait for its rank.
 
         If the team has got more than its share, the request leaves a slot to
-        each waiting team that has got less. It also leaves one to a more urgent request of its own team that was
-        rejected for fairness just now, and must not be overtaken.
+        each waiting team that has got less, and more of them the further it
+        is above its share. It also leaves one to a more urgent request of its
+        own team that was rejected for fairness just now, and must not be
+        overtaken.
 
         Half of the requested work is added to the recent work. Without it, a
         team with large requests would be ahead by half a request on average.
--- a/tests/topazlug_platform/test_forwarding.py
+++ b/tests/topazlug_platform/test_forwarding.py
@@ -420,3 +420,4 @@
         assert "topazlug_replicas_drained 2.0" in text
         assert "topazlug_replicas_unreached 0.0" in text
         assert "topazlug_tables_age_seconds" in text
+        assert "topazlug_owner_fairness_rejections_total 0.0" in text
