--- a/tests/topazlug_platform/test_headers.py
+++ b/tests/topazlug_platform/test_headers.py
@@ -88,7 +88,7 @@
 
     @pytest.mark.parametrize("value", ["3,1,48,", "3,1,48,x", "3,1,48,-9,x"])
     def test_malformed_slowness_leaves_the_load(self, value):
-        """The load of a replica was lost with a slowness that made no sense."""
+        """A replica's load was lost with a slowness that made no sense."""
         assert load(value) == _wire.LoadReport(3, 1, 48)
 
     @pytest.mark.parametrize("digits", [10, 400, 5000])
