--- a/src/topazlug/routing/_admission_control.py
+++ b/src/topazlug/routing/_admission_control.py
@@ -13,14 +13,13 @@
 from topazlug._generated import messages
 from topazlug.capacity import _context_reads
 from topazlug.capacity import _slot_key
-from topazlug.capacity import _slow_limits
 from topazlug.capacity import _startup_allowance
-from topazlug.capacity import _team_shares
 from topazlug.routing import _group_limits
 from topazlug.routing import _ledger
 from topazlug.routing import _owner_features
 from topazlug.routing import _owner_queue
 from topazlug.routing import _owner_replies
+from topazlug.routing import _rank_admission
 from topazlug.routing import _read_admission
 from topazlug.targets import _targets
 
@@ -49,11 +48,6 @@
         Returns a team's weight.
     clock : Clock
         Source of time.
-
-    Attributes
-    ----------
-    fairness_rejections : int
-        Requests rejected because their team was ahead of others.
     """
 
     def __init__(
@@ -77,9 +71,19 @@
         self._read_admission = _read_admission.ReadAdmission(
             replies=replies, features=features, clock=clock
         )
-        self._weight_of = weight_of
+        self._rank_admission = _rank_admission.RankAdmission(
+            group_limits=group_limits,
+            replies=replies,
+            features=features,
+            weight_of=weight_of,
+            clock=clock,
+        )
         self._clock = clock
-        self.fairness_rejections = 0
+
+    @property
+    def fairness_rejections(self) -> int:
+        """Return the number of rejections for fairness between teams."""
+        return self._rank_admission.fairness_rejections
 
     def decide(
         self,
@@ -192,7 +196,7 @@
             chat=_ids.ChatHash(ask.chat),
             rank=ask.rank,
             max_pause=ask.max_pause,
-            work=self._work_of(ask, ledger),
+            work=self._rank_admission.work_of(ledger, ask),
         )
         total = self._group_limits.total(ledger.group)
         if ask.total > total.load:
@@ -213,11 +217,7 @@
         if fit is _ledger.Fit.OVER_BOUND:
             fit = self._recheck_returning_chat(ledger, entry, fit)
         if ask.rank != _ledger.UNRANKED:
-            if self._features.fair_shares:
-                if self._reject_by_share(ledger, entry, ask, reply):
-                    return
-            elif not self._has_rank_capacity(ledger, ask):
-                self._reject_by_rank(ledger, ask, reply)
+            if self._rank_admission.reject(ledger, entry, ask, reply):
                 return
             if fit is _ledger.Fit.FULL:
                 fit = _ledger.Fit.FREE
@@ -256,152 +256,6 @@
             return
         self._queue.enqueue(ledger, key, entry, ask.wait, reply)
 
-    def _work_of(
-        self, ask: messages.AdmitAsk, ledger: _ledger.ReplicaLedger
-    ) -> float:
-        """Return the work that the request causes there, 0 if unknown."""
-        shared = ask.shared
-        if shared >= _context_reads.MIN_SHARED_TOKENS:
-            state = ledger.context_reads.state(
-                _ids.ChatHash(ask.chat), now=self._clock.monotonic()
-            )
-            if state is _context_reads.ReadState.FIRST:
-                shared = 0
-        return _team_shares.work_of(
-            unread_tokens=ask.tokens - shared, output_tokens=ask.output_tokens
-        )
-
-    def _has_rank_capacity(
-        self,
-        ledger: _ledger.ReplicaLedger,
-        ask: messages.AdmitAsk,
-        *,
-        kept_slots: int = 0,
-    ) -> bool:
-        now = self._clock.monotonic()
-        ledger.rank_limits.record_request(ask.rank, now=now)
-        load = ledger.observed_load()
-        is_due = ledger.reservations.is_due(ask.request, now=now)
-        reserved = ledger.reservations.reserved(
-            ask.rank, now=now, is_due=is_due
-        )
-        # A retry that is due was promised its slot.
-        if not is_due:
-            reserved += kept_slots
-        return ledger.rank_limits.has_capacity(
-            ask.rank,
-            load=load,
-            reserved=reserved,
-            is_due=is_due,
-            slowness=self._group_limits.slowness_of(ledger),
-            now=now,
-        )
-
-    def _reject_by_share(
-        self,
-        ledger: _ledger.ReplicaLedger,
-        entry: _ledger.LedgerEntry,
-        ask: messages.AdmitAsk,
-        reply: _owner_replies.Reply,
-    ) -> bool:
-        """Reject the request by its rank, or if its team is ahead of others.
-
-        Returns
-        -------
-        bool
-            Whether it was rejected.
-        """
-        now = self._clock.monotonic()
-        demand = _team_shares.Demand(
-            team=entry.team,
-            rank=entry.rank,
-            work=entry.work,
-            prompt=ask.request,
-            weight=self._weight_of(entry.team),
-        )
-        shares = ledger.team_shares
-        shares.record_request(demand, now=now)
-        standing = shares.compare(
-            demand, limit=ledger.rank_limits.limit, now=now
-        )
-        if self._has_rank_capacity(
-            ledger, ask, kept_slots=standing.kept_slots
-        ):
-            return False
-        is_for_fairness = self._has_rank_capacity(ledger, ask)
-        retry_after = shares.reject(
-            demand,
-            standing,
-            min_delay=self._retry_after(ledger, ask),
-            max_delay=ask.longest,
-            is_for_fairness=is_for_fairness,
-            now=now,
-        )
-        if not is_for_fairness:
-            self._reject_by_rank(ledger, ask, reply, retry_after=retry_after)
-            return True
-        self.fairness_rejections += 1
-        _log.info(
-            "rejected at {replica} for fairness: team {team} has {recent:.0f} "
-            "tokens of recent work, the least of those that wait {least:.0f}",
-            replica=ledger.replica,
-            team=entry.team,
-            recent=standing.recent,
-            least=standing.least,
-            share=round(standing.share, 3),
-            rank=ask.rank,
-            load=ledger.load,
-            limit=ledger.rank_limits.limit,
-            kept=standing.kept_slots,
-            retry_after=round(retry_after, 3),
-        )
-        self._replies.send(
-            reply,
-            messages.Verdict.full,
-            load=ledger.load,
-            retry_after=retry_after,
-        )
-        return True
-
-    def _retry_after(
-        self, ledger: _ledger.ReplicaLedger, ask: messages.AdmitAsk
-    ) -> float:
-        return ledger.reservations.retry_after(
-            ask.rank,
-            interval=ledger.release_interval,
-            max_delay=ask.longest,
-            now=self._clock.monotonic(),
-        )
-
-    def _reject_by_rank(
-        self,
-        ledger: _ledger.ReplicaLedger,
-        ask: messages.AdmitAsk,
-        reply: _owner_replies.Reply,
-        *,
-        retry_after: float | None = None,
-    ) -> None:
-        if retry_after is None:
-            retry_after = self._retry_after(ledger, ask)
-        slowness = self._group_limits.slowness_of(ledger)
-        _log.info(
-            "rejected at {replica} for rank {rank}: load {load}, "
-            "limit {limit}",
-            replica=ledger.replica,
-            rank=ask.rank,
-            load=ledger.load,
-            limit=_slow_limits.divide(ledger.rank_limits.limit, slowness),
-            slowness=round(slowness, 2),
-            home=ask.home,
-            retry_after=round(retry_after, 3),
-        )
-        self._replies.send(
-            reply,
-            messages.Verdict.full,
-            load=ledger.load,
-            retry_after=retry_after,
-        )
-
     def _grant(
         self,
         ledger: _ledger.ReplicaLedger,
