Add messages and switches for contexts, load trends and outcomes at owners

Nothing sends or reads the new fields yet. tests/topazlug/routing, tests/topazlug_platform, tests/soak/test_world pass.

--- a/src/topazlug/_generated/messages.py
+++ b/src/topazlug/_generated/messages.py
@@ -233,6 +233,14 @@
             ),
         ]
     ) = 0
+    holds: (
+        Annotated[
+            bool,
+            Meta(
+                description="With verdict over_bound, whether the replica is known to hold the context of the chat."
+            ),
+        ]
+    ) = False
 
 
 class Release(Struct, kw_only=True, omit_defaults=True):
@@ -241,6 +249,14 @@
     """
 
     asks: list[int]
+    failed: (
+        Annotated[
+            list[int],
+            Meta(
+                description="Those of the admission requests whose request failed on the replica."
+            ),
+        ]
+    ) = field(default_factory=list)
 
 
 class HeldPlace(Struct, kw_only=True, omit_defaults=True):
@@ -364,6 +380,34 @@
     seconds: float
 
 
+class Outcomes(Struct, kw_only=True, omit_defaults=True):
+    """
+    Outcomes of requests on a replica that its owner does not count, since the sender's previous message.
+    """
+
+    replica: str
+    incarnation: int
+    failed: Annotated[int, Meta(description="Number of requests that failed.")]
+    ended: Annotated[
+        int,
+        Meta(
+            description="Number of requests that have ended, including those that failed."
+        ),
+    ]
+
+
+class Ejected(Struct, kw_only=True, omit_defaults=True):
+    """
+    The owner of a replica has ejected it because too many of its requests fail.
+    """
+
+    replica: str
+    incarnation: int
+    seconds: Annotated[
+        float, Meta(description="Remaining time of the ejection.")
+    ]
+
+
 class Displaced(Struct, kw_only=True, omit_defaults=True):
     """
     A chat was displaced from its home, or has returned to it if replica is empty.
@@ -381,11 +425,36 @@
     """
 
     entries: list[Displaced]
+    recovered: (
+        Annotated[
+            bool,
+            Meta(
+                description="Whether the entries come from the contexts that a replica reported to hold, and replace no entry that is known."
+            ),
+        ]
+    ) = False
 
 
 class ReplicaLoad(Struct, kw_only=True, omit_defaults=True):
     replica: str
     load: int
+    failed: (
+        Annotated[
+            int,
+            Meta(description="Recent requests that failed on the replica."),
+        ]
+    ) = 0
+    ended: (
+        Annotated[
+            int,
+            Meta(
+                description="Recent requests that have ended there, including those that failed."
+            ),
+        ]
+    ) = 0
+    ejected: (
+        Annotated[bool, Meta(description="Whether its owner has ejected it.")]
+    ) = False
 
 
 class LoadReport(Struct, kw_only=True, omit_defaults=True):
@@ -410,6 +479,38 @@
             float, Meta(description="Seconds until the next report is due.")
         ]
     ) = 0.1
+    trend: (
+        Annotated[
+            float,
+            Meta(
+                description="Load units by which the total changes per second."
+            ),
+        ]
+    ) = 0
+    failed: (
+        Annotated[
+            int,
+            Meta(
+                description="Recent requests of the whole group that failed."
+            ),
+        ]
+    ) = 0
+    ended: (
+        Annotated[
+            int,
+            Meta(
+                description="Recent requests of the whole group that have ended, including those that failed."
+            ),
+        ]
+    ) = 0
+    ejected: (
+        Annotated[
+            int,
+            Meta(
+                description="Replicas of the group that their owners have ejected."
+            ),
+        ]
+    ) = 0
 
 
 class FactKind(StrEnum):
--- a/src/topazlug/forwarding/_daemon.py
+++ b/src/topazlug/forwarding/_daemon.py
@@ -308,12 +308,16 @@
 
     def _owner_features(self) -> _owner_features.OwnerFeatures:
         disabled = self._options.disabled
+        is_short = self._options.is_capacity_short
         mechanism = _mechanisms.Mechanism
         return _owner_features.OwnerFeatures(
             replica_speed=mechanism.REPLICA_SPEED not in disabled,
             prompt_reads=mechanism.PROMPT_READS not in disabled,
-            fair_shares=self._options.fair_shares
-            and mechanism.FAIR_SHARES not in disabled,
+            fair_shares=is_short and mechanism.FAIR_SHARES not in disabled,
+            context_recovery=mechanism.CONTEXT_RECOVERY not in disabled,
+            load_trend=mechanism.LOAD_TREND not in disabled,
+            shared_outcomes=mechanism.SHARED_OUTCOMES not in disabled,
+            is_capacity_short=is_short,
         )
 
     def _fairness_rejections(self) -> int:
--- a/src/topazlug/forwarding/_options.py
+++ b/src/topazlug/forwarding/_options.py
@@ -42,8 +42,9 @@
         Whether the whole system starts for the first time.
     max_connections : int
         Maximum number of callers' connections served at once.
-    fair_shares : bool
-        Whether teams share the capacity of replicas fairly while it is short.
+    is_capacity_short : bool
+        Whether the teams of this deployment want more than its replicas can
+        process at times.
     disabled : frozenset of Mechanism
         Mechanisms that are switched off.
     """
@@ -63,5 +64,5 @@
     staleness_bounds: _staleness_bounds.StalenessBounds
     first_start: bool
     max_connections: int
-    fair_shares: bool = False
+    is_capacity_short: bool = False
     disabled: _mechanisms.DisabledMechanisms = _mechanisms.NONE_DISABLED
--- a/src/topazlug/placement/_mechanisms.py
+++ b/src/topazlug/placement/_mechanisms.py
@@ -15,17 +15,20 @@
 
     COPIES = "copies"
     CONTEXT_READS = "context-reads"
+    CONTEXT_RECOVERY = "context-recovery"
     CRASH_GUARD = "crash-guard"
     DISPLACEMENT = "displaced"
     FAIR_SHARES = "fair-shares"
     OUTLIER_EJECTION = "holding-out"
     RESERVATIONS = "kept-places"
+    LOAD_TREND = "load-trend"
     OWNERS = "owners"
     PROMPT_READS = "prompt-reads"
     RANK_LIMITS = "rank-limits"
     REPLICA_SPEED = "replica-speed"
     RESUMPTION = "resumption"
     EARLY_RETRIES = "second-tries"
+    SHARED_OUTCOMES = "shared-outcomes"
     ADMISSION_WAIT = "waiting"
 
 
--- a/src/topazlug/routing/_owner_features.py
+++ b/src/topazlug/routing/_owner_features.py
@@ -20,11 +20,26 @@
         effect on replicas that do not report how slow they are.
     fair_shares : bool
         Whether teams share a replica's capacity fairly while it is short.
+    context_recovery : bool
+        Whether a new owner asks its replica which contexts it holds.
+    load_trend : bool
+        Whether the load of a group is extrapolated by its trend.
+    shared_outcomes : bool
+        Whether owners count the failures that all daemons see on a replica,
+        and eject it for all of them.
+    is_capacity_short : bool
+        Whether the deployment's settings say that capacity is short at
+        times. If not, the three above apply only to replicas that report how
+        slow they are.
     """
 
     replica_speed: bool = True
     prompt_reads: bool = True
     fair_shares: bool = False
+    context_recovery: bool = False
+    load_trend: bool = False
+    shared_outcomes: bool = False
+    is_capacity_short: bool = False
 
 
 DEFAULT_FEATURES = OwnerFeatures()
--- a/tests/soak/test_world.py
+++ b/tests/soak/test_world.py
@@ -50,7 +50,7 @@
         )
         boot = boot_file.load(tmp_path / "boot-0.json")
         options = boot_file.options_from_boot(boot)
-        assert options.fair_shares is has_pressure
+        assert options.is_capacity_short is has_pressure
 
 
 class TestReplica:
