Resume a broken stream at the next replica if one can't be reached

Cause: a stream that broke was sent to one other replica; if that one could not be reached either, it ended. Zones are lost as a whole, so the next replica in a chat's ranking is often down too.

Change: up to four replicas are tried while the request has not run. An unreachable replica got nothing and costs no retry; one that rejects the request costs one. Nothing is sent again after an unknown outcome.

test_event_relay.py: three of six tests fail without the change. tests/topazlug/forwarding and tests/topazlug_platform/test_forwarding.py pass.

--- a/src/topazlug/forwarding/_event_relay.py
+++ b/src/topazlug/forwarding/_event_relay.py
@@ -29,6 +29,10 @@
 # maximum pause. After it the stream is resumed at another replica. Callers
 # give up after eight pauses, or after two seconds.
 _SILENCE_TIMEOUT_PAUSES = 5.0
+# Replicas that a broken stream is sent to until one accepts it. Each that is
+# unreachable without refusing the connection takes 0.25 s, and callers abandon
+# a stream after a gap of two seconds.
+_MAX_RESUME_REPLICAS = 4
 
 
 @final
@@ -105,23 +109,10 @@
         if not self._budget.spend(call.group):
             _log.info("stream not resumed: retry budget exhausted")
             return None
-        excluded = frozenset({broken.target.replica})
-        placement = None
-        try:
-            placement = self._admission.admit(
-                call.placement_request(excluded=excluded, is_resumed=True)
-            )
-            answer = self._exchange.send(
-                call,
-                placement,
-                head_timeout=call.deadline - self._clock.monotonic(),
-                resume_after=last_id,
-            )
-        except (_errors.RequestError, _target_client.ConnectFailed) as error:
-            if placement is not None:
-                self._admission.release(placement)
-            _log.info("stream not resumed: {why}", why=str(error))
+        sent = self._send_elsewhere(call, broken, last_id)
+        if sent is None:
             return None
+        placement, answer = sent
         if answer.status != 200:
             answer.close()
             self._admission.release(placement)
@@ -137,6 +128,60 @@
         )
         return placement, answer
 
+    def _send_elsewhere(
+        self,
+        call: _call.ForwardedCall,
+        broken: _placement.Placement,
+        last_id: int | None,
+    ) -> tuple[_placement.Placement, _target_answer.TargetAnswer] | None:
+        """Send the request to the first other replica that accepts it.
+
+        Several replicas are often lost together, with their zone. If only
+        one other replica were tried, the stream would end although the rest
+        of the group could continue it.
+        """
+        excluded = frozenset({broken.target.replica})
+        for _ in range(_MAX_RESUME_REPLICAS):
+            placement = None
+            try:
+                placement = self._admission.admit(
+                    call.placement_request(excluded=excluded, is_resumed=True)
+                )
+                answer = self._exchange.send(
+                    call,
+                    placement,
+                    head_timeout=call.deadline - self._clock.monotonic(),
+                    resume_after=last_id,
+                )
+                return placement, answer
+            except (
+                _errors.RequestError,
+                _target_client.ConnectFailed,
+            ) as error:
+                if placement is not None:
+                    self._admission.release(placement)
+                _log.info("stream not resumed: {why}", why=str(error))
+                if placement is None or not self._may_try_next(call, error):
+                    return None
+                excluded |= {placement.target.replica}
+        return None
+
+    def _may_try_next(
+        self, call: _call.ForwardedCall, error: _errors.TopazlugError
+    ) -> bool:
+        """Return whether another replica may be tried after a failure.
+
+        Only if the request did not run. A request that was rejected reached
+        the replica, so the next one counts as another retry.
+        """
+        if self._clock.monotonic() >= call.deadline:
+            return False
+        if isinstance(error, _target_client.ConnectFailed):
+            return True
+        return isinstance(error, _errors.TargetRefused) and self._budget.spend(
+            call.group
+        )
+
 
 @final
 class EventRelay:
--- /dev/null
+++ b/tests/topazlug/forwarding/test_event_relay.py
@@ -0,0 +1,136 @@
+"""Resumption of broken streams at other replicas."""
+
+import types
+
+import pytest
+
+from tests.topazlug import claim_fakes
+from tests.topazlug.forwarding import forwarding_fixtures as fixtures
+from topazlug import _errors
+from topazlug.forwarding import _event_relay
+from topazlug.targets import _target_client
+
+UNREACHABLE = _target_client.ConnectFailed("no connection")
+FULL = _errors.TargetRefused("full")
+RESET = _errors.TargetFailed("reset", outcome=_errors.Outcome.UNKNOWN)
+
+
+class Admission:
+    """Places requests on the first replica that is not excluded."""
+
+    def __init__(self, count):
+        self.targets = [fixtures.target(f"i-{n}") for n in range(count)]
+        self.held = []
+
+    def admit(self, request):
+        for target in self.targets:
+            if target.replica not in request.excluded:
+                placement = types.SimpleNamespace(target=target)
+                self.held.append(placement)
+                return placement
+        raise _errors.NoTarget("none left", retry_after=0.3)
+
+    def release(self, placement):
+        self.held.remove(placement)
+
+
+class Exchange:
+    """Fails at the named replicas, and answers at the others."""
+
+    def __init__(self, error_by_replica):
+        self.error_by_replica = error_by_replica
+        self.sent_to = []
+
+    def send(self, call, placement, **_):
+        replica = placement.target.replica
+        self.sent_to.append(replica)
+        if replica in self.error_by_replica:
+            raise self.error_by_replica[replica]
+        return types.SimpleNamespace(status=200)
+
+
+class Budget:
+    def __init__(self, retries):
+        self.retries = retries
+
+    def spend(self, group):
+        self.retries -= 1
+        return self.retries >= 0
+
+
+@pytest.fixture
+def call():
+    def placement_request(*, excluded, is_resumed):
+        return types.SimpleNamespace(excluded=excluded)
+
+    return types.SimpleNamespace(
+        fingerprint=0,
+        group=fixtures.GROUP,
+        deadline=10.0,
+        placement_request=placement_request,
+    )
+
+
+def resume(call, error_by_replica, *, replicas=6, retries=9):
+    """Resume a stream that broke at i-0; return where it was sent."""
+    admission = Admission(replicas)
+    exchange = Exchange(error_by_replica)
+    resumer = _event_relay.StreamResumer(
+        admission=admission,
+        exchange=exchange,
+        budget=Budget(retries),
+        views=None,
+        guard=types.SimpleNamespace(may_repeat=lambda *_: True),
+        clock=claim_fakes.FakeClock(),
+    )
+    broken = types.SimpleNamespace(target=admission.targets[0])
+    resumed = resumer.resume(call, broken, 3)
+    held = [placement.target.replica for placement in admission.held]
+    return resumed is not None, exchange.sent_to, held
+
+
+class TestZoneLoss:
+    def test_stream_is_resumed_after_unreachable_replicas(self, call):
+        """A stream ended if the first other replica was lost as well."""
+        lost = {"i-1": UNREACHABLE, "i-2": UNREACHABLE}
+        resumed, sent_to, held = resume(call, lost, retries=1)
+        assert resumed
+        assert sent_to == ["i-1", "i-2", "i-3"]
+        assert held == ["i-3"]
+
+    def test_number_of_replicas_is_bounded(self, call):
+        """Each dark replica takes 0.25 s of the caller's patience."""
+        lost = {f"i-{n}": UNREACHABLE for n in range(9)}
+        resumed, sent_to, held = resume(call, lost, replicas=9)
+        assert not resumed
+        assert len(sent_to) == 4
+        assert not held
+
+    def test_no_other_replica_is_left(self, call):
+        resumed, sent_to, held = resume(call, {"i-1": UNREACHABLE}, replicas=2)
+        assert not resumed
+        assert sent_to == ["i-1"]
+        assert not held
+
+
+class TestRejection:
+    def test_next_replica_is_tried_within_the_budget(self, call):
+        """A full replica ended a stream although others were idle."""
+        resumed, sent_to, _ = resume(call, {"i-1": FULL}, retries=2)
+        assert resumed
+        assert sent_to == ["i-1", "i-2"]
+
+    def test_rejected_request_counts_as_a_retry(self, call):
+        """Without this, resumptions would exceed the retry budget."""
+        resumed, sent_to, _ = resume(call, {"i-1": FULL}, retries=1)
+        assert not resumed
+        assert sent_to == ["i-1"]
+
+
+class TestUnknownOutcome:
+    def test_request_that_may_run_is_not_sent_again(self, call):
+        """Two runs of one stream would follow a reset."""
+        resumed, sent_to, held = resume(call, {"i-1": RESET})
+        assert not resumed
+        assert sent_to == ["i-1"]
+        assert not held
