Drop new connections before the callers' listener is closed

Cause: a connection that completes between the last accept, which finds the queue empty, and the close of the listener is reset by the kernel although its caller may have sent a request.

Change: both daemons close their listener with CallersServer.close_listener(). It attaches a filter that drops SYN packets, accepts what is pending, waits 0.1 s for handshakes in progress, and accepts again.

--- a/src/topazlug/_daemon.py
+++ b/src/topazlug/_daemon.py
@@ -276,25 +276,13 @@
         self.stopping = True
         _log.info("stopping; {n} requests in progress", n=self.app.in_progress)
         self.callers.stopping = True
-        self._accept_pending_connections()
-        self.callers.close()
+        self.callers.close_listener()
         self.fleet.leave()
         self._wait_for_requests()
         self.claims.wait_finalized(_LEAVE_GRACE_SECONDS)
         gevent.sleep(_LEAVE_GRACE_SECONDS)
         self.halt()
 
-    def _accept_pending_connections(self) -> None:
-        """Accept pending connections before the listener is closed.
-
-        When the listener closes, the kernel resets the connections in its
-        queue. Callers may have sent requests on them, and would get no
-        answer.
-        """
-        self.callers.stop_accepting()
-        while accepted := self.callers.do_read():
-            self.callers.do_handle(*accepted)
-
     def _wait_for_requests(self) -> None:
         """Wait until no request has run for `_IDLE_SECONDS`.
 
--- a/src/topazlug/callers/_caller_server.py
+++ b/src/topazlug/callers/_caller_server.py
@@ -2,11 +2,16 @@
 
 from typing import Any
 
+import gevent
 from gevent import pool as _pool
 from gevent import pywsgi
 
 from topazlug._generated import settings as _settings_types
 from topazlug.callers import _caller_connection
+from topazlug.callers import _listener_filter
+
+# Longer than a handshake takes, also with a caller in another zone.
+_HANDSHAKE_SECONDS = 0.1
 
 
 class CallersServer(pywsgi.WSGIServer):
@@ -56,6 +61,25 @@
         """Return the number of open connections."""
         return len(self.pool) if self.pool is not None else 0
 
+    def close_listener(self) -> None:
+        """Close the listener without resetting pending connections.
+
+        When the listener closes, the kernel resets the connections in its
+        queue. Callers may have sent requests on them, and would get no
+        answer. New connections are therefore dropped first. Otherwise one
+        could complete between the last accept and the close.
+        """
+        self.stop_accepting()
+        if _listener_filter.drop_new_connections(self.socket):
+            self._accept_pending()
+            gevent.sleep(_HANDSHAKE_SECONDS)
+        self._accept_pending()
+        self.close()
+
+    def _accept_pending(self) -> None:
+        while accepted := self.do_read():
+            self.do_handle(*accepted)
+
     def close_idle(self) -> None:
         """Close the connections that wait for a request.
 
--- a/src/topazlug/forwarding/_graceful_stop.py
+++ b/src/topazlug/forwarding/_graceful_stop.py
@@ -52,10 +52,7 @@
         end = self._clock.monotonic() + seconds - _STOP_MARGIN_SECONDS
         self._callers.stopping = True
         self._clock.sleep(_READINESS_PROPAGATION_SECONDS)
-        self._callers.stop_accepting()
-        while accepted := self._callers.do_read():
-            self._callers.do_handle(*accepted)
-        self._callers.close()
+        self._callers.close_listener()
         self._callers.close_idle()
         self._wait_until_idle(end)
 
