Reject the queued requests of a daemon that is dropped

Cause: when an owner learns that a daemon is dead, it removed the requests that this daemon had queued with it without a reply. After a partition the other group's record that a daemon is dead reaches the daemons of its own group, which believe it until the daemon refutes it. The dropped daemon waits for the replies until the deadlines of its callers: 60 s.

Shown in both failing runs of TestNetworkPartition::test_groups_rejoin[cut] whose logs were kept: at 19:23:16.413 daemon-0 recorded daemon-1, of its own group, as dead, and the two requests that daemon-1 had queued since .344 and .348 ended at 19:24:16.4 with 'caller disconnected before its answer began'.

Ruled out: a connection to a replica or a peer without a timeout. The lost requests had been sent to no replica, and the connection to the owner was open.

Now such a request gets the verdict 'expired' and is placed again.

--- a/src/topazlug/routing/_ledger.py
+++ b/src/topazlug/routing/_ledger.py
@@ -446,7 +446,13 @@
             self.hold(key, entry)
 
     def drop_daemon(self, daemon: _ids.DaemonId, *, now: float) -> None:
-        """Release all admitted and queued requests of a dead daemon."""
+        """Release all admitted and reject all queued requests of a daemon.
+
+        A daemon that is assumed dead may run, as after a network partition
+        or a pause. Without a reply, its requests would wait until their
+        deadlines.
+        """
         self.reconcile(daemon, {}, set(), now=now)
-        for key in [k for k in self.queued_by_key if k.daemon == daemon]:
-            self.release(key, now=now)
+        for queued in list(self.queued_by_key.values()):
+            if queued.key.daemon == daemon and self.remove_queued(queued):
+                queued.reject(messages.Verdict.expired)
--- a/tests/topazlug/routing/test_admission.py
+++ b/tests/topazlug/routing/test_admission.py
@@ -501,6 +501,17 @@
             placement.ask in entry.admission.held_placements.placement_by_ask
         )
 
+    def test_requests_of_a_dropped_daemon_are_placed_again(self, entry):
+        """Requests must not wait without end after a network partition.
+
+        The owner drops the daemon whose request it has queued, as it still
+        assumes that this daemon is dead.
+        """
+        task = self.admit_in_background(entry, 1)
+        fixtures.wait_until(lambda: self.queue_length(entry) == 1)
+        entry.owner.drop_daemon(entry.daemon)
+        assert task.get(timeout=20).target.replica == "r0"
+
 
 class TestOverload:
     def test_owners_of_full_replicas_get_no_further_requests_at_once(self):
--- a/tests/topazlug/routing/test_owner.py
+++ b/tests/topazlug/routing/test_owner.py
@@ -150,6 +150,31 @@
         assert (ledger.load, len(ledger.queued_by_key)) == (2, 0)
 
 
+class TestDroppedDaemon:
+    def test_its_queued_requests_are_rejected(self, requester, entry, clock):
+        """A daemon that is wrongly assumed dead must get replies.
+
+        Just after a network partition, an owner may still assume that a
+        daemon is dead whose requests it has queued. Without a reply they
+        would wait until their deadlines, and their callers with them.
+        """
+        clock.advance(5)
+        requester.fill(10)
+        assert requester.ask(wait=60.0) is None
+        entry.owner.drop_daemon(PEER)
+        ledger = entry.owner.ledger_by_replica[R0]
+        assert (ledger.load, len(ledger.queued_by_key)) == (0, 0)
+        assert entry.owner.count_by_verdict[VERDICT.expired] == 1
+
+    def test_requests_of_others_stay_queued(self, requester, entry, clock):
+        clock.advance(5)
+        requester.fill(10)
+        assert requester.ask(wait=60.0) is None
+        entry.owner.drop_daemon(_ids.DaemonId("d3"))
+        ledger = entry.owner.ledger_by_replica[R0]
+        assert (ledger.load, len(ledger.queued_by_key)) == (10, 1)
+
+
 class TestUncertainCounts:
     """A replica must not be overloaded just after a change of owner.
 
