Ask owners again when a full replica's queue can't be used

Cause: for 0.25 s after a reply 'full' no owner is asked about that replica, and a request that finds no slot goes to the queue of the least loaded replica, also if its load comes from that record. If the owner has changed meanwhile (reply 'not_owner') or its connection fails at once, the search is repeated, and chooses the same queue again. All four searches end within milliseconds, and the caller gets 503 'no slot is free' while slots are free. Two tests with fakes show it; both failed on the previous code and pass now.

Now the record is removed before the search is repeated, except when the deadline has passed, so that overload still sends no further messages.

--- a/src/topazlug/routing/_admission.py
+++ b/src/topazlug/routing/_admission.py
@@ -319,7 +319,7 @@
         if owner_reply is None:
             # The owner stopped responding while the request was queued. There
             # is time left, and another owner may have free slots.
-            search.should_retry = True
+            self._prepare_retry(request, search, replica)
             return None
         ask, owner, reply = owner_reply
         if reply.verdict is messages.Verdict.granted:
@@ -329,10 +329,28 @@
             )
             search.should_retry = placement is None
             return placement
-        search.should_retry = reply.verdict in _REPEATABLE_VERDICTS
+        if reply.verdict in _REPEATABLE_VERDICTS:
+            self._prepare_retry(request, search, replica)
         search.record_rejection(replica, reply)
         return None
 
+    def _prepare_retry(
+        self,
+        request: _placement.PlacementRequest,
+        search: _Search,
+        replica: _ids.ReplicaId,
+    ) -> None:
+        """Search again, without the record that the replica is full.
+
+        With this record, each search would choose the replica's queue again.
+        While daemons disagree on its owner, as after a network partition,
+        all searches would end there within milliseconds, and the request
+        would be rejected although there are free slots.
+        """
+        search.should_retry = True
+        if self._clock.monotonic() < request.deadline:
+            self._full_by_replica.pop(replica, None)
+
     def _admit_without_owner(
         self,
         request: _placement.PlacementRequest,
--- a/tests/topazlug/routing/test_admission.py
+++ b/tests/topazlug/routing/test_admission.py
@@ -192,6 +192,44 @@
         assert fleet.owned_load() == 1
 
 
+class TestOwnerOfFullReplicaChanges:
+    """A replica was full, and its owner can't be asked any more.
+
+    For a quarter of a second no owner is asked about a full replica. All
+    searches chose its queue, each ended at once, and the caller got a 503.
+    """
+
+    @pytest.fixture
+    def fleet(self):
+        """Return daemons of which d1 has recorded a replica as full."""
+        fleet = fleet_fakes.FakeFleet(
+            "d1", "d2", targets=some_targets(2, slots=1), owners=["d2"]
+        )
+        fleet.clock.advance(5)
+        entry = fleet.entry_by_name["d1"]
+        placements = [admit(entry, 1) for _ in range(2)]
+        with pytest.raises(_errors.DeadlineExceeded):
+            admit(entry, 1, deadline=fleet.clock.seconds + 0.05)
+        for placement in placements:
+            entry.admission.release(placement)
+        return fleet
+
+    def test_owner_has_changed(self, fleet):
+        """Daemons disagree on owners just after a network partition."""
+        owner = fleet.entry_by_name["d2"]
+        owner.ownership.update(
+            daemons=["d3"], replicas=owner.targets.target_by_replica
+        )
+        assert admit(fleet.entry_by_name["d1"], 1).owner is None
+
+    def test_connection_to_the_owner_fails_at_once(self, fleet, monkeypatch):
+        def call(links, to, message, *, timeout):
+            raise _errors.PeerUnreachable(to)
+
+        monkeypatch.setattr(fleet_fakes._FleetLinks, "call", call)
+        assert admit(fleet.entry_by_name["d1"], 1).owner is None
+
+
 class TestDisplaced:
     def test_returning_chat_is_sent_to_where_it_was_displaced(self):
         """A chat must not lose its context when its home is free again.
