Count polls, not seconds, until a stopping daemon is idle

Cause: the wait for requests in progress ended when a second had passed without one, also if the process was paused in that second. Requests that arrived on accepted connections during the pause had not been read then, and the daemon exited 0.3 s later.

--- a/src/topazlug/_daemon.py
+++ b/src/topazlug/_daemon.py
@@ -9,6 +9,7 @@
 
 from topazlug import _clock
 from topazlug import _fleet_assembly
+from topazlug import _idle_wait
 from topazlug import _ids
 from topazlug import _logs
 from topazlug import _tasks
@@ -38,8 +39,6 @@
 from topazlug.telemetry import _metrics
 
 _log = _logs.logger("daemon")
-_IDLE_SECONDS = 1.0
-_POLL_SECONDS = 0.05
 _MAX_ADMINISTRATION_CONNECTIONS = 64
 _LEAVE_GRACE_SECONDS = 0.3
 
@@ -278,28 +277,15 @@
         self.callers.stopping = True
         self.callers.close_listener()
         self.fleet.leave()
-        self._wait_for_requests()
+        _idle_wait.wait_until_idle(
+            lambda: self.app.in_progress,
+            seconds=self.settings.limits.stop_grace,
+            clock=self.clock,
+        )
         self.claims.wait_finalized(_LEAVE_GRACE_SECONDS)
         gevent.sleep(_LEAVE_GRACE_SECONDS)
         self.halt()
 
-    def _wait_for_requests(self) -> None:
-        """Wait until no request has run for `_IDLE_SECONDS`.
-
-        The wait ends after the ``stop_grace`` setting in any case.
-        """
-        deadline = self.clock.monotonic() + self.settings.limits.stop_grace
-        idle_since: float | None = None
-        while self.clock.monotonic() < deadline:
-            now = self.clock.monotonic()
-            if self.app.in_progress:
-                idle_since = None
-            elif idle_since is None:
-                idle_since = now
-            elif now - idle_since >= _IDLE_SECONDS:
-                return
-            gevent.sleep(_POLL_SECONDS)
-
     def halt(self) -> None:
         """Stop all greenlets and close all connections at once."""
         self.callers.stop(timeout=0)
