Ask replicas for their contexts when their owner is new

ContextRecovery decides whether and when a replica is asked; ContextRequests asks it in a greenlet and sends DisplacedBatch with `recovered`; ContextRecoveries records the list and applies the receiver's rule; topazlug_platform/contexts.py decodes the list. The tests' Fleet refuses `send` to unreachable daemons, as the links do; the unused parameter `daemons` of the platform Rig is gone.

Ruled out: asking from the path of a request; a poll; taking the answer of a process that was replaced (the ledger must be the same object and of the same incarnation).

In the replay without a network, of 180 displaced chats of 45 replicas 180 are read at home without the recovery and 0 with it.

--- a/src/topazlug/forwarding/_daemon.py
+++ b/src/topazlug/forwarding/_daemon.py
@@ -35,6 +35,7 @@
 from topazlug.placement import _replica_list
 from topazlug.placement import _replica_view
 from topazlug.placement import _view_admission
+from topazlug.routing import _context_lister
 from topazlug.routing import _owner_features
 from topazlug.routing import _owner_gauges
 from topazlug.targets import _listed_targets
@@ -76,6 +77,8 @@
         own.
     clock : Clock
         Clock of the daemon.
+    context_codec : ContextListCodec or None
+        The platform's form of a replica's list of contexts, if it has one.
 
     Attributes
     ----------
@@ -93,8 +96,10 @@
         replica_codec: _wire.ReplicaHeaderCodec,
         new_store: Callable[[], _table_source.TableStore],
         clock: _clock.Clock,
+        context_codec: _context_lister.ContextListCodec | None = None,
     ) -> None:
         self._options = options
+        self._context_codec = context_codec
         self.name = options.daemon
         self._clock = clock
         self._stopping = False
@@ -297,15 +302,26 @@
             targets=self.targets,
             features=self._owner_features(),
             clock=self._clock,
+            context_lister=self._context_lister(),
         )
         self._owners.update_daemons(self._fleet.directory.daemons_by_id)
         self._greenlets += self._owners.start()
         _owner_gauges.watch(self.metrics, self._owners.slowness_by_replica)
+        _owner_gauges.watch_recoveries(self.metrics, self._owners.recoveries)
         self._crash_assembly.join(links)
         if _mechanisms.Mechanism.OWNERS not in self._options.disabled:
             self._admission.owner_client = self._owners.owner_client
             self.targets.on_report(self._owners.owner_client.report_backoff)
 
+    def _context_lister(self) -> _context_lister.ContextLister | None:
+        if self._context_codec is None:
+            return None
+        return _context_lister.ConnectionContextLister(
+            connections=self._connections,
+            codec=self._context_codec,
+            clock=self._clock,
+        )
+
     def _owner_features(self) -> _owner_features.OwnerFeatures:
         disabled = self._options.disabled
         is_short = self._options.is_capacity_short
--- a/src/topazlug/placement/_owners.py
+++ b/src/topazlug/placement/_owners.py
@@ -4,11 +4,16 @@
 from typing import Any
 from typing import final
 
+import msgspec
+
 from topazlug import _clock
 from topazlug import _ids
 from topazlug import _tasks
 from topazlug._generated import settings as _settings_types
 from topazlug.peers import _peers
+from topazlug.routing import _context_lister
+from topazlug.routing import _context_recoveries
+from topazlug.routing import _context_requests
 from topazlug.routing import _ledger
 from topazlug.routing import _owner
 from topazlug.routing import _owner_client
@@ -75,6 +80,8 @@
         Optional decisions of the owner that are switched on.
     clock : Clock
         Time.
+    context_lister : ContextLister or None
+        Asks replicas which contexts they hold; None if they can't be asked.
 
     Attributes
     ----------
@@ -90,7 +97,12 @@
         targets: _targets.TargetDirectory,
         features: _owner_features.OwnerFeatures,
         clock: _clock.Clock,
+        context_lister: _context_lister.ContextLister | None = None,
     ) -> None:
+        if context_lister is None:
+            features = msgspec.structs.replace(
+                features, context_recovery=False
+            )
         self._targets = targets
         self._clock = clock
         self._daemons: Mapping[_ids.DaemonId, Any] = {daemon: None}
@@ -127,6 +139,16 @@
             routing=routing,
             clock=clock,
         )
+        if context_lister is not None:
+            _context_requests.ContextRequests(
+                daemon=daemon,
+                recoveries=owner.recoveries,
+                lister=context_lister,
+                ownership=self._ownership,
+                targets=targets,
+                links=links,
+                clock=clock,
+            )
         self._endpoint.register()
         self._ownership.on_transfer(self._endpoint.on_transfer)
         targets.on_change(self._update)
@@ -140,6 +162,7 @@
         replicas = self._targets.target_by_replica
         self._owner.reset_restarted_replicas()
         self._ownership.update(daemons=self._daemons, replicas=replicas)
+        self._owner.recoveries.record_targets(replicas)
 
     def owner_of(self, replica: _ids.ReplicaId) -> _ids.DaemonId | None:
         """Return the daemon that counts a replica's load, as seen here."""
@@ -155,6 +178,11 @@
         """Return what the limits of each replica owned here are divided by."""
         return self._owner.slowness_by_replica()
 
+    @property
+    def recoveries(self) -> _context_recoveries.ContextRecoveries:
+        """Return the recoveries of contexts after a change of owners."""
+        return self._owner.recoveries
+
     @property
     def fairness_rejections(self) -> int:
         """Return the number of rejections for fairness between teams."""
--- a/src/topazlug/routing/_displaced_chats.py
+++ b/src/topazlug/routing/_displaced_chats.py
@@ -41,6 +41,9 @@
         self._displacement_by_chat = collections.OrderedDict()
         self._incarnation_by_replica: dict[_ids.ReplicaId, int] = {}
 
+    def __contains__(self, chat: _ids.ChatHash) -> bool:
+        return chat in self._displacement_by_chat
+
     def __len__(self) -> int:
         return len(self._displacement_by_chat)
 
--- a/src/topazlug/routing/_ledger.py
+++ b/src/topazlug/routing/_ledger.py
@@ -17,6 +17,7 @@
 from topazlug._generated import messages
 from topazlug.capacity import _cold_rate
 from topazlug.capacity import _context_reads
+from topazlug.capacity import _context_recovery
 from topazlug.capacity import _prompt_reads
 from topazlug.capacity import _rank_limits
 from topazlug.capacity import _replica_speed
@@ -120,6 +121,7 @@
         self.batch_load = 0
         self.uncertain_until = 0.0
         self.context_reads = _context_reads.ContextReads()
+        self.context_recovery = _context_recovery.ContextRecovery()
         self.prompt_reads = _prompt_reads.PromptReads(rate=read_rate)
         self.rank_limits = _rank_limits.RankLimits(slots=slots)
         self.cold_rate = _cold_rate.ColdRateLimiter()
--- a/src/topazlug/routing/_owner.py
+++ b/src/topazlug/routing/_owner.py
@@ -20,6 +20,7 @@
 from topazlug.capacity import _slow_limits
 from topazlug.capacity import _startup_allowance
 from topazlug.routing import _admission_control
+from topazlug.routing import _context_recoveries
 from topazlug.routing import _displaced_chats
 from topazlug.routing import _group_limits
 from topazlug.routing import _ledger
@@ -86,6 +87,8 @@
         Loads and limits of the groups that they belong to.
     displaced : DisplacedChats
         Chats displaced from the owned replicas.
+    recoveries : ContextRecoveries
+        Recoveries of their contexts after a change of owners.
     count_by_verdict : dict
         Number of replies sent, by verdict.
     """
@@ -124,6 +127,12 @@
         self.displaced = _displaced_chats.DisplacedChats(
             capacity=routing.displaced_capacity
         )
+        self.recoveries = _context_recoveries.ContextRecoveries(
+            ledger_by_replica=self.ledger_by_replica,
+            displaced=self.displaced,
+            features=features,
+            clock=clock,
+        )
         self._replies = _owner_replies.OwnerReplies()
         self.count_by_verdict = self._replies.count_by_verdict
         self._queue = _owner_queue.OwnerQueue(
@@ -238,6 +247,7 @@
             )
         if head.slowness > 0:
             ledger.speed.record(head.slowness, now=now)
+            self.recoveries.handle_slowness(ledger)
             self._update_slow_phase(ledger)
         if head.ask:
             ledger.prompt_reads.record_head(
@@ -474,6 +484,7 @@
             read_rate=self._learnt_read_rate(target.group),
         )
         ledger.uncertain_until = self._clock.monotonic() + UNCERTAIN_SECONDS
+        self.recoveries.open(ledger, target)
         _log.info("opened ledger of {replica}", replica=target.replica)
         return ledger
 
--- a/src/topazlug/routing/_owner_endpoint.py
+++ b/src/topazlug/routing/_owner_endpoint.py
@@ -137,6 +137,9 @@
     def _on_displaced_batch(
         self, sender: _ids.DaemonId, message: Any, reply: _peers.Reply
     ) -> None:
+        if message.recovered:
+            self._owner.recoveries.record_displaced(message.entries)
+            return
         for entry in message.entries:
             self._owner.displaced.record(entry)
 
--- a/src/topazlug/routing/_owner_gauges.py
+++ b/src/topazlug/routing/_owner_gauges.py
@@ -4,6 +4,7 @@
 from collections.abc import Mapping
 
 from topazlug import _ids
+from topazlug.routing import _context_recoveries
 from topazlug.telemetry import _metrics
 
 # Limits divided by this or more are at least halved.
@@ -33,3 +34,27 @@
         _metrics.Gauge.MAX_SLOWNESS,
         lambda: max(slowness_by_replica().values(), default=1.0),
     )
+
+
+def watch_recoveries(
+    metrics: _metrics.Metrics,
+    recoveries: _context_recoveries.ContextRecoveries,
+) -> None:
+    """Register totals of the contexts learnt after changes of owners.
+
+    Parameters
+    ----------
+    metrics : Metrics
+        Metrics of the daemon.
+    recoveries : ContextRecoveries
+        Recoveries of the replicas that it owns.
+    """
+    total = _metrics.Total
+    metrics.watch(total.CONTEXT_LISTS, lambda: recoveries.list_count)
+    metrics.watch(
+        total.CONTEXT_LISTS_GIVEN_UP, lambda: recoveries.given_up_count
+    )
+    metrics.watch(total.RECOVERED_CONTEXTS, lambda: recoveries.context_count)
+    metrics.watch(
+        total.RECOVERED_DISPLACED, lambda: recoveries.displaced_count
+    )
--- a/src/topazlug/telemetry/_metrics.py
+++ b/src/topazlug/telemetry/_metrics.py
@@ -93,6 +93,10 @@
     MOVED_READS = "topazlug.prompt_reads.moved"
     STALLING_READS = "topazlug.prompt_reads.stalling"
     FAIRNESS_REJECTIONS = "topazlug.owner.fairness_rejections"
+    CONTEXT_LISTS = "topazlug.owner.context_lists"
+    CONTEXT_LISTS_GIVEN_UP = "topazlug.owner.context_lists_given_up"
+    RECOVERED_CONTEXTS = "topazlug.owner.recovered_contexts"
+    RECOVERED_DISPLACED = "topazlug.owner.recovered_displaced_chats"
 
 
 _UNITS: dict[Gauge | Total, str] = {
@@ -128,6 +132,14 @@
     Total.CONTROL_RECEIVED: "Bytes received from peers.",
     Total.FAIRNESS_REJECTIONS: "Requests that this daemon, as the owner of "
     "replicas, rejected as their team was ahead of others that waited.",
+    Total.CONTEXT_LISTS: "Replicas that reported their contexts to this "
+    "daemon when it became their owner.",
+    Total.CONTEXT_LISTS_GIVEN_UP: "Replicas that did not report their "
+    "contexts to this daemon in any attempt.",
+    Total.RECOVERED_CONTEXTS: "Contexts that this daemon learnt from lists "
+    "of replicas.",
+    Total.RECOVERED_DISPLACED: "Displaced chats that this daemon, as the "
+    "owner of their homes, learnt from lists of replicas.",
     Total.PAUSES: "Jumps of the clock: the daemon was frozen and thawed.",
     Total.MOVED_READS: "Prompts read on another replica, as they would have "
     "stalled streams on the first that was asked.",
--- a/tests/topazlug/placement/owner_fixtures.py
+++ b/tests/topazlug/placement/owner_fixtures.py
@@ -7,6 +7,7 @@
 from tests.topazlug.forwarding import forwarding_fixtures as fixtures
 from topazlug import _errors
 from topazlug import _ids
+from topazlug.capacity import _context_recovery
 from topazlug.peers import _peers
 from topazlug.placement import _owner_admission
 from topazlug.placement import _owners
@@ -40,6 +41,8 @@
         Messages between daemons, in order.
     before_answer : callable
         Called after a message was handled, before the sender gets the reply.
+    contexts : ReplicaContexts
+        Contexts that the replicas hold and report.
     """
 
     def __init__(
@@ -56,18 +59,32 @@
         self.unreachable = set()
         self.sent = []
         self.before_answer = lambda: None
+        self.contexts = ReplicaContexts()
         self.targets = [
             fixtures.target(name, slots=slots) for name in replicas
         ]
-        self.daemon_by_name = {
-            name: Daemon(self, name, features) for name in names
-        }
-        daemons = dict.fromkeys(map(_ids.DaemonId, names))
-        for daemon in self.daemons:
-            daemon.owners.update_daemons(daemons)
+        self._features = features
+        self.daemon_by_name = {}
+        self.restart(*names)
         if not is_starting:
             self.clock.advance(_STARTED_SECONDS)
 
+    def restart(self, *names):
+        """Start some daemons anew, without what they knew; all if none."""
+        for name in names or list(self.daemon_by_name):
+            self.daemon_by_name[name] = Daemon(self, name, self._features)
+        self._update_daemons()
+
+    def remove(self, name):
+        """Remove a daemon that has lost power."""
+        del self.daemon_by_name[name]
+        self._update_daemons()
+
+    def _update_daemons(self):
+        daemons = dict.fromkeys(map(_ids.DaemonId, self.daemon_by_name))
+        for daemon in self.daemons:
+            daemon.owners.update_daemons(daemons)
+
     @property
     def daemons(self):
         """Return all daemons."""
@@ -100,6 +117,43 @@
         return daemon.owners.owner_of(replica)
 
 
+class ReplicaContexts:
+    """Answers requests for the contexts of replicas.
+
+    Attributes
+    ----------
+    chats_by_replica : dict
+        Chats whose contexts each replica holds.
+    failure_count : int
+        Number of the next requests that fail.
+    asked : list
+        Replicas that were asked, in order.
+    before_answer : callable
+        Called before each answer.
+    """
+
+    def __init__(self):
+        self.chats_by_replica = {}
+        self.failure_count = 0
+        self.asked = []
+        self.before_answer = lambda: None
+
+    def list_contexts(self, target):
+        """Return the contexts of a replica."""
+        self.asked.append(target.replica)
+        gevent.sleep(0)
+        self.before_answer()
+        if self.failure_count:
+            self.failure_count -= 1
+            raise _errors.TargetSilent(
+                "no answer", outcome=_errors.Outcome.UNKNOWN
+            )
+        return [
+            _context_recovery.HeldContext(chat, 4000)
+            for chat in self.chats_by_replica.get(target.replica, ())
+        ]
+
+
 class Daemon:
     """The objects of one daemon that place requests."""
 
@@ -117,6 +171,7 @@
             targets=self.targets,
             features=features,
             clock=fleet.clock,
+            context_lister=fleet.contexts,
         )
         self.admission = _owner_admission.OwnerOrViewAdmission(
             view_admission=_view_admission.ViewAdmission(
@@ -154,6 +209,8 @@
         self.handlers[kind] = handler
 
     def send(self, to, message):
+        if to in self._fleet.unreachable:
+            raise _errors.PeerUnreachable("no connection")
         self._deliver(to, message, _peers.ignore_reply)
 
     def call(self, to, message, *, timeout):
--- /dev/null
+++ b/tests/topazlug/placement/test_contexts_after_owner_loss.py
@@ -0,0 +1,352 @@
+"""Chats return to the replicas that hold their contexts under new owners."""
+
+import itertools
+
+import gevent
+import pytest
+
+from tests.topazlug.placement import owner_fixtures
+from topazlug import _ids
+from topazlug._generated import messages
+from topazlug.capacity import _context_reads
+from topazlug.capacity import _context_recovery
+from topazlug.routing import _owner_features
+from topazlug.routing import _ranking
+
+FEATURES = _owner_features.OwnerFeatures(
+    context_recovery=True, is_capacity_short=True
+)
+DAEMONS = tuple(f"d{n}" for n in range(5))
+REPLICAS = tuple(_ids.ReplicaId(f"i-{n}") for n in range(4))
+STATE = _context_recovery.RecoveryState
+READ = _context_reads.ReadState
+
+
+def chats():
+    """Return an endless series of chats."""
+    return (
+        _ids.ChatHash(_ranking.chat_hash("chat", str(n)))
+        for n in itertools.count()
+    )
+
+
+def ranking_of(chat, replicas=REPLICAS):
+    return _ranking.rank(replicas, chat, count=len(replicas))
+
+
+def settle():
+    """Let all greenlets run until they wait for the clock."""
+    for _ in range(100):
+        gevent.sleep(0)
+
+
+def request(chat, **changes):
+    return {
+        "chat": chat,
+        "rank": 0,
+        "prompt": chat,
+        "latency_objective": 1.0,
+        "prompt_tokens": 4100,
+        "shared_tokens": 4000,
+        "max_pause": 0.4,
+        **changes,
+    }
+
+
+class Scene:
+    """A chat that was displaced from its home, and a fleet of daemons.
+
+    The owners of the home and of the holder differ, and the entry daemon is
+    neither.
+    """
+
+    def __init__(self, features=FEATURES):
+        self.fleet = owner_fixtures.Fleet(
+            *DAEMONS, replicas=REPLICAS, features=features
+        )
+        settle()
+        self.chat = next(filter(self._has_two_owners, chats()))
+        self.home, self.holder = ranking_of(self.chat)[:2]
+        self.home_owner = self.fleet.owner_of(self.home)
+        self.holder_owner = self.fleet.owner_of(self.holder)
+        self.entry = next(
+            name
+            for name in DAEMONS
+            if name not in (self.home_owner, self.holder_owner)
+        )
+        self.fleet.contexts.chats_by_replica[self.holder] = [self.chat]
+        self.forget()
+
+    def _has_two_owners(self, chat):
+        return len(set(map(self.fleet.owner_of, ranking_of(chat)[:2]))) == 2
+
+    def forget(self):
+        self.fleet.contexts.asked.clear()
+        self.fleet.sent.clear()
+
+    def restart(self):
+        """Restart all daemons and let the lists arrive."""
+        self.fleet.restart()
+        settle()
+
+    def owners(self, name):
+        return self.fleet.daemon_by_name[name].owners
+
+    def ledger(self, replica):
+        owner = self.fleet.owner_of(replica)
+        return self.owners(owner).ledger_of(replica)
+
+    def admit(self, **changes):
+        daemon = self.fleet.daemon_by_name[self.entry]
+        return daemon.admit(**request(self.chat, **changes))
+
+    def report_slowness(self, replica):
+        self.owners(self.fleet.owner_of(replica))._owner.record_response_head(
+            self.entry,
+            messages.EngineWord(
+                replica=replica, running=1, waiting=0, slowness=1.5
+            ),
+        )
+
+
+@pytest.fixture
+def scene():
+    return Scene()
+
+
+class TestRecovery:
+    def test_displaced_chat_returns_to_its_holder(self, scene):
+        """Chats must not be read again at home after all owners were lost."""
+        scene.restart()
+        assert sorted(scene.fleet.contexts.asked) == sorted(REPLICAS)
+        placement = scene.admit()
+        assert placement.target.replica == scene.holder
+        assert not placement.reads_context
+        recoveries = scene.owners(scene.home_owner).recoveries
+        assert recoveries.displaced_count == 1
+
+    def test_context_at_home_is_known(self, scene):
+        scene.fleet.contexts.chats_by_replica = {scene.home: [scene.chat]}
+        scene.restart()
+        placement = scene.admit()
+        assert placement.target.replica == scene.home
+        assert not placement.reads_context
+
+    def test_loss_of_one_owner(self, scene):
+        """The new owner of one replica must learn what it holds."""
+        scene.fleet.remove(scene.home_owner)
+        settle()
+        assert scene.home in scene.fleet.contexts.asked
+        assert scene.holder not in scene.fleet.contexts.asked
+
+    def test_small_context_is_left_out(self, scene):
+        """Reading it takes less time than a message to another owner."""
+        scene.fleet.contexts.chats_by_replica = {}
+        contexts = [_context_recovery.HeldContext(scene.chat, 999)]
+        scene.fleet.contexts.list_contexts = lambda target: contexts
+        scene.restart()
+        assert scene.admit().target.replica == scene.home
+
+    def test_new_replica_is_not_asked(self, scene):
+        """It holds nothing, and an answer costs it time."""
+        fixtures = owner_fixtures.fixtures
+        scene.fleet.targets.append(fixtures.target("i-9"))
+        for daemon in scene.fleet.daemons:
+            daemon.targets.set_list(scene.fleet.targets)
+        settle()
+        assert scene.fleet.contexts.asked == []
+        assert scene.ledger("i-9").context_recovery.state is STATE.NOT_NEEDED
+
+    def test_switched_off(self):
+        scene = Scene(
+            _owner_features.OwnerFeatures(
+                context_recovery=False, is_capacity_short=True
+            )
+        )
+        scene.restart()
+        assert scene.fleet.contexts.asked == []
+        assert scene.admit().target.replica == scene.home
+
+    def test_replica_is_asked_when_it_reports_its_slowness(self):
+        """Other deployments must send no additional requests."""
+        scene = Scene(_owner_features.OwnerFeatures(context_recovery=True))
+        scene.restart()
+        assert scene.fleet.contexts.asked == []
+        for _ in range(2):
+            scene.report_slowness(scene.holder)
+        settle()
+        assert scene.fleet.contexts.asked == [scene.holder]
+        assert scene.admit().target.replica == scene.holder
+
+
+class TestFailures:
+    def test_replica_that_does_not_answer_is_asked_again(self, scene):
+        """One lost answer must not cost all contexts of a replica."""
+        scene.fleet.contexts.failure_count = len(REPLICAS)
+        scene.restart()
+        for _ in range(2 * len(REPLICAS)):
+            settle()
+        assert len(scene.fleet.contexts.asked) == 2 * len(REPLICAS)
+        assert scene.admit().target.replica == scene.holder
+
+    def test_replica_that_never_answers_is_given_up(self, scene):
+        """Contexts are then learnt from reads, as without the list."""
+        scene.fleet.contexts.failure_count = 1000
+        scene.restart()
+        assert len(scene.fleet.contexts.asked) == 3 * len(REPLICAS)
+        assert scene.ledger(scene.home).context_recovery.state is (
+            STATE.GIVEN_UP
+        )
+        assert scene.admit().target.replica == scene.home
+        owners = [daemon.owners for daemon in scene.fleet.daemons]
+        given_up = sum(one.recoveries.given_up_count for one in owners)
+        assert given_up == len(REPLICAS)
+
+    def test_replica_lost_while_the_list_is_awaited(self, scene):
+        """An answer must not be recorded by a daemon that lost the replica."""
+        owners = scene.owners(scene.holder_owner)
+
+        def lose():
+            scene.fleet.contexts.before_answer = lambda: None
+            owners.update_daemons({_ids.DaemonId(scene.entry): None})
+
+        scene.fleet.restart(scene.holder_owner)
+        owners = scene.owners(scene.holder_owner)
+        ledger = owners.ledger_of(scene.holder)
+        scene.fleet.contexts.before_answer = lose
+        scene.forget()
+        settle()
+        assert scene.holder in scene.fleet.contexts.asked
+        assert owners.ledger_of(scene.holder) is None
+        assert ledger.context_recovery.state is STATE.AWAITED
+        assert owners.recoveries.list_count == 0
+        assert scene.fleet.sent == []
+
+    def test_replica_restarts_while_the_list_is_awaited(self, scene):
+        """Chats must not be sent to a process that holds nothing."""
+
+        def restart():
+            scene.fleet.contexts.before_answer = lambda: None
+            scene.fleet.targets[:] = map(
+                owner_fixtures.restarted, scene.fleet.targets
+            )
+            for daemon in scene.fleet.daemons:
+                daemon.targets.set_list(scene.fleet.targets)
+
+        scene.fleet.contexts.before_answer = restart
+        scene.restart()
+        ledger = scene.ledger(scene.holder)
+        assert ledger.incarnation == 2
+        assert ledger.context_recovery.state is STATE.NOT_NEEDED
+        now = scene.fleet.clock.monotonic()
+        assert ledger.context_reads.state(scene.chat, now=now) is READ.FIRST
+        assert scene.admit().target.replica == scene.home
+
+    def test_owner_of_the_home_is_unavailable(self, scene):
+        """The other contexts must be recovered all the same."""
+        scene.fleet.unreachable.add(scene.home_owner)
+        scene.restart()
+        ledger = scene.ledger(scene.holder)
+        assert ledger.context_recovery.state is STATE.DONE
+        now = scene.fleet.clock.monotonic()
+        assert ledger.context_reads.state(scene.chat, now=now) is READ.KNOWN
+        scene.fleet.unreachable.clear()
+        assert scene.admit().target.replica == scene.home
+
+    def test_entry_of_an_evicted_context(self, scene):
+        """A wrong entry must cost one read, not one for each turn."""
+        scene.restart()
+        scene.fleet.clock.advance(31)
+        placement = scene.admit()
+        assert placement.target.replica == scene.holder
+        assert placement.reads_context
+
+    def test_older_daemon_replaces_what_is_known(self, scene):
+        """Without `recovered`, an entry counts like any other."""
+        scene.fleet.contexts.chats_by_replica = {}
+        scene.restart()
+        entry = messages.Displaced(
+            group="engines",
+            home=scene.home,
+            chat=scene.chat,
+            replica=scene.holder,
+        )
+        links = scene.fleet.daemon_by_name[scene.entry].links
+        batch = messages.DisplacedBatch(entries=[entry])
+        links.send(scene.home_owner, batch)
+        assert scene.admit().target.replica == scene.holder
+
+
+class TestReceiver:
+    def send(self, scene, replica):
+        entry = messages.Displaced(
+            group="engines",
+            home=scene.home,
+            chat=scene.chat,
+            replica=replica,
+        )
+        scene.fleet.daemon_by_name[scene.entry].links.send(
+            scene.home_owner,
+            messages.DisplacedBatch(entries=[entry], recovered=True),
+        )
+
+    def displaced_to(self, scene):
+        displaced = scene.owners(scene.home_owner)._owner.displaced
+        return displaced.find(scene.chat, home=scene.home)
+
+    def test_first_of_two_holders_is_used(self, scene):
+        """A chat must not move to and fro between two copies."""
+        other = ranking_of(scene.chat)[2]
+        self.send(scene, scene.holder)
+        self.send(scene, other)
+        assert self.displaced_to(scene) == scene.holder
+
+    def test_context_held_at_home_stays(self, scene):
+        """An old copy elsewhere must not move a chat from its home."""
+        now = scene.fleet.clock.monotonic()
+        scene.ledger(scene.home).context_reads.record_read(scene.chat, now=now)
+        self.send(scene, scene.holder)
+        assert self.displaced_to(scene) is None
+
+    def test_context_being_read_at_home_stays(self, scene):
+        assert scene.admit().reads_context
+        self.send(scene, scene.holder)
+        assert self.displaced_to(scene) is None
+
+
+class TestAllOwnersLost:
+    """All daemons lose power while 45 replicas hold displaced chats."""
+
+    REPLICAS = tuple(_ids.ReplicaId(f"i-{n}") for n in range(45))
+
+    def reads(self, *, is_on):
+        """Return how many returning chats read their context again."""
+        fleet = owner_fixtures.Fleet(
+            *(f"d{n}" for n in range(9)),
+            replicas=self.REPLICAS,
+            features=_owner_features.OwnerFeatures(
+                context_recovery=is_on, is_capacity_short=True
+            ),
+        )
+        displaced = list(itertools.islice(chats(), 180))
+        held = fleet.contexts.chats_by_replica
+        for chat in displaced:
+            second = ranking_of(chat, self.REPLICAS)[1]
+            held.setdefault(second, []).append(chat)
+        fleet.restart()
+        settle()
+        entries = itertools.cycle(fleet.daemons)
+        placements = [
+            daemon.admit(**request(chat))
+            for daemon, chat in zip(entries, displaced)
+        ]
+        return sum(
+            placement.target.replica
+            != ranking_of(placement.request.chat, self.REPLICAS)[1]
+            for placement in placements
+        )
+
+    def test_chats_return_without_reads(self):
+        """After a power loss all displaced chats were read at home."""
+        assert self.reads(is_on=False) == 180
+        assert self.reads(is_on=True) == 0
--- a/tests/topazlug_platform/platform_rig.py
+++ b/tests/topazlug_platform/platform_rig.py
@@ -3,6 +3,7 @@
 import gevent
 from gevent import server
 from gevent import socket
+from topazlug_platform import contexts
 from topazlug_platform import headers
 
 from tests.topazlug import wire_fixtures
@@ -14,8 +15,10 @@
 from topazlug.fleet import _staleness_bounds
 from topazlug.forwarding import _daemon
 from topazlug.forwarding import _options
+from topazlug.placement import _mechanisms
 
 ANY = settings.AddressSettings(host="127.0.0.1", port=0)
+MECHANISM = _mechanisms.Mechanism
 SIGNED = "X-Response-Signature: s1"
 
 
@@ -85,15 +88,16 @@
     False, the connection is closed.
     """
 
-    def __init__(self, *routes, scripts=(), daemons=1):
+    def __init__(self, *routes, scripts=(), **changes):
         self.requests = []
         self._servers = []
         self.daemon = _daemon.ForwardingDaemon(
-            options=options(),
+            options=options(**changes),
             caller_decoder=headers.ClientHeaders(),
             replica_codec=headers.ReplicaHeaders(),
             new_store=store_fakes.FakeTables,
             clock=_clock.SystemClock(),
+            context_codec=contexts.ContextLists(),
         )
         self.daemon.start()
         if routes:
