Keep reads at a replica until its new owner knows what it holds

Change: ReadAdmission sends a read elsewhere only if the recovery is done or not needed, otherwise from 30 s after the ledger was opened. A first read that may wait gets verdict `reading` with 0.05 s while an attempt is in progress, for at most 0.3 s. Between two attempts nothing waits, as no list can arrive. The 30 s apply to every recovery that has no list, not only to those given up, so that no unforeseen error of the greenlet closes a replica to them for good.

Ruled out: waiting for all three attempts (a replica that refuses connections would delay each chat that returns).

--- a/src/topazlug/routing/_admission_control.py
+++ b/src/topazlug/routing/_admission_control.py
@@ -277,6 +277,8 @@
                 retry_after=ledger.context_reads.wait(entry.chat, now=now),
             )
             return
+        if self._read_admission.delay(ledger, ask, state, reply):
+            return
         if self._read_admission.redirect(ledger, ask, state, reply):
             return
         ledger.admit(key, entry)
--- a/src/topazlug/routing/_read_admission.py
+++ b/src/topazlug/routing/_read_admission.py
@@ -17,6 +17,9 @@
 # Cost of copying a context from another replica, as a fraction of the cost of
 # reading it.
 _COPY_COST = 0.1
+# The list of a replica's contexts arrives within some 10 ms of being
+# requested; each check costs a message each way.
+_LIST_RETRY_SECONDS = 0.05
 
 
 @final
@@ -44,6 +47,49 @@
         self._features = features
         self._clock = clock
 
+    def delay(
+        self,
+        ledger: _ledger.ReplicaLedger,
+        ask: messages.AdmitAsk,
+        state: _context_reads.ReadState,
+        reply: _owner_replies.Reply,
+    ) -> bool:
+        """Reply to a first read that waits for the replica's contexts.
+
+        Granted now, it would read a prompt that the replica, or the one that
+        the chat was displaced to, may turn out to hold.
+
+        Parameters
+        ----------
+        ledger : ReplicaLedger
+            Ledger of the requested replica.
+        ask : AdmitAsk
+            Admission request that would be granted otherwise.
+        state : ReadState
+            State of its context on the replica.
+        reply : callable
+            Called with the reply, if any.
+
+        Returns
+        -------
+        bool
+            Whether a reply was sent.
+        """
+        now = self._clock.monotonic()
+        if not (
+            ask.may_wait
+            and state is _context_reads.ReadState.FIRST
+            and ledger.context_recovery.delays_reads(now=now)
+        ):
+            return False
+        self._replies.send(
+            reply,
+            messages.Verdict.reading,
+            load=ledger.load,
+            retry_after=_LIST_RETRY_SECONDS,
+        )
+        return True
+
     def redirect(
         self,
         ledger: _ledger.ReplicaLedger,
@@ -121,12 +167,14 @@
         A new owner does not know yet which contexts its replicas hold. If it
         sent requests elsewhere meanwhile, prompts would be read again.
         """
+        now = self._clock.monotonic()
         return (
             self._is_active(ledger, ask)
             and state is _context_reads.ReadState.FIRST
             and ask.rank != _ledger.UNRANKED
             and not ask.accept_stall
-            and self._clock.monotonic() >= ledger.uncertain_until
+            and now >= ledger.uncertain_until
+            and ledger.context_recovery.may_redirect(now=now)
         )
 
     def _is_active(
--- a/tests/topazlug/placement/test_contexts_after_owner_loss.py
+++ b/tests/topazlug/placement/test_contexts_after_owner_loss.py
@@ -20,6 +20,7 @@
 REPLICAS = tuple(_ids.ReplicaId(f"i-{n}") for n in range(4))
 STATE = _context_recovery.RecoveryState
 READ = _context_reads.ReadState
+VERDICT = messages.Verdict
 
 
 def chats():
@@ -314,6 +315,93 @@
         assert self.displaced_to(scene) is None
 
 
+class TestAwaitedList:
+    """First reads wait for the list, but not for long."""
+
+    def verdicts(self, scene, **changes):
+        """Return the verdict and the delay of one admission request."""
+        replies = []
+        ask = {
+            "ask": 1,
+            "group": "engines",
+            "replica": scene.home,
+            "chat": scene.chat,
+            "team": "udelar",
+            "batch": False,
+            "weight": 1,
+            "home": True,
+            "rank": 0,
+            "shared": 4000,
+            "tokens": 4100,
+            "may_wait": True,
+            **changes,
+        }
+        scene.owners(scene.home_owner)._owner.handle_admission_request(
+            scene.entry, messages.AdmitAsk(**ask), replies.append
+        )
+        return replies[0].verdict, replies[0].retry_after
+
+    def test_first_read_waits_for_the_list(self, scene):
+        """A prompt was read at home just before the list named its holder."""
+        scene.fleet.restart()
+        assert self.verdicts(scene) == (VERDICT.reading, 0.05)
+        settle()
+        assert self.verdicts(scene)[0] is VERDICT.elsewhere
+
+    def test_request_that_may_not_wait(self, scene):
+        scene.fleet.restart()
+        assert self.verdicts(scene, may_wait=False)[0] is VERDICT.granted
+
+    def test_short_prompt_does_not_wait(self, scene):
+        scene.fleet.restart()
+        assert self.verdicts(scene, shared=999)[0] is VERDICT.granted
+
+    def test_list_that_is_late(self, scene):
+        """A hanging replica must not delay the chats of its neighbors."""
+        scene.fleet.restart()
+        scene.fleet.clock.advance(0.31)
+        assert self.verdicts(scene)[0] is VERDICT.granted
+
+    def test_list_that_has_arrived(self, scene):
+        scene.fleet.contexts.chats_by_replica = {}
+        scene.restart()
+        assert self.verdicts(scene)[0] is VERDICT.granted
+
+
+class TestMovedReads:
+    """Reads that would stall streams stay while contexts are unknown."""
+
+    def admit(self, scene, *, after):
+        scene.fleet.contexts.chats_by_replica = {}
+        scene.fleet.contexts.failure_count = 1000
+        scene.restart()
+        owner = scene.owners(scene.home_owner)
+        ledger = owner.ledger_of(scene.home)
+        scene.fleet.clock.advance(
+            ledger.uncertain_until
+            - 2.5
+            + after
+            - scene.fleet.clock.monotonic()
+        )
+        for replica in REPLICAS:
+            scene.report_slowness(replica)
+        chat = next(c for c in chats() if ranking_of(c)[0] == scene.home)
+        entry = scene.fleet.daemon_by_name[scene.entry]
+        for _ in range(3):
+            entry.admit(**request(chat, shared_tokens=0, prompt_tokens=100))
+        return scene.admit(prompt_tokens=15_000, shared_tokens=14_900)
+
+    def test_read_stays_at_home_without_a_list(self, scene):
+        """A prompt that the home holds must not be read elsewhere."""
+        placement = self.admit(scene, after=29.5)
+        assert placement.target.replica == scene.home
+
+    def test_read_moves_after_30_seconds(self, scene):
+        """Reads must not stall streams forever as a list never came."""
+        placement = self.admit(scene, after=30.5)
+        assert placement.target.replica != scene.home
+
+
 class TestAllOwnersLost:
     """All daemons lose power while 45 replicas hold displaced chats."""
 
