Use a held context over the bound rather than read it with a stall

Change: a reply `over_bound` says whether the replica is known to hold the context (`AdmitReply.holds`), where capacity is short or the replica reports its slowness. If the home or the replica that the chat was displaced to holds it, and no other replica that was asked took the request without a stall, OwnerSearch places it there; OverBoundReads allows this for one in 50 requests of a group. A total and a log line show it. The shared scene of the tests moves to recovery_fixtures.py.

Ruled out: a random share of 1 in 50, which would allow several in a row.

--- a/src/topazlug/forwarding/_daemon.py
+++ b/src/topazlug/forwarding/_daemon.py
@@ -211,6 +211,7 @@
             fleet=self._fleet,
             guard=self._crash_assembly.guard,
             read_placements=self._admission.read_placements,
+            over_bound_reads=self._admission.over_bound_reads,
             fairness_rejections=self._fairness_rejections,
         )
         self._monitoring = _monitoring.MonitoringListeners(
--- a/src/topazlug/forwarding/_gauges.py
+++ b/src/topazlug/forwarding/_gauges.py
@@ -7,6 +7,7 @@
 from topazlug.fleet import _fleet
 from topazlug.forwarding import _app
 from topazlug.forwarding import _table
+from topazlug.placement import _over_bound_reads
 from topazlug.placement import _read_search
 from topazlug.targets import _target_gauges
 from topazlug.targets import _targets
@@ -23,6 +24,7 @@
     fleet: _fleet.Fleet,
     guard: _crash_guard.CrashGuard,
     read_placements: _read_search.ReadPlacements,
+    over_bound_reads: _over_bound_reads.OverBoundReads,
     fairness_rejections: Callable[[], int],
 ) -> None:
     """Register the gauges and totals of a daemon with its metrics."""
@@ -40,3 +42,4 @@
     metrics.watch(total.CONTROL_RECEIVED, lambda: fleet.bytes_received)
     metrics.watch(total.MOVED_READS, lambda: read_placements.moved_count)
     metrics.watch(total.STALLING_READS, lambda: read_placements.stalling_count)
+    metrics.watch(total.OVER_BOUND_READS, lambda: over_bound_reads.count)
--- a/src/topazlug/placement/_owner_admission.py
+++ b/src/topazlug/placement/_owner_admission.py
@@ -62,6 +62,8 @@
         its fleet.
     read_placements : ReadPlacements
         Counts the reads that would stall streams where asked first.
+    over_bound_reads : OverBoundReads
+        Counts the requests placed over the bound for their context.
     """
 
     def __init__(
@@ -89,6 +91,7 @@
         )
         self.owner_client: _owner_client.OwnerClient | None = None
         self.read_placements = self._search.read_placements
+        self.over_bound_reads = self._search.over_bound_reads
         # Replicas whose last answer reported waiting requests.
         self._queueing_replicas: set[_ids.ReplicaId] = set()
 
--- a/src/topazlug/placement/_owner_search.py
+++ b/src/topazlug/placement/_owner_search.py
@@ -7,6 +7,7 @@
 from topazlug import _logs
 from topazlug._generated import messages
 from topazlug.placement import _mechanisms
+from topazlug.placement import _over_bound_reads
 from topazlug.placement import _read_search
 from topazlug.placement import _replica_view
 from topazlug.placement import _view_admission
@@ -71,6 +72,8 @@
     ----------
     read_placements : ReadPlacements
         Counts the reads that would stall streams where asked first.
+    over_bound_reads : OverBoundReads
+        Counts the requests placed over the bound for their context.
     """
 
     def __init__(
@@ -88,6 +91,10 @@
         self._clock = clock
         self._disabled = disabled
         self.read_placements = _read_search.ReadPlacements()
+        mechanism = _mechanisms.Mechanism.CONTEXT_RECOVERY
+        self.over_bound_reads = _over_bound_reads.OverBoundReads(
+            is_enabled=mechanism not in disabled
+        )
 
     @property
     def _displacement_disabled(self) -> bool:
@@ -113,6 +120,7 @@
         Full
             No replica whose owner was asked has free capacity.
         """
+        self.over_bound_reads.record_request(request.group)
         candidates = self._view_admission.candidates(request)
         ranked = _ranked(candidates, request, count=_MAX_RANKED)
         ranked += self._warm_alternatives(candidates, request, ranked)
@@ -124,6 +132,23 @@
         accept_stall = _mechanisms.Mechanism.PROMPT_READS in self._disabled
         while pending or not stalling.is_empty:
             if not pending:
+                holder = self.over_bound_reads.holder(
+                    request.group,
+                    rejections,
+                    home=home,
+                    displaced_to=displaced_to,
+                )
+                if holder is not None:
+                    stall = min(stalling.stall_by_replica.values())
+                    self.over_bound_reads.record_placement(
+                        request.group, holder, stall
+                    )
+                    return self._place_on_least_loaded(
+                        owner_client,
+                        request,
+                        {holder: rejections[holder]},
+                        home,
+                    )
                 pending = [stalling.pop_least()]
                 accept_stall = True
             replica = pending.pop(0)
--- a/src/topazlug/routing/_admission_control.py
+++ b/src/topazlug/routing/_admission_control.py
@@ -242,8 +242,14 @@
             verdict = messages.Verdict.full
             if fit is _ledger.Fit.OVER_BOUND:
                 verdict = messages.Verdict.over_bound
-            is_cold = self._tolerated_rate(ledger) is not None
-            self._replies.send(reply, verdict, load=ledger.load, cold=is_cold)
+            self._replies.send(
+                reply,
+                verdict,
+                load=ledger.load,
+                cold=self._tolerated_rate(ledger) is not None,
+                holds=fit is _ledger.Fit.OVER_BOUND
+                and self._read_admission.holds(ledger, ask),
+            )
             return
         # A request over the bound need not wait for a release: the bound
         # rises with the group's load.
--- a/src/topazlug/routing/_owner_replies.py
+++ b/src/topazlug/routing/_owner_replies.py
@@ -33,6 +33,7 @@
         cold: bool = False,
         backoff: float = 0.0,
         stall: float = 0.0,
+        holds: bool = False,
     ) -> None:
         """Reply to one admission request.
 
@@ -56,6 +57,8 @@
             Remaining seconds of the replica's backoff for all daemons.
         stall : float
             Seconds of delay that reading the prompt there would cause.
+        holds : bool
+            Whether the replica, which is over its bound, holds the context.
         """
         self.count_by_verdict[verdict] += 1
         reply(
@@ -68,5 +71,6 @@
                 cold=cold,
                 backoff=backoff,
                 stall=stall,
+                holds=holds,
             )
         )
--- a/src/topazlug/routing/_read_admission.py
+++ b/src/topazlug/routing/_read_admission.py
@@ -47,6 +47,27 @@
         self._features = features
         self._clock = clock
 
+    def holds(
+        self, ledger: _ledger.ReplicaLedger, ask: messages.AdmitAsk
+    ) -> bool:
+        """Return whether a replica is known to hold a request's context.
+
+        Only where the entry daemon may place the request there over the
+        bound: elsewhere replies stay as they were.
+        """
+        features = self._features
+        if not features.context_recovery or (
+            not features.is_capacity_short and not ledger.speed.is_reported
+        ):
+            return False
+        state = ledger.context_reads.state(
+            _ids.ChatHash(ask.chat), now=self._clock.monotonic()
+        )
+        return (
+            ask.shared >= _context_reads.MIN_SHARED_TOKENS
+            and state is _context_reads.ReadState.KNOWN
+        )
+
     def delay(
         self,
         ledger: _ledger.ReplicaLedger,
--- a/src/topazlug/telemetry/_metrics.py
+++ b/src/topazlug/telemetry/_metrics.py
@@ -92,6 +92,7 @@
     PAUSES = "topazlug.pauses"
     MOVED_READS = "topazlug.prompt_reads.moved"
     STALLING_READS = "topazlug.prompt_reads.stalling"
+    OVER_BOUND_READS = "topazlug.prompt_reads.over_bound"
     FAIRNESS_REJECTIONS = "topazlug.owner.fairness_rejections"
     CONTEXT_LISTS = "topazlug.owner.context_lists"
     CONTEXT_LISTS_GIVEN_UP = "topazlug.owner.context_lists_given_up"
@@ -145,6 +146,8 @@
     "stalled streams on the first that was asked.",
     Total.STALLING_READS: "Prompts read although they stall streams, as no "
     "replica that was asked was better.",
+    Total.OVER_BOUND_READS: "Requests placed over a replica's bound, as it "
+    "holds their context and others would have read it with a stall.",
 }
 
 ValueCallback = Callable[[], float]
--- a/tests/topazlug/placement/test_contexts_after_owner_loss.py
+++ b/tests/topazlug/placement/test_contexts_after_owner_loss.py
@@ -2,124 +2,32 @@
 
 import itertools
 
-import gevent
 import pytest
 
+from tests.topazlug.forwarding import forwarding_fixtures
 from tests.topazlug.placement import owner_fixtures
+from tests.topazlug.placement import recovery_fixtures as fixtures
 from topazlug import _ids
 from topazlug._generated import messages
 from topazlug.capacity import _context_reads
 from topazlug.capacity import _context_recovery
 from topazlug.routing import _owner_features
-from topazlug.routing import _ranking
 
-FEATURES = _owner_features.OwnerFeatures(
-    context_recovery=True, is_capacity_short=True
-)
-DAEMONS = tuple(f"d{n}" for n in range(5))
-REPLICAS = tuple(_ids.ReplicaId(f"i-{n}") for n in range(4))
 STATE = _context_recovery.RecoveryState
 READ = _context_reads.ReadState
 VERDICT = messages.Verdict
 
 
-def chats():
-    """Return an endless series of chats."""
-    return (
-        _ids.ChatHash(_ranking.chat_hash("chat", str(n)))
-        for n in itertools.count()
-    )
-
-
-def ranking_of(chat, replicas=REPLICAS):
-    return _ranking.rank(replicas, chat, count=len(replicas))
-
-
-def settle():
-    """Let all greenlets run until they wait for the clock."""
-    for _ in range(100):
-        gevent.sleep(0)
-
-
-def request(chat, **changes):
-    return {
-        "chat": chat,
-        "rank": 0,
-        "prompt": chat,
-        "latency_objective": 1.0,
-        "prompt_tokens": 4100,
-        "shared_tokens": 4000,
-        "max_pause": 0.4,
-        **changes,
-    }
-
-
-class Scene:
-    """A chat that was displaced from its home, and a fleet of daemons.
-
-    The owners of the home and of the holder differ, and the entry daemon is
-    neither.
-    """
-
-    def __init__(self, features=FEATURES):
-        self.fleet = owner_fixtures.Fleet(
-            *DAEMONS, replicas=REPLICAS, features=features
-        )
-        settle()
-        self.chat = next(filter(self._has_two_owners, chats()))
-        self.home, self.holder = ranking_of(self.chat)[:2]
-        self.home_owner = self.fleet.owner_of(self.home)
-        self.holder_owner = self.fleet.owner_of(self.holder)
-        self.entry = next(
-            name
-            for name in DAEMONS
-            if name not in (self.home_owner, self.holder_owner)
-        )
-        self.fleet.contexts.chats_by_replica[self.holder] = [self.chat]
-        self.forget()
-
-    def _has_two_owners(self, chat):
-        return len(set(map(self.fleet.owner_of, ranking_of(chat)[:2]))) == 2
-
-    def forget(self):
-        self.fleet.contexts.asked.clear()
-        self.fleet.sent.clear()
-
-    def restart(self):
-        """Restart all daemons and let the lists arrive."""
-        self.fleet.restart()
-        settle()
-
-    def owners(self, name):
-        return self.fleet.daemon_by_name[name].owners
-
-    def ledger(self, replica):
-        owner = self.fleet.owner_of(replica)
-        return self.owners(owner).ledger_of(replica)
-
-    def admit(self, **changes):
-        daemon = self.fleet.daemon_by_name[self.entry]
-        return daemon.admit(**request(self.chat, **changes))
-
-    def report_slowness(self, replica):
-        self.owners(self.fleet.owner_of(replica))._owner.record_response_head(
-            self.entry,
-            messages.EngineWord(
-                replica=replica, running=1, waiting=0, slowness=1.5
-            ),
-        )
-
-
 @pytest.fixture
 def scene():
-    return Scene()
+    return fixtures.Scene()
 
 
 class TestRecovery:
     def test_displaced_chat_returns_to_its_holder(self, scene):
         """Chats must not be read again at home after all owners were lost."""
         scene.restart()
-        assert sorted(scene.fleet.contexts.asked) == sorted(REPLICAS)
+        assert sorted(scene.fleet.contexts.asked) == sorted(fixtures.REPLICAS)
         placement = scene.admit()
         assert placement.target.replica == scene.holder
         assert not placement.reads_context
@@ -136,7 +44,7 @@
     def test_loss_of_one_owner(self, scene):
         """The new owner of one replica must learn what it holds."""
         scene.fleet.remove(scene.home_owner)
-        settle()
+        fixtures.settle()
         assert scene.home in scene.fleet.contexts.asked
         assert scene.holder not in scene.fleet.contexts.asked
 
@@ -150,16 +58,15 @@
 
     def test_new_replica_is_not_asked(self, scene):
         """It holds nothing, and an answer costs it time."""
-        fixtures = owner_fixtures.fixtures
-        scene.fleet.targets.append(fixtures.target("i-9"))
+        scene.fleet.targets.append(forwarding_fixtures.target("i-9"))
         for daemon in scene.fleet.daemons:
             daemon.targets.set_list(scene.fleet.targets)
-        settle()
+        fixtures.settle()
         assert scene.fleet.contexts.asked == []
         assert scene.ledger("i-9").context_recovery.state is STATE.NOT_NEEDED
 
     def test_switched_off(self):
-        scene = Scene(
+        scene = fixtures.Scene(
             _owner_features.OwnerFeatures(
                 context_recovery=False, is_capacity_short=True
             )
@@ -170,12 +77,14 @@
 
     def test_replica_is_asked_when_it_reports_its_slowness(self):
         """Other deployments must send no additional requests."""
-        scene = Scene(_owner_features.OwnerFeatures(context_recovery=True))
+        scene = fixtures.Scene(
+            _owner_features.OwnerFeatures(context_recovery=True)
+        )
         scene.restart()
         assert scene.fleet.contexts.asked == []
         for _ in range(2):
             scene.report_slowness(scene.holder)
-        settle()
+        fixtures.settle()
         assert scene.fleet.contexts.asked == [scene.holder]
         assert scene.admit().target.replica == scene.holder
 
@@ -183,25 +92,25 @@
 class TestFailures:
     def test_replica_that_does_not_answer_is_asked_again(self, scene):
         """One lost answer must not cost all contexts of a replica."""
-        scene.fleet.contexts.failure_count = len(REPLICAS)
+        scene.fleet.contexts.failure_count = len(fixtures.REPLICAS)
         scene.restart()
-        for _ in range(2 * len(REPLICAS)):
-            settle()
-        assert len(scene.fleet.contexts.asked) == 2 * len(REPLICAS)
+        for _ in range(2 * len(fixtures.REPLICAS)):
+            fixtures.settle()
+        assert len(scene.fleet.contexts.asked) == 2 * len(fixtures.REPLICAS)
         assert scene.admit().target.replica == scene.holder
 
     def test_replica_that_never_answers_is_given_up(self, scene):
         """Contexts are then learnt from reads, as without the list."""
         scene.fleet.contexts.failure_count = 1000
         scene.restart()
-        assert len(scene.fleet.contexts.asked) == 3 * len(REPLICAS)
+        assert len(scene.fleet.contexts.asked) == 3 * len(fixtures.REPLICAS)
         assert scene.ledger(scene.home).context_recovery.state is (
             STATE.GIVEN_UP
         )
         assert scene.admit().target.replica == scene.home
         owners = [daemon.owners for daemon in scene.fleet.daemons]
         given_up = sum(one.recoveries.given_up_count for one in owners)
-        assert given_up == len(REPLICAS)
+        assert given_up == len(fixtures.REPLICAS)
 
     def test_replica_lost_while_the_list_is_awaited(self, scene):
         """An answer must not be recorded by a daemon that lost the replica."""
@@ -216,7 +125,7 @@
         ledger = owners.ledger_of(scene.holder)
         scene.fleet.contexts.before_answer = lose
         scene.forget()
-        settle()
+        fixtures.settle()
         assert scene.holder in scene.fleet.contexts.asked
         assert owners.ledger_of(scene.holder) is None
         assert ledger.context_recovery.state is STATE.AWAITED
@@ -297,7 +206,7 @@
 
     def test_first_of_two_holders_is_used(self, scene):
         """A chat must not move to and fro between two copies."""
-        other = ranking_of(scene.chat)[2]
+        other = fixtures.ranking_of(scene.chat)[2]
         self.send(scene, scene.holder)
         self.send(scene, other)
         assert self.displaced_to(scene) == scene.holder
@@ -345,7 +254,7 @@
         """A prompt was read at home just before the list named its holder."""
         scene.fleet.restart()
         assert self.verdicts(scene) == (VERDICT.reading, 0.05)
-        settle()
+        fixtures.settle()
         assert self.verdicts(scene)[0] is VERDICT.elsewhere
 
     def test_request_that_may_not_wait(self, scene):
@@ -383,12 +292,18 @@
             + after
             - scene.fleet.clock.monotonic()
         )
-        for replica in REPLICAS:
+        for replica in fixtures.REPLICAS:
             scene.report_slowness(replica)
-        chat = next(c for c in chats() if ranking_of(c)[0] == scene.home)
+        chat = next(
+            c
+            for c in fixtures.chats()
+            if fixtures.ranking_of(c)[0] == scene.home
+        )
         entry = scene.fleet.daemon_by_name[scene.entry]
         for _ in range(3):
-            entry.admit(**request(chat, shared_tokens=0, prompt_tokens=100))
+            entry.admit(
+                **fixtures.request(chat, shared_tokens=0, prompt_tokens=100)
+            )
         return scene.admit(prompt_tokens=15_000, shared_tokens=14_900)
 
     def test_read_stays_at_home_without_a_list(self, scene):
@@ -416,21 +331,21 @@
                 context_recovery=is_on, is_capacity_short=True
             ),
         )
-        displaced = list(itertools.islice(chats(), 180))
+        displaced = list(itertools.islice(fixtures.chats(), 180))
         held = fleet.contexts.chats_by_replica
         for chat in displaced:
-            second = ranking_of(chat, self.REPLICAS)[1]
+            second = fixtures.ranking_of(chat, self.REPLICAS)[1]
             held.setdefault(second, []).append(chat)
         fleet.restart()
-        settle()
+        fixtures.settle()
         entries = itertools.cycle(fleet.daemons)
         placements = [
-            daemon.admit(**request(chat))
+            daemon.admit(**fixtures.request(chat))
             for daemon, chat in zip(entries, displaced)
         ]
         return sum(
             placement.target.replica
-            != ranking_of(placement.request.chat, self.REPLICAS)[1]
+            != fixtures.ranking_of(placement.request.chat, self.REPLICAS)[1]
             for placement in placements
         )
 
