Count failures at the owners of replicas, and eject for all daemons

Cause: each of 72 daemons sends a replica one request every 6 to 12 s, so none sees three failures of a replica that fails all requests for 5.2 s.

Entry daemons report failures with the release, as Outcomes where no owner counts the request, and early for requests without a head. Owners count them, compare with the rest of the group as the collector knows it, eject, and try one request at a time afterwards. An ejected replica is excluded at entry daemons unless no other is left.

--- a/src/topazlug/_daemon.py
+++ b/src/topazlug/_daemon.py
@@ -253,7 +253,9 @@
             _metrics.Gauge.OWNED_REPLICAS,
             lambda: len(self.routing.owner.ledger_by_replica),
         )
-        _owner_gauges.watch(self.metrics, owner.slowness_by_replica)
+        _owner_gauges.watch(
+            self.metrics, owner.slowness_by_replica, owner.ejections
+        )
         watch(_metrics.Gauge.BLOCKED, lambda: self.guard.blocked)
         watch(_metrics.Total.CONTROL_SENT, lambda: self.fleet.links.bytes_sent)
         watch(
--- a/src/topazlug/forwarding/_daemon.py
+++ b/src/topazlug/forwarding/_daemon.py
@@ -16,6 +16,7 @@
 from topazlug.fleet import _table_feed
 from topazlug.fleet import _table_source
 from topazlug.forwarding import _app
+from topazlug.forwarding import _awaited_heads
 from topazlug.forwarding import _call_metrics
 from topazlug.forwarding import _crash_assembly
 from topazlug.forwarding import _forwarder_assembly
@@ -170,8 +171,14 @@
         self._call_metrics = _call_metrics.CallMetrics(
             metrics=self.metrics, clock=clock
         )
+        self._awaited_heads = _awaited_heads.AwaitedHeads(
+            views=self.views,
+            report_late=self._admission.outcome_reporting.report_late,
+            clock=clock,
+        )
         forwarder_assembly = _forwarder_assembly.ForwarderAssembly(
             admission=self._admission,
+            awaited_heads=self._awaited_heads,
             budget=self.budget,
             clock=clock,
             connections=self._connections,
@@ -207,6 +214,7 @@
             guard=self._crash_assembly.guard,
             read_placements=self._admission.read_placements,
             fairness_rejections=self._fairness_rejections,
+            late_requests=lambda: self._admission.outcome_reporting.late_count,
         )
         self._monitoring = _monitoring.MonitoringListeners(
             options=options, is_ready=self.is_ready, metrics=self.metrics
@@ -300,10 +308,19 @@
         )
         self._owners.update_daemons(self._fleet.directory.daemons_by_id)
         self._greenlets += self._owners.start()
-        _owner_gauges.watch(self.metrics, self._owners.slowness_by_replica)
+        _owner_gauges.watch(
+            self.metrics,
+            self._owners.slowness_by_replica,
+            self._owners.ejections,
+        )
         self._crash_assembly.join(links)
         if _mechanisms.Mechanism.OWNERS not in self._options.disabled:
             self._admission.owner_client = self._owners.owner_client
+            reporting = self._admission.outcome_reporting
+            reporting.owner_client = self._owners.owner_client
+            reporting.reports = self._owners.outcome_reports
+            reporting.is_capacity_short = self._options.is_capacity_short
+            self.spawn(self._awaited_heads.check_forever)
             self.targets.on_report(self._owners.owner_client.report_backoff)
 
     def _owner_features(self) -> _owner_features.OwnerFeatures:
--- a/src/topazlug/forwarding/_event_relay.py
+++ b/src/topazlug/forwarding/_event_relay.py
@@ -17,6 +17,7 @@
 from topazlug.forwarding import _call
 from topazlug.forwarding import _call_metrics
 from topazlug.forwarding import _exchange
+from topazlug.forwarding import _failures
 from topazlug.limits import _retry_share
 from topazlug.placement import _mechanisms
 from topazlug.placement import _replica_view
@@ -29,6 +30,7 @@
 # maximum pause. After it the stream is resumed at another replica. Callers
 # give up after eight pauses, or after two seconds.
 _SILENCE_TIMEOUT_PAUSES = 5.0
+_SERVER_ERROR = 500
 
 
 @final
@@ -123,6 +125,7 @@
             _log.info("stream not resumed: {why}", why=str(error))
             return None
         if answer.status != 200:
+            placement.failed = answer.status >= _SERVER_ERROR
             answer.close()
             self._admission.release(placement)
             _log.info(
@@ -236,6 +239,8 @@
                 return
             except _errors.RequestError as error:
                 self._answer.close()
+                if not self._has_caller_left:
+                    _failures.record(self._placement, error)
                 if self._has_caller_left or not self._resume(error):
                     self._record_broken_stream(error)
                     raise
--- a/src/topazlug/forwarding/_exchange.py
+++ b/src/topazlug/forwarding/_exchange.py
@@ -6,7 +6,9 @@
 
 from topazlug import _clock
 from topazlug import _errors
+from topazlug.forwarding import _awaited_heads
 from topazlug.forwarding import _call
+from topazlug.forwarding import _failures
 from topazlug.forwarding import _wire
 from topazlug.placement import _context_locator
 from topazlug.placement import _mechanisms
@@ -68,6 +70,8 @@
         and whether the connection timed out instead of being refused.
     on_answer_head : callable
         Called with the placement and the head of its answer.
+    awaited_heads : AwaitedHeads
+        Watches the requests that wait for an answer.
     clock : Clock
         Clock of the daemon.
     disabled : frozenset of Mechanism
@@ -86,6 +90,7 @@
         on_answer_head: Callable[
             [_placement.Placement, _placement.AnswerHead], None
         ],
+        awaited_heads: _awaited_heads.AwaitedHeads,
         clock: _clock.Clock,
         disabled: _mechanisms.DisabledMechanisms = _mechanisms.NONE_DISABLED,
     ) -> None:
@@ -95,6 +100,7 @@
         self._copies_contexts = _mechanisms.Mechanism.COPIES not in disabled
         self._on_connection_failure = on_connection_failure
         self._on_answer_head = on_answer_head
+        self._awaited_heads = awaited_heads
         self._connections = connections
         self._targets = targets
         self._views = views
@@ -124,23 +130,27 @@
         view = self._views.of_incarnation(placement.target)
         sent_at = self._clock.monotonic()
         try:
-            answer = self._connections.exchange(
-                placement.target,
-                self._target_request(call, placement, resume_after),
-                head_timeout=head_timeout,
-                deadline=call.deadline,
-            )
+            with self._awaited_heads.waiting(placement):
+                answer = self._connections.exchange(
+                    placement.target,
+                    self._target_request(call, placement, resume_after),
+                    head_timeout=head_timeout,
+                    deadline=call.deadline,
+                )
         except _target_client.ConnectFailed as error:
             view.record_outcome(failed=True)
+            placement.failed = True
             self._on_connection_failure(placement, timed_out=error.is_timeout)
             raise
-        except _errors.RequestError:
+        except _errors.RequestError as error:
             view.record_outcome(failed=True)
+            _failures.record(placement, error)
             raise
         self._record_answer(call, placement, answer, sent_at)
         if self._codec.verdict(answer) is _wire.AnswerVerdict.NOT_GENUINE:
             answer.close()
             view.record_outcome(failed=True)
+            placement.failed = True
             raise _errors.TargetFailed(
                 "the replica's answer is not genuine",
                 outcome=_errors.Outcome.UNKNOWN,
--- a/src/topazlug/forwarding/_forwarder.py
+++ b/src/topazlug/forwarding/_forwarder.py
@@ -6,6 +6,7 @@
 from typing import final
 
 from topazlug import _clock
+from topazlug import _errors
 from topazlug import _logs
 from topazlug.callers import _caller_answer
 from topazlug.callers import _caller_watch
@@ -15,6 +16,7 @@
 from topazlug.forwarding import _call_metrics
 from topazlug.forwarding import _event_relay
 from topazlug.forwarding import _exchange
+from topazlug.forwarding import _failures
 from topazlug.forwarding import _wire
 from topazlug.limits import _retry_share
 from topazlug.placement import _mechanisms
@@ -158,7 +160,9 @@
                         call, placement, answer, len(tried)
                     )
                 return self._relay_whole(call, placement, answer)
-            except BaseException:
+            except BaseException as error:
+                if isinstance(error, _errors.RequestError):
+                    _failures.record(placement, error)
                 answer.close()
                 raise
 
@@ -215,6 +219,7 @@
         self._views.of_incarnation(placement.target).record_outcome(
             failed=failed
         )
+        placement.failed = failed
         if failed and call.route.repeatable:
             raise _exchange.AnsweredWithFailure(answer, bytes(head))
         self._admission.release(placement)
@@ -230,8 +235,15 @@
         head: bytes,
         chunks: Iterator[bytes],
     ) -> _caller_answer.CallerAnswer:
+        has_caller_left = False
+
+        def on_disconnect() -> None:
+            nonlocal has_caller_left
+            has_caller_left = True
+            answer.abort()
+
         watch = _caller_watch.CallerWatch(
-            call.socket, on_disconnect=answer.abort
+            call.socket, on_disconnect=on_disconnect
         )
 
         def pieces() -> Iterator[bytes]:
@@ -241,7 +253,12 @@
                 stack.callback(watch.stop)
                 yield b""
                 yield head
-                yield from chunks
+                try:
+                    yield from chunks
+                except _errors.RequestError as error:
+                    if not has_caller_left:
+                        _failures.record(placement, error)
+                    raise
 
         return _caller_answer.CallerAnswer(
             status=answer.status,
--- a/src/topazlug/forwarding/_forwarder_assembly.py
+++ b/src/topazlug/forwarding/_forwarder_assembly.py
@@ -8,6 +8,7 @@
 from topazlug import _logs
 from topazlug.calls import _attempts
 from topazlug.crashes import _crash_guard
+from topazlug.forwarding import _awaited_heads
 from topazlug.forwarding import _call_metrics
 from topazlug.forwarding import _event_relay
 from topazlug.forwarding import _exchange
@@ -33,6 +34,8 @@
     ----------
     admission : OwnerOrViewAdmission
         Admits requests and releases their slots.
+    awaited_heads : AwaitedHeads
+        Watches the requests that wait for an answer.
     budget : RetryShare
         Retry budget of this daemon.
     clock : Clock
@@ -56,6 +59,7 @@
     """
 
     admission: _owner_admission.OwnerOrViewAdmission
+    awaited_heads: _awaited_heads.AwaitedHeads
     budget: _retry_share.RetryShare
     clock: _clock.Clock
     connections: _target_client.TargetConnections
@@ -92,6 +96,7 @@
             codec=self.codec,
             on_connection_failure=self.admission.handle_connection_failure,
             on_answer_head=self.admission.handle_response_head,
+            awaited_heads=self.awaited_heads,
             disabled=self.disabled,
             clock=self.clock,
         )
--- a/src/topazlug/forwarding/_gauges.py
+++ b/src/topazlug/forwarding/_gauges.py
@@ -24,6 +24,7 @@
     guard: _crash_guard.CrashGuard,
     read_placements: _read_search.ReadPlacements,
     fairness_rejections: Callable[[], int],
+    late_requests: Callable[[], int],
 ) -> None:
     """Register the gauges and totals of a daemon with its metrics."""
     _target_gauges.watch(metrics, targets)
@@ -36,6 +37,7 @@
     metrics.watch(gauge.BLOCKED, lambda: guard.blocked)
     total = _metrics.Total
     metrics.watch(total.FAIRNESS_REJECTIONS, fairness_rejections)
+    metrics.watch(total.LATE_REQUESTS, late_requests)
     metrics.watch(total.CONTROL_SENT, lambda: fleet.bytes_sent)
     metrics.watch(total.CONTROL_RECEIVED, lambda: fleet.bytes_received)
     metrics.watch(total.MOVED_READS, lambda: read_placements.moved_count)
--- a/src/topazlug/placement/_owner_admission.py
+++ b/src/topazlug/placement/_owner_admission.py
@@ -18,6 +18,7 @@
 from topazlug._generated import messages
 from topazlug.placement import _context_locator
 from topazlug.placement import _mechanisms
+from topazlug.placement import _outcome_reporting
 from topazlug.placement import _owner_search
 from topazlug.placement import _replica_view
 from topazlug.placement import _view_admission
@@ -60,6 +61,8 @@
     owner_client : OwnerClient or None
         Sends admission requests to owners; None until this daemon has joined
         its fleet.
+    outcome_reporting : OutcomeReporting
+        Reports the outcomes of requests to owners.
     read_placements : ReadPlacements
         Counts the reads that would stall streams where asked first.
     """
@@ -88,6 +91,9 @@
             disabled=disabled,
         )
         self.owner_client: _owner_client.OwnerClient | None = None
+        self.outcome_reporting = _outcome_reporting.OutcomeReporting(
+            is_enabled=_mechanisms.Mechanism.SHARED_OUTCOMES not in disabled
+        )
         self.read_placements = self._search.read_placements
         # Replicas whose last answer reported waiting requests.
         self._queueing_replicas: set[_ids.ReplicaId] = set()
@@ -273,6 +279,7 @@
         head : AnswerHead
             Head of the answer.
         """
+        self.outcome_reporting.record_head(placement, head)
         if self.owner_client is None:
             return
         replica = placement.target.replica
@@ -307,6 +314,7 @@
         """Release a slot; further calls do nothing."""
         if placement.released:
             return
+        self.outcome_reporting.prepare_release(placement)
         # Slots that no owner counts have numbers of their own, so a counted
         # slot may be held under the same number.
         if self.owner_client is not None:
--- a/src/topazlug/placement/_owner_search.py
+++ b/src/topazlug/placement/_owner_search.py
@@ -250,7 +250,7 @@
         to replicas that it had no report of, and those were full.
         """
         if reply.backoff > 0:
-            self._targets.apply_peer_backoff(replica, reply.backoff)
+            self._record_backoff(replica, reply)
             return
         view = self._views.of(replica)
         if reply.verdict is messages.Verdict.granted:
@@ -261,6 +261,20 @@
         if is_full and request.rank >= 0 and not reply.cold:
             view.record_full(request.rank)
 
+    def _record_backoff(
+        self, replica: _ids.ReplicaId, reply: messages.AdmitReply
+    ) -> None:
+        """Record a backoff, or an ejection if there is no time to retry.
+
+        The replica itself requested the former. An ejected one may still get
+        a request that no other replica can take.
+        """
+        target = self._targets.target_by_replica.get(replica)
+        if reply.retry_after > 0:
+            self._targets.apply_peer_backoff(replica, reply.backoff)
+        elif target is not None:
+            self._targets.ejected.record(target, reply.backoff)
+
     def _resolve_rejections(
         self,
         owner_client: _owner_client.OwnerClient,
@@ -340,6 +354,7 @@
             request=request,
             home=replica == home,
             reads_context=answer.reply.reads,
+            is_counted=answer.reply.verdict is messages.Verdict.granted,
         )
         owner_client.held_placements.placement_by_ask[placement.ask] = (
             placement
--- a/src/topazlug/placement/_owners.py
+++ b/src/topazlug/placement/_owners.py
@@ -7,9 +7,12 @@
 from topazlug import _clock
 from topazlug import _ids
 from topazlug import _tasks
+from topazlug._generated import messages
 from topazlug._generated import settings as _settings_types
 from topazlug.peers import _peers
 from topazlug.routing import _ledger
+from topazlug.routing import _outcome_ejection
+from topazlug.routing import _outcome_reports
 from topazlug.routing import _owner
 from topazlug.routing import _owner_client
 from topazlug.routing import _owner_endpoint
@@ -80,6 +83,8 @@
     ----------
     owner_client : OwnerClient
         Sends admission requests to owners.
+    outcome_reports : OutcomeReports
+        Outcomes of requests that no owner counts.
     """
 
     def __init__(
@@ -91,6 +96,7 @@
         features: _owner_features.OwnerFeatures,
         clock: _clock.Clock,
     ) -> None:
+        self._daemon = daemon
         self._targets = targets
         self._clock = clock
         self._daemons: Mapping[_ids.DaemonId, Any] = {daemon: None}
@@ -128,9 +134,34 @@
             clock=clock,
         )
         self._endpoint.register()
+        self.outcome_reports = _outcome_reports.OutcomeReports(
+            send=self.owner_client.report_outcomes, clock=clock
+        )
+        owner.ejections.on_ejected(self._notify_ejected)
+        links.handle(messages.Ejected, self._on_ejected)
         self._ownership.on_transfer(self._endpoint.on_transfer)
         targets.on_change(self._update)
 
+    def _notify_ejected(
+        self, daemon: _ids.DaemonId, message: messages.Ejected
+    ) -> None:
+        if daemon == self._daemon:
+            self._record_ejected(message)
+        else:
+            self.owner_client.held_placements.send(daemon, message)
+
+    def _on_ejected(
+        self, sender: _ids.DaemonId, message: Any, reply: _peers.Reply
+    ) -> None:
+        self._record_ejected(message)
+
+    def _record_ejected(self, message: messages.Ejected) -> None:
+        target = self._targets.target_by_replica.get(
+            _ids.ReplicaId(message.replica)
+        )
+        if target is not None and target.incarnation == message.incarnation:
+            self._targets.ejected.record(target, message.seconds)
+
     def update_daemons(self, daemons: Mapping[_ids.DaemonId, Any]) -> None:
         """Update the daemons that can be owners."""
         self._daemons = daemons
@@ -155,6 +186,11 @@
         """Return what the limits of each replica owned here are divided by."""
         return self._owner.slowness_by_replica()
 
+    @property
+    def ejections(self) -> _outcome_ejection.OutcomeEjections:
+        """Return the ejections of replicas owned here."""
+        return self._owner.ejections
+
     @property
     def fairness_rejections(self) -> int:
         """Return the number of rejections for fairness between teams."""
@@ -175,6 +211,11 @@
         owners = {self._ownership.owner_of(replica) for replica in replicas}
         self._endpoint.drop_unresponsive(len(owners))
 
+    def _send_outcomes_forever(self) -> None:
+        while True:
+            self._clock.sleep(_outcome_reports.SEND_SECONDS)
+            self.outcome_reports.send_due()
+
     def _drop_unresponsive_forever(self) -> None:
         while True:
             self._clock.sleep(_DROP_INTERVAL_SECONDS)
@@ -186,5 +227,6 @@
             self._endpoint.renew_forever,
             self._endpoint.report_forever,
             self._drop_unresponsive_forever,
+            self._send_outcomes_forever,
         )
         return [_tasks.spawn(task, clock=self._clock) for task in tasks]
--- a/src/topazlug/placement/_view_admission.py
+++ b/src/topazlug/placement/_view_admission.py
@@ -111,7 +111,11 @@
             raise _no_usable_replica.no_usable_replica_error(
                 self._targets, request, retry_after=_RETRY_AFTER_SECONDS
             )
-        return self._views.healthy(self._reachable(usable))
+        targets = self._targets.target_by_replica
+        found = self._targets.ejected.without_ejected(
+            targets[replica] for replica in self._reachable(usable)
+        )
+        return self._views.healthy(found)
 
     def _reachable(self, usable: list[_ids.ReplicaId]) -> list[_ids.ReplicaId]:
         """Exclude replicas in unreachable zones, unless no other is left."""
--- a/src/topazlug/routing/_admission_control.py
+++ b/src/topazlug/routing/_admission_control.py
@@ -16,6 +16,7 @@
 from topazlug.capacity import _startup_allowance
 from topazlug.routing import _group_limits
 from topazlug.routing import _ledger
+from topazlug.routing import _outcome_ejection
 from topazlug.routing import _owner_features
 from topazlug.routing import _owner_queue
 from topazlug.routing import _owner_replies
@@ -38,6 +39,8 @@
         Sends replies.
     queue : OwnerQueue
         Queues the requests that may wait.
+    ejections : OutcomeEjections
+        Replicas that are ejected as their requests fail.
     targets : TargetDirectory
         Replicas, and which of them are cold.
     startup_allowance : StartupAllowance
@@ -56,6 +59,7 @@
         group_limits: _group_limits.GroupLimits,
         replies: _owner_replies.OwnerReplies,
         queue: _owner_queue.OwnerQueue,
+        ejections: _outcome_ejection.OutcomeEjections,
         targets: _targets.TargetDirectory,
         startup_allowance: _startup_allowance.StartupAllowance,
         features: _owner_features.OwnerFeatures,
@@ -65,6 +69,7 @@
         self._group_limits = group_limits
         self._replies = replies
         self._queue = queue
+        self._ejections = ejections
         self._targets = targets
         self._startup_allowance = startup_allowance
         self._features = features
@@ -107,6 +112,8 @@
         """
         if self._reject_in_backoff(ledger, reply):
             return
+        if self._reject_ejected(ledger, reply):
+            return
         if not self._reject_cold(ask, ledger, reply):
             self._decide(sender, ask, ledger, reply)
 
@@ -137,6 +144,35 @@
         )
         return True
 
+    def _reject_ejected(
+        self, ledger: _ledger.ReplicaLedger, reply: _owner_replies.Reply
+    ) -> bool:
+        """Reject the request if its replica is ejected.
+
+        Returns
+        -------
+        bool
+            Whether it was rejected.
+        """
+        remaining = self._ejections.backoff_of(ledger)
+        if remaining <= 0:
+            return False
+        _log.info(
+            "rejected at {replica}: it is ejected",
+            replica=ledger.replica,
+            backoff=round(remaining, 3),
+        )
+        # Without a time to retry after: the caller may be sent to another
+        # replica now. Entry daemons distinguish ejections by this from
+        # backoffs that a replica requested.
+        self._replies.send(
+            reply,
+            messages.Verdict.full,
+            load=ledger.load,
+            backoff=remaining,
+        )
+        return True
+
     def _reject_cold(
         self,
         ask: messages.AdmitAsk,
--- a/src/topazlug/routing/_group_limits.py
+++ b/src/topazlug/routing/_group_limits.py
@@ -4,6 +4,7 @@
 from the group's collector.
 """
 
+from collections.abc import Iterable
 from collections.abc import Mapping
 from typing import NamedTuple
 from typing import Protocol
@@ -14,6 +15,7 @@
 from topazlug._generated import messages
 from topazlug.capacity import _slow_limits
 from topazlug.routing import _group_load
+from topazlug.routing import _group_outcomes
 from topazlug.routing import _ledger
 from topazlug.routing import _owner_features
 from topazlug.targets import _targets
@@ -78,6 +80,9 @@
         self._estimate_by_group: dict[
             _ids.GroupName, _group_load.GroupEstimate
         ] = {}
+        self._outcomes_by_group: dict[
+            _ids.GroupName, _group_outcomes.GroupOutcomes
+        ] = {}
 
     def total(self, group: _ids.GroupName) -> GroupTotal:
         """Return a group's current load."""
@@ -143,6 +148,22 @@
         ledgers = self._ledger_by_replica.values()
         return [ledger for ledger in ledgers if ledger.group == group]
 
+    def ledgers(self) -> Iterable[_ledger.ReplicaLedger]:
+        """Return the ledgers of all replicas that are owned here."""
+        return self._ledger_by_replica.values()
+
+    def outcomes_of(
+        self, group: _ids.GroupName
+    ) -> _group_outcomes.GroupOutcomes:
+        """Return what is known of the outcomes on a group's others."""
+        return self._outcomes_by_group.setdefault(
+            group, _group_outcomes.GroupOutcomes()
+        )
+
+    def request_report(self, group: _ids.GroupName) -> None:
+        """Make the next report of a group due now."""
+        self._estimate_of(group).next_report = self._clock.monotonic()
+
     def due_reports(self) -> list[messages.LoadReport]:
         """Return the load reports that are due now."""
         now = self._clock.monotonic()
@@ -152,24 +173,37 @@
             if now < estimate.next_report:
                 continue
             loads.setdefault(ledger.group, []).append(
-                messages.ReplicaLoad(
-                    replica=ledger.replica, load=ledger.demand()
-                )
+                self._replica_load(ledger, now)
             )
         return [
             messages.LoadReport(group=group, loads=entries)
             for group, entries in loads.items()
         ]
 
+    def _replica_load(
+        self, ledger: _ledger.ReplicaLedger, now: float
+    ) -> messages.ReplicaLoad:
+        totals = ledger.outcomes.totals(now=now)
+        ledger.outcomes.reported_failed = totals.failed
+        self.outcomes_of(ledger.group).reported_at = now
+        return messages.ReplicaLoad(
+            replica=ledger.replica,
+            load=ledger.demand(),
+            failed=totals.failed,
+            ended=totals.ended,
+            ejected=ledger.outcomes.is_limited,
+        )
+
     def apply_summary(
         self, summary: messages.LoadSummary, report: messages.LoadReport
     ) -> None:
         """Apply a collector's reply to a report."""
-        self._estimate_of(_ids.GroupName(summary.group)).apply_summary(
-            summary,
-            own=sum(entry.load for entry in report.loads),
-            now=self._clock.monotonic(),
+        group = _ids.GroupName(summary.group)
+        now = self._clock.monotonic()
+        self._estimate_of(group).apply_summary(
+            summary, own=sum(entry.load for entry in report.loads), now=now
         )
+        self.outcomes_of(group).apply_summary(summary, report, now=now)
 
     def mean_by_group(self) -> dict[_ids.GroupName, float]:
         """Return the mean load of each group with a replica owned here."""
--- a/src/topazlug/routing/_group_load.py
+++ b/src/topazlug/routing/_group_load.py
@@ -46,6 +46,9 @@
     load: int
     reporter: _ids.DaemonId
     received_at: float
+    failed: int
+    ended: int
+    ejected: bool
 
 
 @final
@@ -73,7 +76,12 @@
         max_age = max(_STALE_SECONDS, _STALE_INTERVALS * interval)
         for entry in report.loads:
             by_replica[_ids.ReplicaId(entry.replica)] = _Report(
-                load=entry.load, reporter=sender, received_at=now
+                load=entry.load,
+                reporter=sender,
+                received_at=now,
+                failed=entry.failed,
+                ended=entry.ended,
+                ejected=entry.ejected,
             )
         for replica, stored in list(by_replica.items()):
             if now - stored.received_at > max_age:
@@ -83,6 +91,9 @@
             total=sum(stored.load for stored in by_replica.values()),
             replicas=len(by_replica),
             interval=self._interval_of(by_replica),
+            failed=sum(stored.failed for stored in by_replica.values()),
+            ended=sum(stored.ended for stored in by_replica.values()),
+            ejected=sum(stored.ejected for stored in by_replica.values()),
         )
 
     def _interval_of(self, by_replica: dict[_ids.ReplicaId, _Report]) -> float:
--- a/src/topazlug/routing/_held_placements.py
+++ b/src/topazlug/routing/_held_placements.py
@@ -99,17 +99,39 @@
         if self.placement_by_ask.pop(placement.ask, None) is None:
             return
         if placement.owner is not None:
-            self.send_release(placement.owner, placement.ask)
+            self.send_release(
+                placement.owner,
+                placement.ask,
+                failed=placement.has_unreported_failure,
+            )
 
     def send_release(
-        self, owner: _ids.DaemonId, ask: _ids.AdmissionRequestId
+        self,
+        owner: _ids.DaemonId,
+        ask: _ids.AdmissionRequestId,
+        *,
+        failed: bool = False,
     ) -> None:
         """Notify an owner that an admitted or queued request has ended."""
+        failures: list[int] = [ask] if failed else []
         if owner == self._daemon:
-            self._owner.release(self._daemon, [ask])
+            self._owner.release(self._daemon, [ask], failures)
             return
         self._mark_unconfirmed(owner)
-        self.send(owner, messages.Release(asks=[ask]))
+        self.send(owner, messages.Release(asks=[ask], failed=failures))
+
+    def report_failure(self, placement: _placement.Placement) -> None:
+        """Report to its owner that a held request fails or is clearly late.
+
+        Its slot is not released.
+        """
+        if placement.owner == self._daemon:
+            self._owner.release(self._daemon, [], [placement.ask])
+        elif placement.owner is not None:
+            self.send(
+                placement.owner,
+                messages.Release(asks=[], failed=[placement.ask]),
+            )
 
     def _mark_unconfirmed(self, owner: _ids.DaemonId) -> None:
         """Include an owner in renewals until it confirms.
@@ -153,6 +175,7 @@
         for placement in self.placement_by_ask.values():
             self._update_owner(placement)
             if placement.owner is not None:
+                placement.is_counted = True
                 held.setdefault(placement.owner, []).append(
                     _held_place_message(placement)
                 )
--- a/src/topazlug/routing/_ledger.py
+++ b/src/topazlug/routing/_ledger.py
@@ -17,6 +17,7 @@
 from topazlug._generated import messages
 from topazlug.capacity import _cold_rate
 from topazlug.capacity import _context_reads
+from topazlug.capacity import _outcome_counts
 from topazlug.capacity import _prompt_reads
 from topazlug.capacity import _rank_limits
 from topazlug.capacity import _replica_speed
@@ -128,6 +129,7 @@
         self.speed = _replica_speed.ReplicaSpeed()
         self.slow_phase = _slow_limits.SlowPhase()
         self.team_shares = _team_shares.TeamShares()
+        self.outcomes = _outcome_counts.OutcomeCounts()
         self.entry_by_key: dict[_slot_key.SlotKey, LedgerEntry] = {}
         self.queued_by_key: dict[_slot_key.SlotKey, QueuedRequest] = {}
         self._interactive = _fair_queue.FairQueue[QueuedRequest](
@@ -246,6 +248,7 @@
         self._remove_earlier(key)
         self.hold(key, entry)
         self.backoff.record_admitted()
+        self.outcomes.record_admitted(key)
 
     def record_work(
         self, entry: LedgerEntry, *, prompt: int = 0, now: float
--- a/src/topazlug/routing/_owner.py
+++ b/src/topazlug/routing/_owner.py
@@ -23,6 +23,7 @@
 from topazlug.routing import _displaced_chats
 from topazlug.routing import _group_limits
 from topazlug.routing import _ledger
+from topazlug.routing import _outcome_ejection
 from topazlug.routing import _owner_features
 from topazlug.routing import _owner_queue
 from topazlug.routing import _owner_replies
@@ -84,6 +85,8 @@
         Ledgers of the owned replicas.
     group_limits : GroupLimits
         Loads and limits of the groups that they belong to.
+    ejections : OutcomeEjections
+        Counts outcomes and ejects replicas that fail.
     displaced : DisplacedChats
         Chats displaced from the owned replicas.
     count_by_verdict : dict
@@ -121,6 +124,12 @@
             clock=clock,
             features=features,
         )
+        self.ejections = _outcome_ejection.OutcomeEjections(
+            group_limits=self.group_limits,
+            targets=targets,
+            features=features,
+            clock=clock,
+        )
         self.displaced = _displaced_chats.DisplacedChats(
             capacity=routing.displaced_capacity
         )
@@ -137,6 +146,7 @@
             group_limits=self.group_limits,
             replies=self._replies,
             queue=self._queue,
+            ejections=self.ejections,
             targets=targets,
             startup_allowance=_startup_allowance.StartupAllowance(
                 fraction=startup_fraction, started_at=clock.monotonic()
@@ -276,17 +286,42 @@
             for replica, ledger in self.ledger_by_replica.items()
         }
 
-    def release(self, sender: _ids.DaemonId, asks: Iterable[int]) -> None:
-        """Release placements and queued requests of an entry daemon."""
+    def release(
+        self,
+        sender: _ids.DaemonId,
+        asks: Iterable[int],
+        failed: Iterable[int] = (),
+    ) -> None:
+        """Release placements and queued requests of an entry daemon.
+
+        Requests in `failed` have failed on their replica. Those that are not
+        in `asks` have not ended yet.
+        """
         now = self._clock.monotonic()
+        for ask in failed:
+            key = _slot_key.SlotKey(sender, _ids.AdmissionRequestId(ask))
+            ledger = self._find_ledger(key)
+            if ledger is not None:
+                self.ejections.record_failure(ledger, key)
         for ask in asks:
             key = _slot_key.SlotKey(sender, _ids.AdmissionRequestId(ask))
             ledger = self._find_ledger(key)
             if ledger is None:
                 continue
+            self.ejections.record_end(ledger, key)
             ledger.release(key, now=now)
             self._queue.grant_queued(ledger)
 
+    def record_outcomes(
+        self, sender: _ids.DaemonId, message: messages.Outcomes
+    ) -> None:
+        """Count outcomes of requests that were placed without an owner."""
+        self.ejections.record_outcomes(
+            self.ledger_by_replica.get(_ids.ReplicaId(message.replica)),
+            sender,
+            message,
+        )
+
     def _find_ledger(
         self, key: _slot_key.SlotKey
     ) -> _ledger.ReplicaLedger | None:
@@ -436,6 +471,7 @@
         """Apply a collector's reply, and grant queued requests that fit."""
         group = _ids.GroupName(summary.group)
         self.group_limits.apply_summary(summary, report)
+        self.ejections.handle_summary(group)
         for ledger in self.group_limits.ledgers_of(group):
             self._queue.grant_queued(ledger)
 
--- a/src/topazlug/routing/_owner_client.py
+++ b/src/topazlug/routing/_owner_client.py
@@ -314,6 +314,14 @@
         elif owner is not None:
             self.held_placements.send(owner, message)
 
+    def report_outcomes(self, message: messages.Outcomes) -> None:
+        """Report outcomes that a replica's owner does not count."""
+        owner = self._ownership.owner_of(_ids.ReplicaId(message.replica))
+        if owner == self._daemon:
+            self._owner.record_outcomes(self._daemon, message)
+        elif owner is not None:
+            self.held_placements.send(owner, message)
+
     def report_displacement(
         self,
         placement: _placement.Placement,
--- a/src/topazlug/routing/_owner_endpoint.py
+++ b/src/topazlug/routing/_owner_endpoint.py
@@ -88,6 +88,7 @@
         links.handle(messages.Unreached, self._on_unreached)
         links.handle(messages.Backoff, self._on_backoff)
         links.handle(messages.Release, self._on_release)
+        links.handle(messages.Outcomes, self._on_outcomes)
         links.handle(messages.Renew, self._on_renew)
         links.handle(messages.Displaced, self._on_displaced)
         links.handle(messages.DisplacedBatch, self._on_displaced_batch)
@@ -121,7 +122,12 @@
     def _on_release(
         self, sender: _ids.DaemonId, message: Any, reply: _peers.Reply
     ) -> None:
-        self._owner.release(sender, message.asks)
+        self._owner.release(sender, message.asks, message.failed)
+
+    def _on_outcomes(
+        self, sender: _ids.DaemonId, message: Any, reply: _peers.Reply
+    ) -> None:
+        self._owner.record_outcomes(sender, message)
 
     def _on_renew(
         self, sender: _ids.DaemonId, message: Any, reply: _peers.Reply
--- a/src/topazlug/routing/_owner_gauges.py
+++ b/src/topazlug/routing/_owner_gauges.py
@@ -4,6 +4,7 @@
 from collections.abc import Mapping
 
 from topazlug import _ids
+from topazlug.routing import _outcome_ejection
 from topazlug.telemetry import _metrics
 
 # Limits divided by this or more are at least halved.
@@ -13,8 +14,9 @@
 def watch(
     metrics: _metrics.Metrics,
     slowness_by_replica: Callable[[], Mapping[_ids.ReplicaId, float]],
+    ejections: _outcome_ejection.OutcomeEjections,
 ) -> None:
-    """Register gauges of the limits that are lowered for slow replicas.
+    """Register gauges of slow replicas and of ejections.
 
     Parameters
     ----------
@@ -22,6 +24,8 @@
         Metrics of the daemon.
     slowness_by_replica : callable
         Returns what the limits of each owned replica are divided by.
+    ejections : OutcomeEjections
+        Ejections of owned replicas.
     """
     metrics.watch(
         _metrics.Gauge.SLOW_REPLICAS,
@@ -33,3 +37,5 @@
         _metrics.Gauge.MAX_SLOWNESS,
         lambda: max(slowness_by_replica().values(), default=1.0),
     )
+    metrics.watch(_metrics.Gauge.EJECTED_REPLICAS, ejections.ejected_replicas)
+    metrics.watch(_metrics.Total.EJECTIONS, lambda: ejections.ejection_count)
--- a/src/topazlug/routing/_placement.py
+++ b/src/topazlug/routing/_placement.py
@@ -117,6 +117,12 @@
         Whether the replica is first in the chat's ranking.
     reads_context : bool
         Whether its request is the first to read the chat's context there.
+    is_counted : bool
+        Whether its owner was told of it, by a grant or a renewal.
+    failed : bool
+        Whether its request failed on the replica.
+    is_failure_reported : bool
+        Whether its failure was reported before the request ended.
     released : bool
         Whether it was released.
     """
@@ -130,7 +136,11 @@
         request: PlacementRequest,
         home: bool,
         reads_context: bool = False,
+        is_counted: bool = False,
     ) -> None:
+        self.is_counted = is_counted
+        self.failed = False
+        self.is_failure_reported = False
         self.reads_context = reads_context
         self.target = target
         self.ask = ask
@@ -139,6 +149,11 @@
         self.home = home
         self.released = False
 
+    @property
+    def has_unreported_failure(self) -> bool:
+        """Return whether a failure is to be reported with the release."""
+        return self.failed and not self.is_failure_reported
+
 
 class Admission(Protocol):
     """Admission of requests, implemented by each routing policy."""
--- a/src/topazlug/targets/_targets.py
+++ b/src/topazlug/targets/_targets.py
@@ -19,6 +19,7 @@
 from topazlug import _ids
 from topazlug._generated import messages
 from topazlug.targets import _cold_replicas
+from topazlug.targets import _ejected_replicas
 from topazlug.targets import _listed_targets
 from topazlug.targets import _reported_states
 from topazlug.targets import _target
@@ -88,6 +89,8 @@
         Replicas that have just started.
     reachability : ZoneReachability
         Zones that accept connections from this daemon.
+    ejected : EjectedReplicas
+        Replicas that their owners have ejected.
     reported : ReportedStates
         States that targets have reported in their answers.
     """
@@ -96,6 +99,7 @@
         self._clock = clock
         self.cold = _cold_replicas.ColdReplicas(clock=clock)
         self.reachability = _zone_reachability.ZoneReachability(clock=clock)
+        self.ejected = _ejected_replicas.EjectedReplicas(clock=clock)
         self.reported = _reported_states.ReportedStates(clock=clock)
         self._flap_window = flap_window
         self._health_by_replica: dict[_ids.ReplicaId, _Health] = {}
--- a/src/topazlug/telemetry/_metrics.py
+++ b/src/topazlug/telemetry/_metrics.py
@@ -81,6 +81,7 @@
     BACKOFF_REPLICAS = "topazlug.replicas.in_backoff"
     SLOW_REPLICAS = "topazlug.replicas.slow"
     MAX_SLOWNESS = "topazlug.replicas.max_slowness"
+    EJECTED_REPLICAS = "topazlug.replicas.ejected"
     TABLE_AGE = "topazlug.tables.age"
 
 
@@ -93,6 +94,8 @@
     MOVED_READS = "topazlug.prompt_reads.moved"
     STALLING_READS = "topazlug.prompt_reads.stalling"
     FAIRNESS_REJECTIONS = "topazlug.owner.fairness_rejections"
+    EJECTIONS = "topazlug.owner.ejections"
+    LATE_REQUESTS = "topazlug.requests.late_heads"
 
 
 _UNITS: dict[Gauge | Total, str] = {
@@ -123,6 +126,11 @@
     "because they are slow.",
     Gauge.MAX_SLOWNESS: "Largest number that the limits of an owned replica "
     "are divided by; 1 if none is slow.",
+    Gauge.EJECTED_REPLICAS: "Owned replicas that are ejected or on probation "
+    "because their requests fail.",
+    Total.EJECTIONS: "Ejections of owned replicas, for all daemons.",
+    Total.LATE_REQUESTS: "Requests reported as failed while they waited for "
+    "the head of an answer.",
     Gauge.TABLE_AGE: "Age of the oldest word of the store on a table.",
     Total.CONTROL_SENT: "Bytes sent to peers.",
     Total.CONTROL_RECEIVED: "Bytes received from peers.",
--- a/tests/topazlug/forwarding/test_exchange.py
+++ b/tests/topazlug/forwarding/test_exchange.py
@@ -6,6 +6,7 @@
 
 from tests.topazlug import claim_fakes
 from tests.topazlug.forwarding import forwarding_fixtures as fixtures
+from topazlug.forwarding import _awaited_heads
 from topazlug.forwarding import _exchange
 from topazlug.forwarding import _wire
 from topazlug.placement import _mechanisms
@@ -39,6 +40,9 @@
         codec=Codec(),
         on_connection_failure=lambda *_, **__: None,
         on_answer_head=lambda placement, head: heads.append(head),
+        awaited_heads=_awaited_heads.AwaitedHeads(
+            views=views, report_late=lambda placement: None, clock=clock
+        ),
         clock=clock,
         disabled=frozenset(disabled),
     )
@@ -55,7 +59,9 @@
         route=types.SimpleNamespace(has_context=False, repeatable=True),
         head=types.SimpleNamespace(attempt="a1"),
     )
-    placement = types.SimpleNamespace(target=target)
+    placement = types.SimpleNamespace(
+        target=target, request=types.SimpleNamespace(latency_objective=0.3)
+    )
     for _ in range(20):
         exchange.send(call, placement, head_timeout=1.0, resume_after=None)
         clock.advance(0.1)
--- a/tests/topazlug/placement/owner_fixtures.py
+++ b/tests/topazlug/placement/owner_fixtures.py
@@ -91,6 +91,10 @@
         self.clock.advance(0.11)
         for daemon in self.daemons:
             daemon.owners.report()
+        self.wait_for_reports()
+
+    def wait_for_reports(self):
+        """Wait until all reports have been answered."""
         while any(daemon.owners.is_reporting for daemon in self.daemons):
             gevent.sleep(0)
 
@@ -127,6 +131,10 @@
             clock=fleet.clock,
         )
         self.admission.owner_client = self.owners.owner_client
+        reporting = self.admission.outcome_reporting
+        reporting.owner_client = self.owners.owner_client
+        reporting.reports = self.owners.outcome_reports
+        reporting.is_capacity_short = features.is_capacity_short
         self.targets.on_report(self.owners.owner_client.report_backoff)
 
     def admit(self, chat, **changes):
--- a/tests/topazlug/routing/test_owner_gauges.py
+++ b/tests/topazlug/routing/test_owner_gauges.py
@@ -18,7 +18,9 @@
         metrics = _metrics.Metrics(
             settings.MetricsSettings(), _ids.DaemonId("d0"), "z"
         )
-        _owner_gauges.watch(metrics, owners.slowness_by_replica)
+        _owner_gauges.watch(
+            metrics, owners.slowness_by_replica, owners.ejections
+        )
         text = metrics.exposition().decode()
         assert "topazlug_replicas_slow 0.0" in text
         assert "topazlug_replicas_max_slowness 1.0" in text
