Test ejections by owners, and compare outcomes that cover the same time

Cause: the first version ejected replicas where all failed alike (1 of 4 replays: three failures in 0.1 s, before any other owner had reported) and healthy ones of plain services (14% failures: successes were reported up to a second after failures, 9 of 10 outcomes known in a window were failures).

Change: a replica must have failed for 0.2 s; windows of 0.5 and 1 s count only outcomes that arrive with releases; a success after a second of silence is sent at once; without knowledge of the rest, 0 of 10 is assumed.

Ruled out: the 2 s window alone, with which 11 to 12 requests failed before the ejection of a replica that fails all.

--- a/src/topazlug/capacity/_outcome_counts.py
+++ b/src/topazlug/capacity/_outcome_counts.py
@@ -69,6 +69,8 @@
     start: float
     failed: int = 0
     ended: int = 0
+    exact_failed: int = 0
+    exact_ended: int = 0
     senders: set[_ids.DaemonId] = msgspec.field(default_factory=set)
     failed_senders: set[_ids.DaemonId] = msgspec.field(default_factory=set)
 
@@ -98,14 +100,36 @@
         self.probe: _slot_key.SlotKey | None = None
 
     def record(
-        self, sender: _ids.DaemonId, *, failed: int, ended: int, now: float
+        self,
+        sender: _ids.DaemonId,
+        *,
+        failed: int,
+        ended: int,
+        now: float,
+        is_exact: bool = True,
     ) -> None:
-        """Count requests of one daemon that have ended or failed."""
+        """Count requests of one daemon that have ended or failed.
+
+        Parameters
+        ----------
+        sender : DaemonId
+            The daemon.
+        failed, ended : int
+            Numbers of requests.
+        now : float
+            Monotonic seconds.
+        is_exact : bool
+            Whether they have ended just now. Other outcomes arrive late,
+            successes by up to a second, so they are missing in short windows.
+        """
         if not self._bins or now - self._bins[-1].start >= _BIN_SECONDS:
             self._bins.append(_Bin(start=now))
         newest = self._bins[-1]
         newest.failed += failed
         newest.ended += max(failed, ended)
+        if is_exact:
+            newest.exact_failed += failed
+            newest.exact_ended += max(failed, ended)
         newest.senders.add(sender)
         if failed:
             newest.failed_senders.add(sender)
@@ -113,15 +137,17 @@
         while self._bins[0].start < oldest:
             self._bins.popleft()
 
-    def totals(
-        self,
-        *,
-        now: float,
-        age: float = 0.0,
-        seconds: float = WINDOW_SECONDS,
-    ) -> OutcomeTotals:
-        """Return the totals of a window that ended some seconds ago."""
-        recent = self._recent(now - age, seconds)
+    def exact_totals(self, *, now: float, seconds: float) -> OutcomeTotals:
+        """Return the totals of a short window, of exact outcomes only."""
+        recent = self._recent(now, seconds)
+        return OutcomeTotals(
+            sum(part.exact_failed for part in recent),
+            sum(part.exact_ended for part in recent),
+        )
+
+    def totals(self, *, now: float, age: float = 0.0) -> OutcomeTotals:
+        """Return the totals of the window that ended some seconds ago."""
+        recent = self._recent(now - age, WINDOW_SECONDS)
         return OutcomeTotals(
             sum(part.failed for part in recent),
             sum(part.ended for part in recent),
--- a/src/topazlug/routing/_outcome_ejection.py
+++ b/src/topazlug/routing/_outcome_ejection.py
@@ -30,10 +30,15 @@
 _MIN_FAILURES = 3
 _MIN_FRACTION = 0.3
 _MIN_RATIO = 2.0
-# Windows in which a replica may be found to fail. In the longer one, a
-# replica that begins to fail all of its requests is found after 0.6 s only,
-# as earlier successes still count.
-_WINDOWS_SECONDS = (1.0, _outcome_counts.WINDOW_SECONDS)
+# Shorter windows in which a replica may be found to fail too. Without them, a
+# replica that began to fail all of its requests had failed 12 of them when it
+# was found, as earlier successes still counted.
+_SHORT_WINDOWS_SECONDS = (0.5, 1.0)
+# Where fewer requests of the rest are known, none of this many is assumed to
+# have failed.
+_MIN_REST = 10
+# The others need this long to report that they have begun to fail too.
+_MIN_TROUBLE_SECONDS = 0.2
 # Of 22 requests in a window, 14% fail on average, and 30% or more in one
 # window of 30. A replica is ejected only if its failures would be less likely
 # than this if it failed as often as the rest of its group.
@@ -160,7 +165,13 @@
             if key is None or key == counts.probe:
                 self._judge_probe(ledger, failed=failed > 0)
             return
-        counts.record(sender, failed=failed, ended=ended, now=now)
+        counts.record(
+            sender,
+            failed=failed,
+            ended=ended,
+            now=now,
+            is_exact=key is not None,
+        )
         if failed:
             self._report_early(ledger)
             self._consider(ledger)
@@ -206,9 +217,10 @@
         counts = ledger.outcomes
         rest = self._rest(ledger)
         windows = [
-            counts.totals(now=now, seconds=seconds)
-            for seconds in _WINDOWS_SECONDS
+            counts.exact_totals(now=now, seconds=seconds)
+            for seconds in _SHORT_WINDOWS_SECONDS
         ]
+        windows.append(counts.totals(now=now))
         outliers = [own for own in windows if _is_outlier(own, rest)]
         if not outliers or not self._is_comparable(ledger, rest):
             self._waiting_since.pop(ledger.replica, None)
@@ -262,7 +274,8 @@
         if not ledger.outcomes.is_seen_by_several(now=now):
             return False
         if not rest.failed:
-            return True
+            earlier = ledger.outcomes.totals(now=now, age=_MIN_TROUBLE_SECONDS)
+            return earlier.failed > 0
         known = self._group_limits.outcomes_of(ledger.group)
         age = min(
             _outcome_counts.MAX_AGE_SECONDS,
@@ -379,12 +392,9 @@
     """Return the probability of so many failures if it fails as the rest.
 
     The fraction of the rest is taken as slightly higher than measured
-    (Laplace's rule of succession), as the rest may be few requests. Without
-    any, it is 0.
+    (Laplace's rule of succession), as the rest may be few requests.
     """
-    if not rest.ended:
-        return 0.0
-    chance = (rest.failed + 1) / (rest.ended + 2)
+    chance = (rest.failed + 1) / (max(rest.ended, _MIN_REST) + 2)
     return math.fsum(
         math.exp(
             math.lgamma(own.ended + 1)
--- a/src/topazlug/routing/_outcome_reports.py
+++ b/src/topazlug/routing/_outcome_reports.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Callable
+import math
 from typing import final
 
 import msgspec
@@ -26,7 +27,7 @@
     incarnation: int
     failed: int = 0
     ended: int = 0
-    sent_at: float = 0.0
+    sent_at: float = -math.inf
 
 
 @final
@@ -55,17 +56,13 @@
         """Record the outcome of one request."""
         pending = self._pending.get(target.replica)
         if pending is None or pending.incarnation != target.incarnation:
-            # The first success waits too: others may follow soon.
-            pending = _Pending(
-                incarnation=target.incarnation, sent_at=self._clock.monotonic()
-            )
-            if failed:
-                pending.sent_at -= _FAILURE_SECONDS
+            # If successes were always late, a replica that fails some of its
+            # requests would seem to fail most of them.
+            pending = _Pending(incarnation=target.incarnation)
             self._pending[target.replica] = pending
         pending.failed += failed
         pending.ended += 1
-        if failed:
-            self._send_if_due(target.replica, pending)
+        self._send_if_due(target.replica, pending)
 
     def send_due(self) -> None:
         """Send what is due, and forget what was sent long ago."""
--- a/tests/topazlug/placement/outcome_replay.py
+++ b/tests/topazlug/placement/outcome_replay.py
@@ -2,6 +2,7 @@
 
 import heapq
 import random
+from typing import NamedTuple
 
 from tests.topazlug.placement import owner_fixtures
 from topazlug import _errors
@@ -22,6 +23,14 @@
 WARM_UP_SECONDS = 3.0
 
 
+class Ejection(NamedTuple):
+    """One ejection, in seconds since the trouble began."""
+
+    at: float
+    replica: _ids.ReplicaId
+    end: float
+
+
 class OutcomeReplay:
     """A fleet whose daemons place requests at random.
 
@@ -44,7 +53,9 @@
         Time and replica of each failed request, in seconds since the trouble
         began.
     ejected_at : list
-        Time and replica of each ejection.
+        Ejections in order.
+    max_ejected : int
+        Most replicas that were ejected or on probation at once.
     rejected : int
         Requests that no replica was found for.
     """
@@ -75,11 +86,10 @@
         self.sent = 0
         self.rejected = 0
         self.ejected_at = []
+        self.max_ejected = 0
         self._ends = []
         self._number = 0
         self._began_at = self.fleet.clock.monotonic() + WARM_UP_SECONDS
-        for daemon in self.daemons:
-            daemon.owners.ejections.on_ejected(lambda *_: None)
 
     @property
     def now(self):
@@ -142,24 +152,22 @@
             daemon.admission.release(placement)
 
     def _record_ejections(self):
-        known = len(self.ejected_at)
-        count = sum(
-            daemon.owners.ejections.ejection_count for daemon in self.daemons
-        )
-        if count == known:
+        limited = 0
+        known = {(one.replica, one.end) for one in self.ejected_at}
+        for daemon in self.daemons:
+            owned = daemon.owners.ejections
+            limited += owned.ejected_replicas()
+        self.max_ejected = max(self.max_ejected, limited)
+        if not limited:
             return
+        now = self.fleet.clock.monotonic()
         for replica in self.replicas:
-            daemon = self.fleet.daemon_by_name[self.fleet.owner_of(replica)]
-            ledger = daemon.owners.ledger_of(replica)
-            remaining = ledger.outcomes.remaining(
-                now=self.fleet.clock.monotonic()
-            )
-            ends = self.fleet.clock.monotonic() + remaining - self._began_at
-            if remaining > 0 and not any(
-                name == replica and abs(end - ends) < 1e-6
-                for _, name, end in self.ejected_at
-            ):
-                self.ejected_at.append((self.now, replica, ends))
+            owner = self.fleet.daemon_by_name[self.fleet.owner_of(replica)]
+            ledger = owner.owners.ledger_of(replica)
+            remaining = ledger.outcomes.remaining(now=now)
+            end = round(self.now + remaining, 6)
+            if remaining > 0 and (replica, end) not in known:
+                self.ejected_at.append(Ejection(self.now, replica, end))
 
     def failures_of(self, replica, *, until=float("inf"), since=-float("inf")):
         """Return how many requests a replica failed in some period."""
