--- a/src/topazlug/capacity/_outcome_counts.py
+++ b/src/topazlug/capacity/_outcome_counts.py
@@ -31,8 +31,9 @@
 _CALM_SECONDS = 6.0
 # One request can succeed by chance on a replica that fails half of them.
 _PROBATION_SUCCESSES = 2
-# Daemons that sent outcomes within this time are notified of an ejection.
-_SENDER_SECONDS = 6.0
+# Daemons that sent outcomes within this time are notified of an ejection. Each
+# of 72 daemons sends a given replica a request every 6 to 12 s.
+_SENDER_SECONDS = 30.0
 
 
 class EjectionState(enum.Enum):
--- a/tests/topazlug/forwarding/test_exchange.py
+++ b/tests/topazlug/forwarding/test_exchange.py
@@ -6,11 +6,13 @@
 
 from tests.topazlug import claim_fakes
 from tests.topazlug.forwarding import forwarding_fixtures as fixtures
+from topazlug import _errors
 from topazlug.forwarding import _awaited_heads
 from topazlug.forwarding import _exchange
 from topazlug.forwarding import _wire
 from topazlug.placement import _mechanisms
 from topazlug.placement import _replica_view
+from topazlug.targets import _target_client
 from topazlug.targets import _targets
 
 
@@ -77,3 +79,74 @@
     def test_has_no_effect_where_it_is_switched_off(self):
         disabled = _mechanisms.Mechanism.REPLICA_SPEED
         assert view_after_answers(disabled).slowness == 1.0
+
+
+def failing_exchange(error, codec=None):
+    """Return an exchange whose connections raise an error, if any."""
+    clock = claim_fakes.FakeClock()
+    views = _replica_view.ReplicaViews(clock=clock)
+
+    def exchange(*_, **__):
+        if error is not None:
+            raise error
+        return types.SimpleNamespace(close=lambda: None)
+
+    return _exchange.Exchange(
+        connections=types.SimpleNamespace(exchange=exchange),
+        targets=_targets.TargetDirectory(clock=clock, flap_window=10.0),
+        views=views,
+        contexts=types.SimpleNamespace(),
+        codec=codec or Codec(),
+        on_connection_failure=lambda *_, **__: None,
+        on_answer_head=lambda placement, head: None,
+        awaited_heads=_awaited_heads.AwaitedHeads(
+            views=views, report_late=lambda placement: None, clock=clock
+        ),
+        clock=clock,
+    )
+
+
+class ForgedCodec(Codec):
+    """Finds that no answer is genuine."""
+
+    def verdict(self, answer):
+        return _wire.AnswerVerdict.NOT_GENUINE
+
+
+class TestOutcome:
+    @pytest.mark.parametrize(
+        ("error", "codec", "failed"),
+        [
+            (_target_client.ConnectFailed("refused"), None, True),
+            (_errors.TargetFailed("reset"), None, True),
+            (_errors.TargetRefused("not run"), None, False),
+            (_errors.DeadlineExceeded("too late"), None, False),
+            (None, ForgedCodec(), True),
+        ],
+    )
+    def test_failures_of_the_replica_are_marked(self, error, codec, failed):
+        """The owner of a replica was told of none of its failures."""
+        placement = types.SimpleNamespace(
+            target=fixtures.target("i-1"),
+            failed=False,
+            request=types.SimpleNamespace(latency_objective=0.3),
+        )
+        call = types.SimpleNamespace(
+            deadline=1e9,
+            team=None,
+            rank=0,
+            method="POST",
+            target="/a/",
+            body=b"",
+            fingerprint=0,
+            started_at=0.0,
+            route=types.SimpleNamespace(has_context=False, repeatable=True),
+            head=types.SimpleNamespace(attempt="a1"),
+        )
+        with pytest.raises(
+            (_errors.RequestError, _target_client.ConnectFailed)
+        ):
+            failing_exchange(error, codec).send(
+                call, placement, head_timeout=1.0, resume_after=None
+            )
+        assert placement.failed is failed
