Merge failures counted by owners; ask for contexts with the first prompt

Contexts: where capacity is short, every replica was asked when its ledger was opened, plain services too, which would run the request; and at the start of a fleet once for each change of owners. Now a group is asked with its first prompt (test_plain_service_is_not_asked fails before).

tests of placement contexts, over_bound_reads, test_contexts, test_forwarding and make lint pass.

--- a/src/topazlug/_generated/messages.py
+++ b/src/topazlug/_generated/messages.py
@@ -479,14 +479,6 @@
             float, Meta(description="Seconds until the next report is due.")
         ]
     ) = 0.1
-    trend: (
-        Annotated[
-            float,
-            Meta(
-                description="Load units by which the total changes per second."
-            ),
-        ]
-    ) = 0
     failed: (
         Annotated[
             int,
--- a/src/topazlug/forwarding/_daemon.py
+++ b/src/topazlug/forwarding/_daemon.py
@@ -16,6 +16,7 @@
 from topazlug.fleet import _table_feed
 from topazlug.fleet import _table_source
 from topazlug.forwarding import _app
+from topazlug.forwarding import _awaited_heads
 from topazlug.forwarding import _call_metrics
 from topazlug.forwarding import _crash_assembly
 from topazlug.forwarding import _forwarder_assembly
@@ -175,8 +176,14 @@
         self._call_metrics = _call_metrics.CallMetrics(
             metrics=self.metrics, clock=clock
         )
+        self._awaited_heads = _awaited_heads.AwaitedHeads(
+            views=self.views,
+            report_late=self._admission.outcome_reporting.report_late,
+            clock=clock,
+        )
         forwarder_assembly = _forwarder_assembly.ForwarderAssembly(
             admission=self._admission,
+            awaited_heads=self._awaited_heads,
             budget=self.budget,
             clock=clock,
             connections=self._connections,
@@ -213,6 +220,7 @@
             read_placements=self._admission.read_placements,
             over_bound_reads=self._admission.over_bound_reads,
             fairness_rejections=self._fairness_rejections,
+            late_requests=lambda: self._admission.outcome_reporting.late_count,
         )
         self._monitoring = _monitoring.MonitoringListeners(
             options=options, is_ready=self.is_ready, metrics=self.metrics
@@ -307,11 +315,20 @@
         )
         self._owners.update_daemons(self._fleet.directory.daemons_by_id)
         self._greenlets += self._owners.start()
-        _owner_gauges.watch(self.metrics, self._owners.slowness_by_replica)
+        _owner_gauges.watch(
+            self.metrics,
+            self._owners.slowness_by_replica,
+            self._owners.ejections,
+        )
         _owner_gauges.watch_recoveries(self.metrics, self._owners.recoveries)
         self._crash_assembly.join(links)
         if _mechanisms.Mechanism.OWNERS not in self._options.disabled:
             self._admission.owner_client = self._owners.owner_client
+            reporting = self._admission.outcome_reporting
+            reporting.owner_client = self._owners.owner_client
+            reporting.reports = self._owners.outcome_reports
+            reporting.is_capacity_short = self._options.is_capacity_short
+            self.spawn(self._awaited_heads.check_forever)
             self.targets.on_report(self._owners.owner_client.report_backoff)
 
     def _context_lister(self) -> _context_lister.ContextLister | None:
@@ -332,7 +349,6 @@
             prompt_reads=mechanism.PROMPT_READS not in disabled,
             fair_shares=is_short and mechanism.FAIR_SHARES not in disabled,
             context_recovery=mechanism.CONTEXT_RECOVERY not in disabled,
-            load_trend=mechanism.LOAD_TREND not in disabled,
             shared_outcomes=mechanism.SHARED_OUTCOMES not in disabled,
             is_capacity_short=is_short,
         )
--- a/src/topazlug/forwarding/_event_relay.py
+++ b/src/topazlug/forwarding/_event_relay.py
@@ -17,6 +17,7 @@
 from topazlug.forwarding import _call
 from topazlug.forwarding import _call_metrics
 from topazlug.forwarding import _exchange
+from topazlug.forwarding import _failures
 from topazlug.limits import _retry_share
 from topazlug.placement import _mechanisms
 from topazlug.placement import _replica_view
@@ -33,6 +34,7 @@
 # unreachable without refusing the connection takes 0.25 s, and callers abandon
 # a stream after a gap of two seconds.
 _MAX_RESUME_REPLICAS = 4
+_SERVER_ERROR = 500
 
 
 @final
@@ -114,6 +116,7 @@
             return None
         placement, answer = sent
         if answer.status != 200:
+            placement.failed = answer.status >= _SERVER_ERROR
             answer.close()
             self._admission.release(placement)
             _log.info(
@@ -281,6 +284,8 @@
                 return
             except _errors.RequestError as error:
                 self._answer.close()
+                if not self._has_caller_left:
+                    _failures.record(self._placement, error)
                 if self._has_caller_left or not self._resume(error):
                     self._record_broken_stream(error)
                     raise
--- a/src/topazlug/placement/_mechanisms.py
+++ b/src/topazlug/placement/_mechanisms.py
@@ -21,7 +21,6 @@
     FAIR_SHARES = "fair-shares"
     OUTLIER_EJECTION = "holding-out"
     RESERVATIONS = "kept-places"
-    LOAD_TREND = "load-trend"
     OWNERS = "owners"
     PROMPT_READS = "prompt-reads"
     RANK_LIMITS = "rank-limits"
--- a/src/topazlug/routing/_context_recoveries.py
+++ b/src/topazlug/routing/_context_recoveries.py
@@ -73,6 +73,8 @@
         self._features = features
         self._clock = clock
         self._history = _replica_history.ReplicaHistory(clock=clock)
+        # Groups whose requests carry prompts, where capacity is short.
+        self._prompt_groups: set[_ids.GroupName] = set()
         self.on_request: RequestHandler = _ignore_request
         self.list_count = 0
         self.given_up_count = 0
@@ -89,9 +91,25 @@
             is_needed=self._history.ran_before(target),
             opened_at=self._clock.monotonic(),
         )
-        if self._features.is_capacity_short:
+        if ledger.group in self._prompt_groups:
             self._request(ledger)
 
+    def handle_prompt(self, group: _ids.GroupName) -> None:
+        """Request the lists of a group when it gets its first prompt.
+
+        Plain services have no such list, and would run the request. While a
+        fleet starts, replicas change owners several times without requests.
+        """
+        if (
+            not self._features.is_capacity_short
+            or group in self._prompt_groups
+        ):
+            return
+        self._prompt_groups.add(group)
+        for ledger in list(self._ledger_by_replica.values()):
+            if ledger.group == group:
+                self._request(ledger)
+
     def handle_slowness(self, ledger: _ledger.ReplicaLedger) -> None:
         """Request the list of a replica that reports its slowness."""
         self._request(ledger)
--- a/src/topazlug/routing/_ledger.py
+++ b/src/topazlug/routing/_ledger.py
@@ -18,6 +18,7 @@
 from topazlug.capacity import _cold_rate
 from topazlug.capacity import _context_reads
 from topazlug.capacity import _context_recovery
+from topazlug.capacity import _outcome_counts
 from topazlug.capacity import _prompt_reads
 from topazlug.capacity import _rank_limits
 from topazlug.capacity import _replica_speed
@@ -130,6 +131,7 @@
         self.speed = _replica_speed.ReplicaSpeed()
         self.slow_phase = _slow_limits.SlowPhase()
         self.team_shares = _team_shares.TeamShares()
+        self.outcomes = _outcome_counts.OutcomeCounts()
         self.entry_by_key: dict[_slot_key.SlotKey, LedgerEntry] = {}
         self.queued_by_key: dict[_slot_key.SlotKey, QueuedRequest] = {}
         self._interactive = _fair_queue.FairQueue[QueuedRequest](
@@ -248,6 +250,7 @@
         self._remove_earlier(key)
         self.hold(key, entry)
         self.backoff.record_admitted()
+        self.outcomes.record_admitted(key)
 
     def record_work(
         self, entry: LedgerEntry, *, prompt: int = 0, now: float
--- a/src/topazlug/telemetry/_metrics.py
+++ b/src/topazlug/telemetry/_metrics.py
@@ -81,6 +81,7 @@
     BACKOFF_REPLICAS = "topazlug.replicas.in_backoff"
     SLOW_REPLICAS = "topazlug.replicas.slow"
     MAX_SLOWNESS = "topazlug.replicas.max_slowness"
+    EJECTED_REPLICAS = "topazlug.replicas.ejected"
     TABLE_AGE = "topazlug.tables.age"
 
 
@@ -98,6 +99,8 @@
     CONTEXT_LISTS_GIVEN_UP = "topazlug.owner.context_lists_given_up"
     RECOVERED_CONTEXTS = "topazlug.owner.recovered_contexts"
     RECOVERED_DISPLACED = "topazlug.owner.recovered_displaced_chats"
+    EJECTIONS = "topazlug.owner.ejections"
+    LATE_REQUESTS = "topazlug.requests.late_heads"
 
 
 _UNITS: dict[Gauge | Total, str] = {
@@ -128,6 +131,11 @@
     "because they are slow.",
     Gauge.MAX_SLOWNESS: "Largest number that the limits of an owned replica "
     "are divided by; 1 if none is slow.",
+    Gauge.EJECTED_REPLICAS: "Owned replicas that are ejected or on probation "
+    "because their requests fail.",
+    Total.EJECTIONS: "Ejections of owned replicas, for all daemons.",
+    Total.LATE_REQUESTS: "Requests reported as failed while they waited for "
+    "the head of an answer.",
     Gauge.TABLE_AGE: "Age of the oldest word of the store on a table.",
     Total.CONTROL_SENT: "Bytes sent to peers.",
     Total.CONTROL_RECEIVED: "Bytes received from peers.",
--- a/tests/topazlug/placement/recovery_fixtures.py
+++ b/tests/topazlug/placement/recovery_fixtures.py
@@ -48,6 +48,12 @@
     }
 
 
+def begin_prompts(fleet):
+    """Let each owner see that requests of the group carry prompts."""
+    for daemon in fleet.daemons:
+        daemon.owners.recoveries.handle_prompt(_ids.GroupName("engines"))
+
+
 class Scene:
     """A chat that was displaced from its home, and a fleet of daemons.
 
@@ -59,6 +65,7 @@
         self.fleet = owner_fixtures.Fleet(
             *DAEMONS, replicas=REPLICAS, features=features
         )
+        self.begin_prompts()
         settle()
         self.chat = next(filter(self._has_two_owners, chats()))
         self.home, self.holder = ranking_of(self.chat)[:2]
@@ -82,8 +89,13 @@
     def restart(self):
         """Restart all daemons and let the lists arrive."""
         self.fleet.restart()
+        self.begin_prompts()
         settle()
 
+    def begin_prompts(self):
+        """Let each owner see that requests of the group carry prompts."""
+        begin_prompts(self.fleet)
+
     def owners(self, name):
         return self.fleet.daemon_by_name[name].owners
 
--- a/tests/topazlug/placement/test_contexts_after_owner_loss.py
+++ b/tests/topazlug/placement/test_contexts_after_owner_loss.py
@@ -65,6 +65,12 @@
         assert scene.fleet.contexts.asked == []
         assert scene.ledger("i-9").context_recovery.state is STATE.NOT_NEEDED
 
+    def test_replica_is_not_asked_before_prompts_arrive(self, scene):
+        """A plain service would run the request; starts would cost lists."""
+        scene.fleet.restart()
+        fixtures.settle()
+        assert scene.fleet.contexts.asked == []
+
     def test_switched_off(self):
         scene = fixtures.Scene(
             _owner_features.OwnerFeatures(
@@ -125,6 +131,7 @@
         ledger = owners.ledger_of(scene.holder)
         scene.fleet.contexts.before_answer = lose
         scene.forget()
+        scene.begin_prompts()
         fixtures.settle()
         assert scene.holder in scene.fleet.contexts.asked
         assert owners.ledger_of(scene.holder) is None
@@ -263,21 +270,25 @@
     def test_first_read_waits_for_the_list(self, scene):
         """A prompt was read at home just before the list named its holder."""
         scene.fleet.restart()
+        scene.begin_prompts()
         assert self.verdicts(scene) == (VERDICT.reading, 0.05)
         fixtures.settle()
         assert self.verdicts(scene)[0] is VERDICT.elsewhere
 
     def test_request_that_may_not_wait(self, scene):
         scene.fleet.restart()
+        scene.begin_prompts()
         assert self.verdicts(scene, may_wait=False)[0] is VERDICT.granted
 
     def test_short_prompt_does_not_wait(self, scene):
         scene.fleet.restart()
+        scene.begin_prompts()
         assert self.verdicts(scene, shared=999)[0] is VERDICT.granted
 
     def test_list_that_is_late(self, scene):
         """A hanging replica must not delay the chats of its neighbors."""
         scene.fleet.restart()
+        scene.begin_prompts()
         scene.fleet.clock.advance(0.31)
         assert self.verdicts(scene)[0] is VERDICT.granted
 
@@ -347,6 +358,7 @@
             second = fixtures.ranking_of(chat, self.REPLICAS)[1]
             held.setdefault(second, []).append(chat)
         fleet.restart()
+        fixtures.begin_prompts(fleet)
         fixtures.settle()
         entries = itertools.cycle(fleet.daemons)
         placements = [
--- a/tests/topazlug_platform/test_contexts.py
+++ b/tests/topazlug_platform/test_contexts.py
@@ -178,8 +178,9 @@
 def run():
     rigs = []
 
-    def start(*fields, **options):
-        rig = platform_rig.Rig(fixtures.route(), **options)
+    def start(*fields, has_context=False, **options):
+        route = fixtures.route(has_context=has_context)
+        rig = platform_rig.Rig(route, **options)
         rigs.append(rig)
         engine = Engine(*fields)
 
@@ -213,8 +214,14 @@
         assert "topazlug_owner_recovered_contexts_total 1.0" in text
         assert "topazlug_owner_context_lists_given_up_total 0.0" in text
 
-    def test_replica_is_asked_at_once_where_capacity_is_short(self, run):
-        rig, engine = run(is_capacity_short=True)
+    def test_replica_is_asked_with_a_prompt_where_capacity_is_short(self, run):
+        rig, engine = run(has_context=True, is_capacity_short=True)
+        assert engine.listed == 0
+        rig.send(
+            "X-Model: m",
+            "X-Token-Counts: 2000,20",
+            "X-Prompt-Prefix: a1:1500,b2:500",
+        )
         routing_fixtures.wait_until(lambda: LISTED in rig.scrape())
         assert engine.listed == 1
 
@@ -225,6 +232,13 @@
             assert rig.send()[0] == 200
         assert engine.listed == 0
 
+    def test_plain_service_is_not_asked(self, run):
+        """It would run the request, which no caller sent."""
+        rig, engine = run(is_capacity_short=True)
+        for _ in range(3):
+            assert rig.send()[0] == 200
+        assert engine.listed == 0
+
     def test_switched_off(self, run):
         rig, engine = run(
             "X-Replica-Load: 1,0,8,150",
--- a/tests/topazlug_platform/test_forwarding.py
+++ b/tests/topazlug_platform/test_forwarding.py
@@ -42,9 +42,11 @@
 
 
 def is_closed(port):
-    """Return whether a port refuses connections."""
+    """Return whether a port refuses or drops new connections."""
     try:
-        gevent.socket.create_connection(("127.0.0.1", port)).close()
+        gevent.socket.create_connection(
+            ("127.0.0.1", port), timeout=0.1
+        ).close()
     except OSError:
         return True
     return False
