Keep a replica on probation at a failure that the rest of its group has too

Cause: a failure on probation ejected a replica again for up to 4 s. Healthy plain services fail 14% of their reads, and `Outcomes` are sent when a request fails, so nearly each message held a failure.

Change: where 5% or more of the rest fail, the second failure ejects it again; a message that covers several requests is a failure from 3 in 10 on, as in the decision to eject.

--- a/src/topazlug/capacity/_outcome_counts.py
+++ b/src/topazlug/capacity/_outcome_counts.py
@@ -95,6 +95,7 @@
         self._seconds = _EJECTION_SECONDS
         self._admitting_since = 0.0
         self._successes = 0
+        self._probe_failures = 0
         self._counted_keys: set[_slot_key.SlotKey] = set()
         self._sent_at: dict[_ids.DaemonId, float] = {}
         self.reported_failed = 0
@@ -227,6 +228,7 @@
         self._is_limited = True
         self._until = now + seconds
         self._successes = 0
+        self._probe_failures = 0
         self.probe = None
         self._clear()
         return seconds
@@ -241,6 +243,12 @@
         if self._is_limited:
             self.probe = key
 
+    def record_probe_failure(self) -> int:
+        """Count a failure on probation and return how many there were."""
+        self.probe = None
+        self._probe_failures += 1
+        return self._probe_failures
+
     def record_probe_success(self, *, now: float) -> bool:
         """Count a success on probation; return whether it was the last."""
         self.probe = None
--- a/src/topazlug/routing/_outcome_ejection.py
+++ b/src/topazlug/routing/_outcome_ejection.py
@@ -53,6 +53,9 @@
 _MAX_WAIT_SECONDS = 0.5
 # The time for a report to arrive, on top of the interval between two.
 _REPORT_SECONDS = 0.1
+# Where this part of the requests of the rest fail, one failure on probation
+# may be chance: at 14%, one of two requests fails in a quarter of probations.
+_FAILING_REST_FRACTION = 0.05
 # Backoff while another request is on probation: about its duration.
 _PROBE_SECONDS = 0.2
 _HASHES = 1 << 64
@@ -162,7 +165,12 @@
         if state is _outcome_counts.EjectionState.EJECTED:
             return
         if state is _outcome_counts.EjectionState.PROBATION:
-            if key is None or key == counts.probe:
+            if key is None:
+                # Such a message covers several requests, and a failure
+                # prompts it, so most of them contain one.
+                has_failed = failed / max(1, ended) >= _MIN_FRACTION
+                self._judge_probe(ledger, failed=has_failed)
+            elif key == counts.probe:
                 self._judge_probe(ledger, failed=failed > 0)
             return
         counts.record(
@@ -181,7 +189,12 @@
     ) -> None:
         now = self._clock.monotonic()
         if failed:
-            self._eject(ledger, "a request failed on probation")
+            is_rest_failing = (
+                self._rest(ledger).fraction >= _FAILING_REST_FRACTION
+            )
+            failures = ledger.outcomes.record_probe_failure()
+            if failures > is_rest_failing:
+                self._eject(ledger, "a request failed on probation")
         elif ledger.outcomes.record_probe_success(now=now):
             self.return_count += 1
             _log.info(
--- a/tests/topazlug/placement/test_outcome_ejection.py
+++ b/tests/topazlug/placement/test_outcome_ejection.py
@@ -170,6 +170,63 @@
         assert rig.outcomes.remaining(now=rig.fleet.clock.monotonic()) == 0.0
 
 
+class TestProbationWhereAllFailSome:
+    """Healthy replicas of some services fail 14% of their reads."""
+
+    @pytest.fixture
+    def on_probation(self, rig, monkeypatch):
+        rig.fail(5)
+        rig.fleet.clock.advance(1.01)
+        rest = _outcome_counts.OutcomeTotals(14, 100)
+        monkeypatch.setattr(
+            rig.owner.owners.ejections, "_rest", lambda ledger: rest
+        )
+        return rig
+
+    def report(self, rig, *, failed, ended):
+        """Send the outcomes of requests that no owner admitted."""
+        ejections = rig.owner.owners.ejections
+        ledger = rig.owner.owners.ledger_of(BAD)
+        message = messages.Outcomes(
+            replica=BAD,
+            incarnation=ledger.incarnation,
+            failed=failed,
+            ended=ended,
+        )
+        ejections.record_outcomes(ledger, _ids.DaemonId("d1"), message)
+
+    def test_one_failure_may_be_chance(self, on_probation):
+        """A quarter of the returns of healthy replicas ended at once."""
+        on_probation.send(failed=True)
+        on_probation.fleet.clock.advance(0.5)
+        on_probation.send()
+        on_probation.send()
+        assert not on_probation.is_ejected()
+
+    def test_two_failures_eject_again(self, on_probation):
+        on_probation.send(failed=True)
+        on_probation.send(failed=True)
+        assert on_probation.outcomes.remaining(
+            now=on_probation.fleet.clock.monotonic()
+        )
+
+    def test_outcomes_of_several_requests(self, on_probation):
+        """Messages are sent when a request fails, so most contain one.
+
+        A healthy replica was ejected again by each of them.
+        """
+        for _ in range(2):
+            self.report(on_probation, failed=1, ended=7)
+        assert not on_probation.is_ejected()
+
+    def test_outcomes_that_are_mostly_failures(self, on_probation):
+        for _ in range(2):
+            self.report(on_probation, failed=2, ended=3)
+        assert on_probation.outcomes.remaining(
+            now=on_probation.fleet.clock.monotonic()
+        )
+
+
 class TestLastReplicas:
     def test_only_replica_is_never_ejected(self):
         rig = Rig(replicas=REPLICAS[:1])
