--- a/src/topazlug/_generated/messages.py
+++ b/src/topazlug/_generated/messages.py
@@ -159,6 +159,14 @@
             ),
         ]
     ) = False
+    accept_over_bound: (
+        Annotated[
+            bool,
+            Meta(
+                description="Whether the request is granted although the replica reaches its bound, if it holds the context of the chat."
+            ),
+        ]
+    ) = False
     objective: (
         Annotated[
             float,
@@ -237,7 +245,7 @@
         Annotated[
             bool,
             Meta(
-                description="With verdict over_bound, whether the replica is known to hold the context of the chat."
+                description="With verdict over_bound, whether the replica holds the context of the chat and would grant the request with accept_over_bound."
             ),
         ]
     ) = False
--- a/src/topazlug/capacity/_context_recovery.py
+++ b/src/topazlug/capacity/_context_recovery.py
@@ -124,6 +124,11 @@
         self._is_attempt_awaited = False
         self.state = RecoveryState.DONE
 
+    @property
+    def is_open(self) -> bool:
+        """Return whether the list may still arrive."""
+        return self.state in (RecoveryState.NEEDED, RecoveryState.AWAITED)
+
     def delays_reads(self, *, now: float) -> bool:
         """Return whether first reads wait, as the list may arrive any moment.
 
--- a/src/topazlug/placement/_over_bound_reads.py
+++ b/src/topazlug/placement/_over_bound_reads.py
@@ -1,8 +1,9 @@
-"""Which requests are placed over the bound where their context is held.
+"""Which requests use the margin of the bound where their context is held.
 
 Load pattern: demand rises faster than the mean load that bounds replicas. A
-chat's replica is over its bound, and the others would read the prompt with a
-stall of their streams.
+chat's replica is at its bound, and the others would read the prompt with a
+stall of their streams. Its owner leaves a margin for the lag of the mean, and
+grants such a request out of it, so that the request is counted at once.
 """
 
 from collections.abc import Mapping
@@ -10,69 +11,51 @@
 
 from topazlug import _ids
 from topazlug import _logs
+from topazlug.placement import _read_search
 from topazlug.routing import _owner_client
+from topazlug.routing import _placement
 
 _log = _logs.logger("forwarding")
-# At most 3 in 100 requests may reach a replica over its bound. The rest of
-# that share is left to requests that are placed without an owner's count.
-_REQUESTS_PER_PLACEMENT = 50
 
 
 @final
 class OverBoundReads:
-    """Requests of this daemon that were placed over the bound.
+    """Requests of this daemon that were granted out of the margin.
 
     Parameters
     ----------
     is_enabled : bool
-        Whether any request may be placed over the bound for its context.
+        Whether any request may use the margin.
 
     Attributes
     ----------
     count : int
-        Requests that were placed.
+        Requests that were granted.
     """
 
     def __init__(self, *, is_enabled: bool) -> None:
         self._is_enabled = is_enabled
         self.count = 0
-        # Requests since the last one that was placed.
-        self._requests_by_group: dict[_ids.GroupName, int] = {}
-
-    def record_request(self, group: _ids.GroupName) -> None:
-        """Count one request of a group, before it is placed."""
-        requests = self._requests_by_group.get(group, 0) + 1
-        self._requests_by_group[group] = min(_REQUESTS_PER_PLACEMENT, requests)
 
     def holder(
         self,
-        group: _ids.GroupName,
         rejections: Mapping[_ids.ReplicaId, _owner_client.OwnerReply],
         *,
         home: _ids.ReplicaId,
         displaced_to: _ids.ReplicaId | None,
     ) -> _ids.ReplicaId | None:
-        """Return the replica to place a request on over the bound.
+        """Return the replica whose margin to use, None if there is none.
 
         Parameters
         ----------
-        group : GroupName
-            The request's group.
         rejections : mapping
-            Replies of the owners that rejected it, by replica.
+            Replies of the owners that rejected the request, by replica.
         home : ReplicaId
             The first replica in its chat's ranking.
         displaced_to : ReplicaId or None
             Replica that its chat was displaced to.
-
-        Returns
-        -------
-        ReplicaId or None
-            None if neither is known to hold the context, or if too many
-            requests were placed over the bound.
         """
-        requests = self._requests_by_group.get(group, 0)
-        if not self._is_enabled or requests < _REQUESTS_PER_PLACEMENT:
+        if not self._is_enabled:
             return None
         for replica in (displaced_to, home):
             if replica is None or replica not in rejections:
@@ -82,25 +65,16 @@
                 return replica
         return None
 
-    def record_placement(
-        self, group: _ids.GroupName, replica: _ids.ReplicaId, stall: float
+    def record(
+        self,
+        placement: _placement.Placement,
+        stalling: _read_search.StallingReplicas,
     ) -> None:
-        """Record a request that was placed over the bound.
-
-        Parameters
-        ----------
-        group : GroupName
-            The request's group.
-        replica : ReplicaId
-            The replica that holds its context.
-        stall : float
-            Seconds of delay that the read elsewhere would have caused.
-        """
-        self._requests_by_group[group] = 0
+        """Record a request that was granted, and the stalls elsewhere."""
         self.count += 1
         _log.info(
-            "placed at {replica} over its bound: it holds the context, which "
-            "others would read with {stall} s of delays",
-            replica=replica,
-            stall=round(stall, 3),
+            "placed at {replica} within the margin of its bound: it holds the "
+            "context, which others would read with {stall} s of delays",
+            replica=placement.target.replica,
+            stall=round(min(stalling.stall_by_replica.values()), 3),
         )
--- a/src/topazlug/placement/_owner_search.py
+++ b/src/topazlug/placement/_owner_search.py
@@ -120,7 +120,6 @@
         Full
             No replica whose owner was asked has free capacity.
         """
-        self.over_bound_reads.record_request(request.group)
         candidates = self._view_admission.candidates(request)
         ranked = _ranked(candidates, request, count=_MAX_RANKED)
         ranked += self._warm_alternatives(candidates, request, ranked)
@@ -130,27 +129,17 @@
         rejections: dict[_ids.ReplicaId, _owner_client.OwnerReply] = {}
         stalling = _read_search.StallingReplicas()
         accept_stall = _mechanisms.Mechanism.PROMPT_READS in self._disabled
+        accept_over_bound = False
         while pending or not stalling.is_empty:
             if not pending:
-                holder = self.over_bound_reads.holder(
-                    request.group,
-                    rejections,
-                    home=home,
-                    displaced_to=displaced_to,
-                )
-                if holder is not None:
-                    stall = min(stalling.stall_by_replica.values())
-                    self.over_bound_reads.record_placement(
-                        request.group, holder, stall
-                    )
-                    return self._place_on_least_loaded(
-                        owner_client,
-                        request,
-                        {holder: rejections[holder]},
-                        home,
+                holder = None
+                if not accept_over_bound:
+                    holder = self.over_bound_reads.holder(
+                        rejections, home=home, displaced_to=displaced_to
                     )
-                pending = [stalling.pop_least()]
-                accept_stall = True
+                accept_over_bound = holder is not None
+                accept_stall = holder is None
+                pending = [holder or stalling.pop_least()]
             replica = pending.pop(0)
             answer = self._request_admission(
                 owner_client,
@@ -158,6 +147,7 @@
                 replica,
                 home=replica == home and displaced_to is None,
                 accept_stall=accept_stall,
+                accept_over_bound=accept_over_bound,
             )
             if answer is None or answer.reply.verdict in _UNKNOWN_VERDICTS:
                 if accept_stall or stalling.is_empty:
@@ -182,7 +172,9 @@
                     owner_client.report_displacement(
                         placement, home=home, displaced_to=displaced_to
                     )
-                if placement is not None:
+                if placement is not None and accept_over_bound:
+                    self.over_bound_reads.record(placement, stalling)
+                elif placement is not None:
                     self.read_placements.record(placement, stalling)
                 return placement
             elif verdict is messages.Verdict.elsewhere:
@@ -231,6 +223,7 @@
         *,
         home: bool,
         accept_stall: bool,
+        accept_over_bound: bool = False,
     ) -> _owner_client.OwnerReply | None:
         """Ask one owner, again while another request reads the same context.
 
@@ -254,6 +247,7 @@
                 ),
                 cold=self._view_admission.is_cold(replica),
                 accept_stall=accept_stall,
+                accept_over_bound=accept_over_bound,
             )
             if answer is None:
                 return None
--- a/src/topazlug/routing/_admission_control.py
+++ b/src/topazlug/routing/_admission_control.py
@@ -15,6 +15,7 @@
 from topazlug.capacity import _slot_key
 from topazlug.capacity import _startup_allowance
 from topazlug.routing import _group_limits
+from topazlug.routing import _group_load
 from topazlug.routing import _ledger
 from topazlug.routing import _outcome_ejection
 from topazlug.routing import _owner_features
@@ -252,6 +253,14 @@
         )
         if fit is _ledger.Fit.OVER_BOUND:
             fit = self._recheck_returning_chat(ledger, entry, fit)
+        uses_margin = (
+            fit is _ledger.Fit.OVER_BOUND
+            and ledger.observed_load() + ask.weight
+            <= limit + _group_load.LAG_MARGIN
+            and self._read_admission.holds(ledger, ask)
+        )
+        if uses_margin and ask.accept_over_bound:
+            fit = _ledger.Fit.FREE
         if ask.rank != _ledger.UNRANKED:
             if self._rank_admission.reject(ledger, entry, ask, reply):
                 return
@@ -283,8 +292,7 @@
                 verdict,
                 load=ledger.load,
                 cold=self._tolerated_rate(ledger) is not None,
-                holds=fit is _ledger.Fit.OVER_BOUND
-                and self._read_admission.holds(ledger, ask),
+                holds=uses_margin,
             )
             return
         # A request over the bound need not wait for a release: the bound
--- a/src/topazlug/routing/_context_recoveries.py
+++ b/src/topazlug/routing/_context_recoveries.py
@@ -73,8 +73,12 @@
         self._features = features
         self._clock = clock
         self._history = _replica_history.ReplicaHistory(clock=clock)
-        # Groups whose requests carry prompts, where capacity is short.
+        # Groups whose requests carry prompts.
         self._prompt_groups: set[_ids.GroupName] = set()
+        # Recovered entries of homes whose own list has not arrived.
+        self._unconfirmed_by_home: dict[
+            _ids.ReplicaId, dict[_ids.ChatHash, _ids.ReplicaId]
+        ] = {}
         self.on_request: RequestHandler = _ignore_request
         self.list_count = 0
         self.given_up_count = 0
@@ -91,8 +95,7 @@
             is_needed=self._history.ran_before(target),
             opened_at=self._clock.monotonic(),
         )
-        if ledger.group in self._prompt_groups:
-            self._request(ledger)
+        self._request(ledger)
 
     def handle_prompt(self, group: _ids.GroupName) -> None:
         """Request the lists of a group when it gets its first prompt.
@@ -100,10 +103,7 @@
         Plain services have no such list, and would run the request. While a
         fleet starts, replicas change owners several times without requests.
         """
-        if (
-            not self._features.is_capacity_short
-            or group in self._prompt_groups
-        ):
+        if group in self._prompt_groups:
             return
         self._prompt_groups.add(group)
         for ledger in list(self._ledger_by_replica.values()):
@@ -115,6 +115,12 @@
         self._request(ledger)
 
     def _request(self, ledger: _ledger.ReplicaLedger) -> None:
+        if ledger.group not in self._prompt_groups:
+            return
+        if not self._features.is_capacity_short and (
+            not ledger.speed.is_reported
+        ):
+            return
         if ledger.context_recovery.request(now=self._clock.monotonic()):
             self.on_request(ledger)
 
@@ -168,11 +174,35 @@
         ]
         for chat in chats:
             ledger.context_reads.record_read(chat, now=now)
+        self._remove_contradicted(ledger, chats)
         ledger.context_recovery.record_list()
         self.list_count += 1
         self.context_count += len(chats)
         return chats
 
+    def _remove_contradicted(
+        self, ledger: _ledger.ReplicaLedger, chats: list[_ids.ChatHash]
+    ) -> None:
+        """Remove recovered entries of chats that their home holds itself.
+
+        Another replica's list may arrive before that of the home. All further
+        turns would go to an old copy.
+        """
+        unconfirmed = self._unconfirmed_by_home.pop(ledger.replica, {})
+        for chat in chats:
+            replica = unconfirmed.get(chat)
+            if replica is not None and replica == self._displaced.find(
+                chat, home=ledger.replica
+            ):
+                self._displaced.record(
+                    messages.Displaced(
+                        group=ledger.group,
+                        home=ledger.replica,
+                        chat=chat,
+                        replica="",
+                    )
+                )
+
     def record_displaced(self, entries: list[messages.Displaced]) -> None:
         """Store the entries that other replicas' lists show.
 
@@ -180,9 +210,18 @@
         and what is known already take precedence, so of two replicas that
         hold a context, the first one reported is used.
         """
+        if not self._features.context_recovery:
+            return
         stored = [entry for entry in entries if self._is_news(entry)]
         for entry in stored:
             self._displaced.record(entry)
+            home = _ids.ReplicaId(entry.home)
+            ledger = self._ledger_by_replica.get(home)
+            if ledger is not None and ledger.context_recovery.is_open:
+                unconfirmed = self._unconfirmed_by_home.setdefault(home, {})
+                unconfirmed[_ids.ChatHash(entry.chat)] = _ids.ReplicaId(
+                    entry.replica
+                )
         self.displaced_count += len(stored)
 
     def _is_news(self, entry: messages.Displaced) -> bool:
--- a/src/topazlug/routing/_context_requests.py
+++ b/src/topazlug/routing/_context_requests.py
@@ -24,7 +24,7 @@
 # Lists that are received at the same time. Each may take 512 KiB.
 _MAX_CONCURRENT = 8
 # Ranking this many chats over 156 replicas takes 2 ms (measured).
-_CHATS_PER_TURN = 50
+_CHATS_PER_SLICE = 50
 _BATCH_ENTRIES = 500
 
 
@@ -94,6 +94,14 @@
         except _errors.TopazlugError as error:
             self._recoveries.record_failure(ledger, error)
             return True
+        except Exception as error:
+            # Without this, the ledger would await its list for ever.
+            _log.exception(
+                "internal error while asking {replica} for its contexts",
+                replica=ledger.replica,
+            )
+            self._recoveries.record_failure(ledger, error)
+            return True
         if self._target_of(ledger) is None:
             _log.info(
                 "contexts of {replica} discarded: it has another owner or "
@@ -140,7 +148,7 @@
                             replica=ledger.replica,
                         )
                     )
-            if not number % _CHATS_PER_TURN:
+            if not number % _CHATS_PER_SLICE:
                 # Requests go on while the rest is ranked.
                 gevent.sleep(0)
         self._send(entries)
--- a/src/topazlug/routing/_group_load.py
+++ b/src/topazlug/routing/_group_load.py
@@ -21,7 +21,7 @@
 _STALE_SECONDS = 3.0
 # The total lags by one report. While load falls, the true mean is below the
 # one that owners use, and requests admitted at the limit exceed the bound.
-_LAG_MARGIN = 1
+LAG_MARGIN = 1
 # A reported load is valid for at least this many report intervals: in a group
 # of 143 owners, the interval alone is longer than three seconds.
 _STALE_INTERVALS = 2.5
@@ -169,7 +169,7 @@
        loads", SODA 2018.
     """
     mean = (total + 1) / max(1, replicas)
-    limit = math.ceil(bound * mean) + allowance - _LAG_MARGIN
+    limit = math.ceil(bound * mean) + allowance - LAG_MARGIN
     # Some replica is always at or below the mean, so with this minimum every
     # request fits somewhere. Without it, nothing is admitted at low load.
     return max(1, math.ceil(mean), limit)
--- a/src/topazlug/routing/_owner_client.py
+++ b/src/topazlug/routing/_owner_client.py
@@ -111,6 +111,7 @@
         min_timeout: float = 0.0,
         cold: bool = False,
         accept_stall: bool = False,
+        accept_over_bound: bool = False,
     ) -> OwnerReply | None:
         """Send an admission request to a replica's owner.
 
@@ -137,6 +138,9 @@
         accept_stall : bool
             Whether the owner must not reply that reading the prompt would
             stall running streams.
+        accept_over_bound : bool
+            Whether to use the margin of the bound if the replica holds the
+            context.
 
         Returns
         -------
@@ -169,10 +173,11 @@
             shared=request.shared_tokens,
             may_wait=may_wait,
             cold=cold,
-            tokens=request.prompt_tokens,
+            tokens=request.prompt_tokens if request.keeps_context else 0,
             output_tokens=request.output_tokens,
             max_pause=request.max_pause,
             accept_stall=accept_stall,
+            accept_over_bound=accept_over_bound,
             objective=request.latency_objective,
             held=request.held_tokens,
         )
--- a/tests/topazlug/placement/recovery_fixtures.py
+++ b/tests/topazlug/placement/recovery_fixtures.py
@@ -15,6 +15,9 @@
 )
 DAEMONS = tuple(f"d{n}" for n in range(5))
 REPLICAS = tuple(_ids.ReplicaId(f"i-{n}") for n in range(4))
+# Load at which the first of the replicas reaches its bound, if two others
+# hold three requests each.
+LIMIT = 8
 
 
 def chats():
--- a/tests/topazlug/placement/test_contexts_after_owner_loss.py
+++ b/tests/topazlug/placement/test_contexts_after_owner_loss.py
@@ -92,6 +92,24 @@
             scene.report_slowness(scene.holder)
         fixtures.settle()
         assert scene.fleet.contexts.asked == [scene.holder]
+
+    def test_plain_service_that_reports_its_slowness(self):
+        """It has no list, and would run the request."""
+        scene = fixtures.Scene(
+            _owner_features.OwnerFeatures(context_recovery=True)
+        )
+        scene.fleet.restart()
+        scene.report_slowness(scene.holder)
+        fixtures.settle()
+        assert scene.fleet.contexts.asked == []
+
+    def test_chat_of_a_replica_that_reports_its_slowness_returns(self):
+        scene = fixtures.Scene(
+            _owner_features.OwnerFeatures(context_recovery=True)
+        )
+        scene.restart()
+        scene.report_slowness(scene.holder)
+        fixtures.settle()
         assert scene.admit().target.replica == scene.holder
 
 
@@ -204,6 +222,21 @@
         assert scene.admit().target.replica == scene.holder
 
 
+class TestInternalError:
+    def test_list_is_requested_again(self, scene):
+        """A ledger awaited its list for ever after an unforeseen error."""
+
+        def fail():
+            scene.fleet.contexts.before_answer = lambda: None
+            raise RuntimeError("unforeseen")
+
+        scene.fleet.contexts.before_answer = fail
+        scene.restart()
+        for _ in range(2 * len(fixtures.REPLICAS)):
+            fixtures.settle()
+        assert scene.admit().target.replica == scene.holder
+
+
 class TestReceiver:
     def send(self, scene, replica):
         entry = messages.Displaced(
@@ -235,6 +268,16 @@
         self.send(scene, scene.holder)
         assert self.displaced_to(scene) is None
 
+    def test_list_of_the_home_arrives_last(self, scene):
+        """All turns went to an old copy, although the home held the chat."""
+        scene.fleet.restart()
+        self.send(scene, scene.holder)
+        assert self.displaced_to(scene) == scene.holder
+        scene.fleet.contexts.chats_by_replica = {scene.home: [scene.chat]}
+        scene.begin_prompts()
+        fixtures.settle()
+        assert self.displaced_to(scene) is None
+
     def test_context_being_read_at_home_stays(self, scene):
         assert scene.admit().reads_context
         self.send(scene, scene.holder)
--- a/tests/topazlug/placement/test_over_bound_reads.py
+++ b/tests/topazlug/placement/test_over_bound_reads.py
@@ -27,12 +27,13 @@
     # Read in 0.4 s: late for streams, but not for its own first event.
     PROMPT = 10_000
 
-    def prepare(self, scene, *, requests=50, streams=(3, 3)):
+    def prepare(self, scene, *, streams=(3, 3), above=0):
         """Load the first three replicas of the chat's ranking."""
         ranked = fixtures.ranking_of(scene.chat)
         for replica in fixtures.REPLICAS:
             scene.report_slowness(replica)
-        for replica, count in zip(ranked, (30, *streams)):
+        held = fixtures.LIMIT + above
+        for replica, count in zip(ranked, (held, *streams)):
             for number in range(count):
                 scene.ledger(replica).hold(
                     _slot_key.SlotKey("d9", number),
@@ -44,10 +45,9 @@
         scene.fleet.report()
         now = scene.fleet.clock.monotonic()
         scene.ledger(scene.home).context_reads.record_read(scene.chat, now=now)
-        admission = scene.fleet.daemon_by_name[scene.entry].admission
-        for _ in range(requests - 1):
-            admission.over_bound_reads.record_request("engines")
-        return admission.over_bound_reads
+        return scene.fleet.daemon_by_name[
+            scene.entry
+        ].admission.over_bound_reads
 
     def admit(self, scene):
         return scene.admit(
@@ -60,16 +60,21 @@
         assert self.admit(scene).target.replica == scene.home
         assert counts.count == 1
 
-    def test_one_in_fifty(self, scene):
-        """More than 3 in 100 requests must not reach a loaded replica."""
+    def test_owner_counts_what_it_grants_out_of_the_margin(self, scene):
+        """Several daemons must not load one replica further unseen."""
         counts = self.prepare(scene)
-        placements = [self.admit(scene) for _ in range(2)]
-        assert placements[0].target.replica == scene.home
-        assert placements[1].target.replica != scene.home
+        load = scene.ledger(scene.home).load
+        first = self.admit(scene)
+        assert first.target.replica == scene.home
+        assert scene.ledger(scene.home).load == load + 1
+        # The second takes the slot that the chat already has.
+        others = [self.admit(scene) for _ in range(2)]
+        assert others[1].target.replica != scene.home
         assert counts.count == 1
 
-    def test_before_fifty_requests(self, scene):
-        self.prepare(scene, requests=49)
+    def test_load_above_the_margin(self, scene):
+        """More than 3 in 100 requests must not reach a loaded replica."""
+        self.prepare(scene, above=1)
         assert self.admit(scene).target.replica != scene.home
 
     def test_replica_that_reads_without_a_stall(self, scene):
@@ -126,27 +131,19 @@
 
     def test_switched_off(self):
         reads = _over_bound_reads.OverBoundReads(is_enabled=False)
-        for _ in range(100):
-            reads.record_request("engines")
         reply = messages.AdmitReply(
             verdict=VERDICT.over_bound, load=9, holds=True
         )
         answer = _owner_client.OwnerReply(1, "d0", reply)
-        found = reads.holder(
-            "engines", {"i-0": answer}, home="i-0", displaced_to=None
-        )
+        found = reads.holder({"i-0": answer}, home="i-0", displaced_to=None)
         assert found is None
 
     def test_replica_that_the_chat_was_displaced_to_is_preferred(self):
         reads = _over_bound_reads.OverBoundReads(is_enabled=True)
-        for _ in range(50):
-            reads.record_request("engines")
         reply = messages.AdmitReply(
             verdict=VERDICT.over_bound, load=9, holds=True
         )
         answer = _owner_client.OwnerReply(1, "d0", reply)
         rejections = {"i-0": answer, "i-1": answer, "i-2": answer}
-        found = reads.holder(
-            "engines", rejections, home="i-0", displaced_to="i-1"
-        )
+        found = reads.holder(rejections, home="i-0", displaced_to="i-1")
         assert found == "i-1"
--- a/tests/topazlug_platform/test_contexts.py
+++ b/tests/topazlug_platform/test_contexts.py
@@ -198,17 +198,22 @@
         rig.stop()
 
 
+PROMPT = (
+    "X-Model: m",
+    "X-Token-Counts: 2000,20",
+    "X-Prompt-Prefix: a1:1500,b2:500",
+)
 LISTED = "topazlug_owner_context_lists_total 1.0"
 
 
 class TestDaemon:
     def test_replica_that_reports_its_slowness_is_asked(self, run):
         """The whole path: head, owner, request, decoder and record."""
-        rig, engine = run("X-Replica-Load: 1,0,8,150")
-        rig.send()
+        rig, engine = run("X-Replica-Load: 1,0,8,150", has_context=True)
+        rig.send(*PROMPT)
         assert engine.listed <= 1
         routing_fixtures.wait_until(lambda: LISTED in rig.scrape())
-        rig.send()
+        rig.send(*PROMPT)
         assert engine.listed == 1
         text = rig.scrape()
         assert "topazlug_owner_recovered_contexts_total 1.0" in text
@@ -217,11 +222,7 @@
     def test_replica_is_asked_with_a_prompt_where_capacity_is_short(self, run):
         rig, engine = run(has_context=True, is_capacity_short=True)
         assert engine.listed == 0
-        rig.send(
-            "X-Model: m",
-            "X-Token-Counts: 2000,20",
-            "X-Prompt-Prefix: a1:1500,b2:500",
-        )
+        rig.send(*PROMPT)
         routing_fixtures.wait_until(lambda: LISTED in rig.scrape())
         assert engine.listed == 1
 
