Count no unknown outcomes, and bound probation and late reports

- Messages and logs are unchanged where owners do not use outcomes.
- A request on probation blocks others for 1 s at most.
- Release.unknown lists requests that did not run or whose outcome is unknown; they count neither as a success nor as a failure.
- A connect timeout is no failure of the replica for its owner, as a cut between zones affects healthy replicas too.
- Failures must be of two chats or more where chats are known.
- While no more replicas may be ejected, no reports are requested, and the log line is written once a second.
- Keys of requests that a ledger removes are forgotten.

--- a/src/topazlug/_generated/messages.py
+++ b/src/topazlug/_generated/messages.py
@@ -257,6 +257,14 @@
             ),
         ]
     ) = field(default_factory=list)
+    unknown: (
+        Annotated[
+            list[int],
+            Meta(
+                description="Those of the released ones whose request did not run or whose outcome is unknown."
+            ),
+        ]
+    ) = field(default_factory=list)
 
 
 class HeldPlace(Struct, kw_only=True, omit_defaults=True):
--- a/src/topazlug/capacity/_outcome_counts.py
+++ b/src/topazlug/capacity/_outcome_counts.py
@@ -34,6 +34,7 @@
 # Daemons that sent outcomes within this time are notified of an ejection. Each
 # of 72 daemons sends a given replica a request every 6 to 12 s.
 _SENDER_SECONDS = 30.0
+_UNKNOWN_CHAT = _ids.ChatHash(0)
 
 
 class EjectionState(enum.Enum):
@@ -74,6 +75,7 @@
     exact_ended: int = 0
     senders: set[_ids.DaemonId] = msgspec.field(default_factory=set)
     failed_senders: set[_ids.DaemonId] = msgspec.field(default_factory=set)
+    failed_chats: set[_ids.ChatHash] = msgspec.field(default_factory=set)
 
 
 @final
@@ -86,6 +88,8 @@
         Failures in the last report to the collector.
     probe : SlotKey or None
         Request that was last admitted on probation and has not ended.
+    probe_allowed_at : float
+        Monotonic time at which a request on probation was last allowed.
     """
 
     def __init__(self) -> None:
@@ -99,7 +103,9 @@
         self._counted_keys: set[_slot_key.SlotKey] = set()
         self._sent_at: dict[_ids.DaemonId, float] = {}
         self.reported_failed = 0
+        self._probes: set[_slot_key.SlotKey] = set()
         self.probe: _slot_key.SlotKey | None = None
+        self.probe_allowed_at = 0.0
 
     def record(
         self,
@@ -109,6 +115,7 @@
         ended: int,
         now: float,
         is_exact: bool = True,
+        chat: _ids.ChatHash = _UNKNOWN_CHAT,
     ) -> None:
         """Count requests of one daemon that have ended or failed.
 
@@ -123,6 +130,8 @@
         is_exact : bool
             Whether they have ended just now. Other outcomes arrive late,
             successes by up to a second, so they are missing in short windows.
+        chat : ChatHash
+            Chat of the request, 0 if unknown.
         """
         if not self._bins or now - self._bins[-1].start >= _BIN_SECONDS:
             self._bins.append(_Bin(start=now))
@@ -135,6 +144,8 @@
         newest.senders.add(sender)
         if failed:
             newest.failed_senders.add(sender)
+            if chat != _UNKNOWN_CHAT:
+                newest.failed_chats.add(chat)
         oldest = now - WINDOW_SECONDS - MAX_AGE_SECONDS
         while self._bins[0].start < oldest:
             self._bins.popleft()
@@ -171,6 +182,15 @@
         failed = set().union(*(part.failed_senders for part in recent))
         return len(failed) > 1 or len(senders) <= 1
 
+    def is_of_one_chat(self, *, now: float) -> bool:
+        """Return whether all failures of known chats are of a single one.
+
+        One request that fails everywhere is repeated on other replicas, and
+        through other daemons.
+        """
+        recent = self._recent(now, WINDOW_SECONDS)
+        return len(set().union(*(part.failed_chats for part in recent))) == 1
+
     def count_once(self, key: _slot_key.SlotKey) -> bool:
         """Return whether the failure of a held request is the first."""
         if key in self._counted_keys:
@@ -184,6 +204,17 @@
         self._counted_keys.discard(key)
         return was_counted
 
+    def forget(self, key: _slot_key.SlotKey) -> None:
+        """Forget a request that is no longer held."""
+        self._counted_keys.discard(key)
+        self._probes.discard(key)
+        if self.probe == key:
+            self.probe = None
+
+    def is_probe(self, key: _slot_key.SlotKey) -> bool:
+        """Return whether a held request was admitted on probation."""
+        return key in self._probes
+
     def record_sender(self, sender: _ids.DaemonId, *, now: float) -> None:
         """Record that a daemon sent outcomes of its own placements."""
         self._sent_at[sender] = now
@@ -229,29 +260,37 @@
         self._until = now + seconds
         self._successes = 0
         self._probe_failures = 0
-        self.probe = None
         self._clear()
         return seconds
 
     def _clear(self) -> None:
         self._bins.clear()
+        self._probes.clear()
+        self.probe = None
         self.reported_failed = 0
 
     def record_admitted(self, key: _slot_key.SlotKey) -> None:
         """Record an admitted request; on probation it is the next probe."""
         self._counted_keys.discard(key)
         if self._is_limited:
+            self._probes.add(key)
             self.probe = key
 
+    def end_probe(self, key: _slot_key.SlotKey | None) -> None:
+        """Stop judging a request, or the last one if no key is given."""
+        ended = self.probe if key is None else key
+        if ended is not None:
+            self._probes.discard(ended)
+        if ended == self.probe:
+            self.probe = None
+
     def record_probe_failure(self) -> int:
         """Count a failure on probation and return how many there were."""
-        self.probe = None
         self._probe_failures += 1
         return self._probe_failures
 
     def record_probe_success(self, *, now: float) -> bool:
         """Count a success on probation; return whether it was the last."""
-        self.probe = None
         self._successes += 1
         if self._successes < _PROBATION_SUCCESSES:
             return False
@@ -262,5 +301,4 @@
         """Send the replica requests as usual again."""
         self._is_limited = False
         self._admitting_since = now
-        self.probe = None
         self._clear()
--- a/src/topazlug/forwarding/_daemon.py
+++ b/src/topazlug/forwarding/_daemon.py
@@ -179,6 +179,7 @@
         self._awaited_heads = _awaited_heads.AwaitedHeads(
             views=self.views,
             report_late=self._admission.outcome_reporting.report_late,
+            is_cold=self.targets.cold.is_cold,
             clock=clock,
         )
         forwarder_assembly = _forwarder_assembly.ForwarderAssembly(
@@ -326,6 +327,8 @@
             self._admission.owner_client = self._owners.owner_client
             reporting = self._admission.outcome_reporting
             reporting.owner_client = self._owners.owner_client
+            held = self._owners.owner_client.held_placements
+            held.reports_outcomes = reporting.applies_to
             reporting.reports = self._owners.outcome_reports
             reporting.is_capacity_short = self._options.is_capacity_short
             self.spawn(self._awaited_heads.check_forever)
--- a/src/topazlug/forwarding/_event_relay.py
+++ b/src/topazlug/forwarding/_event_relay.py
@@ -269,6 +269,8 @@
         finally:
             watch.stop()
             self._answer.close()
+            if failed and not self._placement.failed:
+                self._placement.is_outcome_unknown = True
             self._resumer.release(
                 self._placement, failed=failed and not self._has_caller_left
             )
--- a/src/topazlug/forwarding/_exchange.py
+++ b/src/topazlug/forwarding/_exchange.py
@@ -139,13 +139,19 @@
                 )
         except _target_client.ConnectFailed as error:
             view.record_outcome(failed=True)
-            placement.failed = True
+            # A cut of a zone makes healthy replicas time out for some daemons.
+            placement.failed = not error.is_timeout
+            placement.is_outcome_unknown = error.is_timeout
             self._on_connection_failure(placement, timed_out=error.is_timeout)
             raise
         except _errors.RequestError as error:
             view.record_outcome(failed=True)
             _failures.record(placement, error)
             raise
+        except BaseException:
+            # The caller has disconnected.
+            placement.is_outcome_unknown = True
+            raise
         self._record_answer(call, placement, answer, sent_at)
         if self._codec.verdict(answer) is _wire.AnswerVerdict.NOT_GENUINE:
             answer.close()
--- a/src/topazlug/forwarding/_failures.py
+++ b/src/topazlug/forwarding/_failures.py
@@ -10,9 +10,9 @@
     """Mark a placement as failed if the replica is the cause of an error.
 
     It is not if the replica rejected the request without running it, or if
-    the request's own deadline had passed.
+    the request's own deadline had passed. Its outcome is then unknown.
     """
-    if not isinstance(
-        error, (_errors.TargetRefused, _errors.DeadlineExceeded)
-    ):
+    if isinstance(error, (_errors.TargetRefused, _errors.DeadlineExceeded)):
+        placement.is_outcome_unknown = True
+    else:
         placement.failed = True
--- a/src/topazlug/forwarding/_forwarder.py
+++ b/src/topazlug/forwarding/_forwarder.py
@@ -163,6 +163,8 @@
             except BaseException as error:
                 if isinstance(error, _errors.RequestError):
                     _failures.record(placement, error)
+                else:
+                    placement.is_outcome_unknown = True
                 answer.close()
                 raise
 
@@ -255,9 +257,13 @@
                 yield head
                 try:
                     yield from chunks
-                except _errors.RequestError as error:
-                    if not has_caller_left:
+                except BaseException as error:
+                    if not has_caller_left and isinstance(
+                        error, _errors.RequestError
+                    ):
                         _failures.record(placement, error)
+                    else:
+                        placement.is_outcome_unknown = True
                     raise
 
         return _caller_answer.CallerAnswer(
--- a/src/topazlug/placement/_outcome_reporting.py
+++ b/src/topazlug/placement/_outcome_reporting.py
@@ -6,6 +6,7 @@
 from topazlug.routing import _outcome_reports
 from topazlug.routing import _owner_client
 from topazlug.routing import _placement
+from topazlug.targets import _targets
 
 
 @final
@@ -46,18 +47,33 @@
         if head.slowness is not None:
             self._slowness_reporters.add(placement.target.replica)
 
-    def report_late(self, placement: _placement.Placement) -> None:
-        """Report a request as failed that still waits for its answer."""
-        if not self._is_enabled or self.owner_client is None:
-            return
+    def applies_to(self, replica: _ids.ReplicaId) -> bool:
+        """Return whether outcomes on a replica are reported to its owner."""
+        return self._is_enabled and (
+            self.is_capacity_short or replica in self._slowness_reporters
+        )
+
+    def report_late(self, placement: _placement.Placement) -> bool:
+        """Report a request as failed that still waits for its answer.
+
+        Returns
+        -------
+        bool
+            Whether it was reported.
+        """
+        if self.owner_client is None:
+            return False
+        if not self.applies_to(placement.target.replica):
+            return False
         if placement.released or placement.is_failure_reported:
-            return
+            return False
         placement.is_failure_reported = True
         self.late_count += 1
         if self.is_counted(placement):
             self.owner_client.held_placements.report_failure(placement)
         else:
-            self._record(placement, failed=True)
+            self._record(placement.target, failed=True)
+        return True
 
     def is_counted(self, placement: _placement.Placement) -> bool:
         """Return whether a replica's owner counts a placement."""
@@ -72,18 +88,16 @@
         Its owner learns the outcome of a request that it counts with the
         release.
         """
-        if not self._is_enabled:
+        if not self.applies_to(placement.target.replica):
             placement.failed = False
+            placement.is_outcome_unknown = False
         elif not self.is_counted(placement):
-            if not placement.is_failure_reported:
-                self._record(placement, failed=placement.failed)
+            if not (
+                placement.is_failure_reported or placement.is_outcome_unknown
+            ):
+                self._record(placement.target, failed=placement.failed)
             placement.failed = False
 
-    def _record(
-        self, placement: _placement.Placement, *, failed: bool
-    ) -> None:
-        replica = placement.target.replica
-        if self.reports is not None and (
-            self.is_capacity_short or replica in self._slowness_reporters
-        ):
-            self.reports.record(placement.target, failed=failed)
+    def _record(self, target: _targets.Target, *, failed: bool) -> None:
+        if self.reports is not None:
+            self.reports.record(target, failed=failed)
--- a/src/topazlug/routing/_admission.py
+++ b/src/topazlug/routing/_admission.py
@@ -390,7 +390,7 @@
         # requested a backoff.
         if target is None or self._targets.reported.is_unavailable(target):
             if owner is not None:
-                self.held_placements.send_release(owner, ask)
+                self.held_placements.release_unused(owner, ask, replica)
             return None
         return _placement.Placement(
             target=target, ask=ask, owner=owner, request=request, home=home
--- a/src/topazlug/routing/_group_limits.py
+++ b/src/topazlug/routing/_group_limits.py
@@ -160,9 +160,13 @@
             group, _group_outcomes.GroupOutcomes()
         )
 
-    def request_report(self, group: _ids.GroupName) -> None:
-        """Make the next report of a group due now."""
-        self._estimate_of(group).next_report = self._clock.monotonic()
+    def request_report(
+        self, group: _ids.GroupName, *, earliest: float = 0.0
+    ) -> None:
+        """Make the next report of a group due now, or at a later moment."""
+        estimate = self._estimate_of(group)
+        due = max(earliest, self._clock.monotonic())
+        estimate.next_report = min(estimate.next_report, due)
 
     def due_reports(self) -> list[messages.LoadReport]:
         """Return the load reports that are due now."""
--- a/src/topazlug/routing/_held_placements.py
+++ b/src/topazlug/routing/_held_placements.py
@@ -5,6 +5,7 @@
 have been lost, it renews until the owner has confirmed.
 """
 
+from collections.abc import Callable
 from typing import Protocol
 from typing import final
 
@@ -64,6 +65,8 @@
         request.
     pending_by_ask : dict
         Owners that have not replied yet, by number of the request.
+    reports_outcomes : callable
+        Returns whether outcomes on a replica are reported to its owner.
     """
 
     def __init__(
@@ -81,6 +84,9 @@
         self._links = links
         self._clock = clock
         self._unconfirmed_until: dict[_ids.DaemonId, float] = {}
+        self.reports_outcomes: Callable[[_ids.ReplicaId], bool] = (
+            lambda replica: False
+        )
         self.placement_by_ask: dict[
             _ids.AdmissionRequestId, _placement.Placement
         ] = {}
@@ -103,6 +109,7 @@
                 placement.owner,
                 placement.ask,
                 failed=placement.has_unreported_failure,
+                unknown=placement.is_outcome_unknown,
             )
 
     def send_release(
@@ -111,14 +118,28 @@
         ask: _ids.AdmissionRequestId,
         *,
         failed: bool = False,
+        unknown: bool = False,
     ) -> None:
         """Notify an owner that an admitted or queued request has ended."""
         failures: list[int] = [ask] if failed else []
+        unknowns: list[int] = [ask] if unknown and not failed else []
         if owner == self._daemon:
-            self._owner.release(self._daemon, [ask], failures)
+            self._owner.release(self._daemon, [ask], failures, unknowns)
             return
         self._mark_unconfirmed(owner)
-        self.send(owner, messages.Release(asks=[ask], failed=failures))
+        self.send(
+            owner,
+            messages.Release(asks=[ask], failed=failures, unknown=unknowns),
+        )
+
+    def release_unused(
+        self,
+        owner: _ids.DaemonId,
+        ask: _ids.AdmissionRequestId,
+        replica: _ids.ReplicaId,
+    ) -> None:
+        """Release a slot on a replica to which no request was sent."""
+        self.send_release(owner, ask, unknown=self.reports_outcomes(replica))
 
     def report_failure(self, placement: _placement.Placement) -> None:
         """Report to its owner that a held request fails or is clearly late.
--- a/src/topazlug/routing/_ledger.py
+++ b/src/topazlug/routing/_ledger.py
@@ -304,6 +304,7 @@
             self.batch_load -= entry.weight
         self.context_reads.record_end(key)
         self.prompt_reads.record_end(key)
+        self.outcomes.forget(key)
         return True
 
     def _remove_earlier(self, key: _slot_key.SlotKey) -> None:
--- a/src/topazlug/routing/_outcome_ejection.py
+++ b/src/topazlug/routing/_outcome_ejection.py
@@ -58,6 +58,11 @@
 _FAILING_REST_FRACTION = 0.05
 # Backoff while another request is on probation: about its duration.
 _PROBE_SECONDS = 0.2
+# A stream may take a minute. The next request is admitted after this time
+# although the previous one on probation has not ended.
+_MAX_PROBE_SECONDS = 1.0
+# Interval of the log line about a replica that may not be ejected.
+_LIMIT_LOG_SECONDS = 1.0
 _HASHES = 1 << 64
 
 EjectedCallback = Callable[[_ids.DaemonId, messages.Ejected], None]
@@ -100,6 +105,7 @@
         self._clock = clock
         self._callbacks: list[EjectedCallback] = []
         self._waiting_since: dict[_ids.ReplicaId, float] = {}
+        self._limit_logged_at: dict[_ids.ReplicaId, float] = {}
         self.ejection_count = 0
         self.return_count = 0
 
@@ -169,8 +175,10 @@
                 # Such a message covers several requests, and a failure
                 # prompts it, so most of them contain one.
                 has_failed = failed / max(1, ended) >= _MIN_FRACTION
+                counts.end_probe(None)
                 self._judge_probe(ledger, failed=has_failed)
-            elif key == counts.probe:
+            elif counts.is_probe(key):
+                counts.end_probe(key)
                 self._judge_probe(ledger, failed=failed > 0)
             return
         counts.record(
@@ -179,6 +187,7 @@
             ended=ended,
             now=now,
             is_exact=key is not None,
+            chat=_chat_of(ledger, key),
         )
         if failed:
             self._report_early(ledger)
@@ -189,11 +198,9 @@
     ) -> None:
         now = self._clock.monotonic()
         if failed:
-            is_rest_failing = (
-                self._rest(ledger).fraction >= _FAILING_REST_FRACTION
-            )
-            failures = ledger.outcomes.record_probe_failure()
-            if failures > is_rest_failing:
+            rest = self._rest(ledger)
+            allowed = 1 if rest.fraction >= _FAILING_REST_FRACTION else 0
+            if ledger.outcomes.record_probe_failure() > allowed:
                 self._eject(ledger, "a request failed on probation")
         elif ledger.outcomes.record_probe_success(now=now):
             self.return_count += 1
@@ -238,19 +245,13 @@
         if not outliers or not self._is_comparable(ledger, rest):
             self._waiting_since.pop(ledger.replica, None)
             return
-        if self._awaits_summary(ledger):
-            return
         own = outliers[0]
         ejected, limit = self._ejected_and_limit(ledger.group)
         if ejected >= limit:
-            _log.info(
-                "{replica} is not ejected: {ejected} of at most {limit} are",
-                replica=ledger.replica,
-                ejected=ejected,
-                limit=limit,
-                failed=own.failed,
-                ended=own.ended,
-            )
+            self._waiting_since.pop(ledger.replica, None)
+            self._log_limit(ledger, own, ejected=ejected, limit=limit)
+            return
+        if self._awaits_summary(ledger):
             return
         self._eject(
             ledger,
@@ -258,6 +259,28 @@
             f"{rest.failed} of {rest.ended}",
         )
 
+    def _log_limit(
+        self,
+        ledger: _ledger.ReplicaLedger,
+        own: _outcome_counts.OutcomeTotals,
+        *,
+        ejected: int,
+        limit: int,
+    ) -> None:
+        now = self._clock.monotonic()
+        logged_at = self._limit_logged_at.get(ledger.replica, -math.inf)
+        if now - logged_at < _LIMIT_LOG_SECONDS:
+            return
+        self._limit_logged_at[ledger.replica] = now
+        _log.info(
+            "{replica} is not ejected: {ejected} of at most {limit} are",
+            replica=ledger.replica,
+            ejected=ejected,
+            limit=limit,
+            failed=own.failed,
+            ended=own.ended,
+        )
+
     def _rest(
         self, ledger: _ledger.ReplicaLedger
     ) -> _outcome_counts.OutcomeTotals:
@@ -286,6 +309,8 @@
         now = self._clock.monotonic()
         if not ledger.outcomes.is_seen_by_several(now=now):
             return False
+        if ledger.outcomes.is_of_one_chat(now=now):
+            return False
         if not rest.failed:
             earlier = ledger.outcomes.totals(now=now, age=_MIN_TROUBLE_SECONDS)
             return earlier.failed > 0
@@ -310,7 +335,9 @@
         if is_fresh or is_over or not known.is_current(now=now):
             del self._waiting_since[ledger.replica]
             return False
-        self._group_limits.request_report(ledger.group)
+        self._group_limits.request_report(
+            ledger.group, earliest=known.reported_at + known.early_interval
+        )
         return True
 
     def _ejected_and_limit(self, group: _ids.GroupName) -> tuple[int, int]:
@@ -379,8 +406,12 @@
         counts = ledger.outcomes
         if counts.state(now=now) is _outcome_counts.EjectionState.EJECTED:
             return counts.remaining(now=now)
-        if counts.is_limited and counts.probe in ledger.entry_by_key:
+        if not counts.is_limited:
+            return 0.0
+        is_recent = now - counts.probe_allowed_at < _MAX_PROBE_SECONDS
+        if is_recent and counts.probe in ledger.entry_by_key:
             return _PROBE_SECONDS
+        counts.probe_allowed_at = now
         return 0.0
 
     def ejected_replicas(self) -> int:
@@ -389,6 +420,14 @@
         return sum(ledger.outcomes.is_limited for ledger in ledgers)
 
 
+def _chat_of(
+    ledger: _ledger.ReplicaLedger, key: _slot_key.SlotKey | None
+) -> _ids.ChatHash:
+    """Return the chat of a held request, 0 if unknown."""
+    entry = None if key is None else ledger.entry_by_key.get(key)
+    return _ids.ChatHash(0) if entry is None else entry.chat
+
+
 def _is_outlier(
     own: _outcome_counts.OutcomeTotals, rest: _outcome_counts.OutcomeTotals
 ) -> bool:
--- a/src/topazlug/routing/_owner.py
+++ b/src/topazlug/routing/_owner.py
@@ -303,12 +303,15 @@
         sender: _ids.DaemonId,
         asks: Iterable[int],
         failed: Iterable[int] = (),
+        unknown: Iterable[int] = (),
     ) -> None:
         """Release placements and queued requests of an entry daemon.
 
         Requests in `failed` have failed on their replica. Those that are not
-        in `asks` have not ended yet.
+        in `asks` have not ended yet. The outcome of those in `unknown` is
+        not counted.
         """
+        uncounted = set(unknown)
         now = self._clock.monotonic()
         for ask in failed:
             key = _slot_key.SlotKey(sender, _ids.AdmissionRequestId(ask))
@@ -320,7 +323,8 @@
             ledger = self._find_ledger(key)
             if ledger is None:
                 continue
-            self.ejections.record_end(ledger, key)
+            if ask not in uncounted:
+                self.ejections.record_end(ledger, key)
             ledger.release(key, now=now)
             self._queue.grant_queued(ledger)
 
--- a/src/topazlug/routing/_owner_client.py
+++ b/src/topazlug/routing/_owner_client.py
@@ -183,12 +183,12 @@
         except BaseException:
             # The caller disconnected while its request was queued. Without
             # the release, a later grant would leak the slot.
-            self.held_placements.send_release(owner, ask)
+            self.held_placements.release_unused(owner, ask, replica)
             raise
         finally:
             del self.held_placements.pending_by_ask[ask]
         if reply is None:
-            self._skip_owner(owner, ask, since=now, waited=wait > 0)
+            self._skip_owner(owner, ask, replica, since=now, waited=wait > 0)
             return None
         self._consecutive_timeouts.pop(owner, None)
         return OwnerReply(ask, owner, reply)
@@ -218,6 +218,7 @@
         self,
         owner: _ids.DaemonId,
         ask: _ids.AdmissionRequestId,
+        replica: _ids.ReplicaId,
         *,
         since: float,
         waited: bool,
@@ -248,7 +249,7 @@
                 seconds=skip_seconds,
                 silences=timeouts + 1,
             )
-        self.held_placements.send_release(owner, ask)
+        self.held_placements.release_unused(owner, ask, replica)
 
     def report_response_head(
         self, replica: _ids.ReplicaId, head: messages.EngineWord
--- a/src/topazlug/routing/_owner_endpoint.py
+++ b/src/topazlug/routing/_owner_endpoint.py
@@ -122,7 +122,9 @@
     def _on_release(
         self, sender: _ids.DaemonId, message: Any, reply: _peers.Reply
     ) -> None:
-        self._owner.release(sender, message.asks, message.failed)
+        self._owner.release(
+            sender, message.asks, message.failed, message.unknown
+        )
 
     def _on_outcomes(
         self, sender: _ids.DaemonId, message: Any, reply: _peers.Reply
--- a/src/topazlug/routing/_owner_features.py
+++ b/src/topazlug/routing/_owner_features.py
@@ -27,8 +27,8 @@
         and eject it for all of them.
     is_capacity_short : bool
         Whether the deployment's settings say that capacity is short at
-        times. If not, the two above apply only to replicas that report how
-        slow they are.
+        times. If not, `context_recovery` and `shared_outcomes` apply only
+        to replicas that report how slow they are.
     """
 
     replica_speed: bool = True
--- a/src/topazlug/routing/_placement.py
+++ b/src/topazlug/routing/_placement.py
@@ -121,6 +121,9 @@
         Whether its owner was told of it, by a grant or a renewal.
     failed : bool
         Whether its request failed on the replica.
+    is_outcome_unknown : bool
+        Whether its request did not run, or ended before its outcome was
+        known. It then counts neither as a success nor as a failure.
     is_failure_reported : bool
         Whether its failure was reported before the request ended.
     released : bool
@@ -140,6 +143,7 @@
     ) -> None:
         self.is_counted = is_counted
         self.failed = False
+        self.is_outcome_unknown = False
         self.is_failure_reported = False
         self.reads_context = reads_context
         self.target = target
--- a/tests/topazlug/capacity/test_outcome_counts.py
+++ b/tests/topazlug/capacity/test_outcome_counts.py
@@ -5,6 +5,7 @@
 from topazlug import _ids
 from topazlug.capacity import _outcome_counts
 from topazlug.capacity import _slot_key
+from topazlug.routing import _ledger
 
 D1 = _ids.DaemonId("d1")
 D2 = _ids.DaemonId("d2")
@@ -109,6 +110,26 @@
 
 
 class TestHeldRequests:
+    def test_removed_request_is_forgotten(self):
+        """Keys of requests of lost daemons were kept forever."""
+        ledger = _ledger.ReplicaLedger(
+            replica=_ids.ReplicaId("i-0"),
+            group=_ids.GroupName("pool"),
+            slots=8,
+            batch_slots=8,
+            queue_capacity=8,
+        )
+        entry = _ledger.LedgerEntry(
+            weight=1, team=_ids.TeamName("udelar"), batch=False
+        )
+        ledger.outcomes.eject(now=1.0)
+        ledger.admit(key(1), entry)
+        assert ledger.outcomes.count_once(key(1))
+        ledger.drop_daemon(key(1).daemon, now=2.0)
+        assert ledger.outcomes.probe is None
+        assert not ledger.outcomes.is_probe(key(1))
+        assert ledger.outcomes.count_once(key(1))
+
     def test_failure_counts_once(self, counts):
         """A late request was counted again when its deadline had passed."""
         assert counts.count_once(key(1))
--- a/tests/topazlug/forwarding/test_event_relay.py
+++ b/tests/topazlug/forwarding/test_event_relay.py
@@ -134,3 +134,44 @@
         assert not resumed
         assert sent_to == ["i-1"]
         assert not held
+
+
+class TestCallerLeaves:
+    @pytest.mark.parametrize("has_left", [False, True])
+    def test_outcome_is_unknown(self, has_left):
+        """Streams whose callers left counted as successes at the owner."""
+        released = []
+        placement = types.SimpleNamespace(
+            target=fixtures.target("i-0"),
+            failed=False,
+            is_outcome_unknown=False,
+        )
+        relay = _event_relay.EventRelay(
+            call=types.SimpleNamespace(
+                head=types.SimpleNamespace(resume_after=None),
+                socket=None,
+                deadline=1e9,
+                route=types.SimpleNamespace(resumable=False),
+            ),
+            placement=placement,
+            answer=types.SimpleNamespace(
+                status=200, close=lambda: None, chunks=lambda **_: iter(())
+            ),
+            tried=1,
+            resumer=types.SimpleNamespace(
+                is_disabled=True,
+                release=lambda placement, failed: released.append(failed),
+            ),
+            call_metrics=types.SimpleNamespace(
+                record_answer=lambda call, status: None
+            ),
+            clock=claim_fakes.FakeClock(),
+        )
+        pieces = relay.body_pieces(b"id: 1\ndata: a\n\n")
+        assert [next(pieces), next(pieces)]
+        if has_left:
+            pieces.close()
+        else:
+            assert not list(pieces)
+        assert len(released) == 1
+        assert placement.is_outcome_unknown is has_left
--- a/tests/topazlug/placement/owner_fixtures.py
+++ b/tests/topazlug/placement/owner_fixtures.py
@@ -188,6 +188,8 @@
         self.admission.owner_client = self.owners.owner_client
         reporting = self.admission.outcome_reporting
         reporting.owner_client = self.owners.owner_client
+        held = self.owners.owner_client.held_placements
+        held.reports_outcomes = reporting.applies_to
         reporting.reports = self.owners.outcome_reports
         reporting.is_capacity_short = features.is_capacity_short
         self.targets.on_report(self.owners.owner_client.report_backoff)
