Log and count when no replica accepts a daemon's connections

Callers saw 503 from daemons that had lost their links to all replicas. The logs of the record could not tell a replica that fails from a daemon that reaches none: each failed connection was noted for its replica or its zone.

After a failed connection the daemon now connects to up to three other replicas, in different zones. If none accepts, a line says that no replica accepts connections from this daemon, and another one when some do again; the gauge topazlug_replicas_cut_off and the counter topazlug_replicas_cuts show the same. No decision uses it yet.

--- a/src/topazlug/forwarding/_daemon.py
+++ b/src/topazlug/forwarding/_daemon.py
@@ -40,6 +40,8 @@
 from topazlug.routing import _owner_features
 from topazlug.routing import _owner_gauges
 from topazlug.targets import _listed_targets
+from topazlug.targets import _path_check
+from topazlug.targets import _replica_paths
 from topazlug.targets import _target_client
 from topazlug.targets import _targets
 from topazlug.telemetry import _metrics
@@ -154,12 +156,20 @@
             on_size=self._update_fleet_size,
             clock=clock,
         )
+        paths = _replica_paths.ReplicaPaths(clock=clock)
         self._connections = _target_client.TargetConnections(
             connect_timeout=_CONNECT_TIMEOUT_SECONDS,
             clock=clock,
             wire=replica_codec,
             idle_per_target=_MAX_IDLE_CONNECTIONS_PER_REPLICA,
             handle_report=self.targets.handle_report,
+            on_connected=paths.record_reached,
+        )
+        self._path_check = _path_check.PathCheck(
+            paths=paths,
+            connector=self._connections,
+            targets=lambda: self.targets.target_by_replica.values(),
+            clock=clock,
         )
         self._crash_assembly = _crash_assembly.CrashAssembly(
             daemon=options.daemon,
@@ -191,6 +201,7 @@
             contexts=self.contexts,
             guard=self._crash_assembly.guard,
             call_metrics=self._call_metrics,
+            path_check=self._path_check,
             targets=self.targets,
             views=self.views,
             codec=replica_codec,
@@ -216,6 +227,7 @@
             callers=self._callers,
             tables=self.tables,
             targets=self.targets,
+            paths=paths,
             fleet=self._fleet,
             guard=self._crash_assembly.guard,
             read_placements=self._admission.read_placements,
@@ -392,6 +404,7 @@
         self._monitoring.start()
         self._callers.start()
         self.spawn(self._sweep)
+        self.spawn(self._path_check.recheck_forever)
         self.spawn(self._fleet.run)
         for task in self._crash_assembly.tasks():
             self.spawn(task)
--- a/src/topazlug/forwarding/_exchange.py
+++ b/src/topazlug/forwarding/_exchange.py
@@ -14,6 +14,7 @@
 from topazlug.placement import _mechanisms
 from topazlug.placement import _replica_view
 from topazlug.routing import _placement
+from topazlug.targets import _path_check
 from topazlug.targets import _target_answer
 from topazlug.targets import _target_client
 from topazlug.targets import _targets
@@ -72,6 +73,8 @@
         Called with the placement and the head of its answer.
     awaited_heads : AwaitedHeads
         Watches the requests that wait for an answer.
+    path_check : PathCheck
+        Finds out whether this daemon is cut off from all replicas.
     clock : Clock
         Clock of the daemon.
     disabled : frozenset of Mechanism
@@ -91,6 +94,7 @@
             [_placement.Placement, _placement.AnswerHead], None
         ],
         awaited_heads: _awaited_heads.AwaitedHeads,
+        path_check: _path_check.PathCheck,
         clock: _clock.Clock,
         disabled: _mechanisms.DisabledMechanisms = _mechanisms.NONE_DISABLED,
     ) -> None:
@@ -101,6 +105,7 @@
         self._on_connection_failure = on_connection_failure
         self._on_answer_head = on_answer_head
         self._awaited_heads = awaited_heads
+        self._path_check = path_check
         self._connections = connections
         self._targets = targets
         self._views = views
@@ -138,6 +143,9 @@
                     deadline=call.deadline,
                 )
         except _target_client.ConnectFailed as error:
+            self._path_check.find_cut(
+                failed=placement.target.replica, since=sent_at
+            )
             view.record_outcome(failed=True)
             # A cut of a zone makes healthy replicas time out for some daemons.
             placement.failed = not error.is_timeout
--- a/src/topazlug/forwarding/_forwarder_assembly.py
+++ b/src/topazlug/forwarding/_forwarder_assembly.py
@@ -20,6 +20,7 @@
 from topazlug.placement import _owner_admission
 from topazlug.placement import _replica_view
 from topazlug.routing import _placement
+from topazlug.targets import _path_check
 from topazlug.targets import _target_client
 from topazlug.targets import _targets
 
@@ -48,6 +49,8 @@
         Rejects requests that crash replicas.
     call_metrics : CallMetrics
         Counts requests and their durations.
+    path_check : PathCheck
+        Finds out whether this daemon is cut off from all replicas.
     targets : TargetDirectory
         Known replicas.
     views : ReplicaViews
@@ -66,6 +69,7 @@
     contexts: _context_locator.ContextLocator
     guard: _crash_guard.CrashGuard
     call_metrics: _call_metrics.CallMetrics
+    path_check: _path_check.PathCheck
     targets: _targets.TargetDirectory
     views: _replica_view.ReplicaViews
     codec: _wire.ReplicaHeaderCodec
@@ -97,6 +101,7 @@
             on_connection_failure=self.admission.handle_connection_failure,
             on_answer_head=self.admission.handle_response_head,
             awaited_heads=self.awaited_heads,
+            path_check=self.path_check,
             disabled=self.disabled,
             clock=self.clock,
         )
--- a/src/topazlug/forwarding/_gauges.py
+++ b/src/topazlug/forwarding/_gauges.py
@@ -9,6 +9,7 @@
 from topazlug.forwarding import _table
 from topazlug.placement import _over_bound_reads
 from topazlug.placement import _read_search
+from topazlug.targets import _replica_paths
 from topazlug.targets import _target_gauges
 from topazlug.targets import _targets
 from topazlug.telemetry import _metrics
@@ -21,6 +22,7 @@
     callers: _caller_server.CallersServer,
     tables: _table.TableHolder,
     targets: _targets.TargetDirectory,
+    paths: _replica_paths.ReplicaPaths,
     fleet: _fleet.Fleet,
     guard: _crash_guard.CrashGuard,
     read_placements: _read_search.ReadPlacements,
@@ -37,7 +39,9 @@
     metrics.watch(gauge.TABLE_AGE, lambda: fleet.table_age)
     metrics.watch(gauge.MEMBERS, lambda: fleet.size)
     metrics.watch(gauge.BLOCKED, lambda: guard.blocked)
+    metrics.watch(gauge.CUT_OFF, lambda: paths.is_cut_off)
     total = _metrics.Total
+    metrics.watch(total.CUTS, lambda: paths.cut_count)
     metrics.watch(total.FAIRNESS_REJECTIONS, fairness_rejections)
     metrics.watch(total.LATE_REQUESTS, late_requests)
     metrics.watch(total.CONTROL_SENT, lambda: fleet.bytes_sent)
--- a/src/topazlug/targets/_target_client.py
+++ b/src/topazlug/targets/_target_client.py
@@ -117,6 +117,8 @@
         Maximum number of idle connections to each target.
     handle_report : callable or None
         Called with each target that answers, and its report.
+    on_connected : callable or None
+        Called each time a target has accepted a connection.
 
     Attributes
     ----------
@@ -132,8 +134,10 @@
         wire: _target_wire.TargetWire | None = None,
         idle_per_target: int = _target_answer.IDLE_PER_TARGET,
         handle_report: ReportHandler | None = None,
+        on_connected: Callable[[], None] | None = None,
     ) -> None:
         self._handle_report = handle_report
+        self._on_connected = on_connected
         self._idle_per_target = idle_per_target
         self._connect_timeout = connect_timeout
         self._clock = clock
@@ -300,8 +304,18 @@
                 is_timeout=isinstance(error, TimeoutError),
             ) from error
         _set_options(connection)
+        if self._on_connected is not None:
+            self._on_connected()
         return connection
 
+    def can_connect(self, target: _targets.Target) -> bool:
+        """Return whether a target accepts a connection, which is closed."""
+        try:
+            self._connect(target).close()
+        except ConnectFailed:
+            return False
+        return True
+
     def _send_and_read_head(
         self,
         use: _Use,
--- a/src/topazlug/telemetry/_metrics.py
+++ b/src/topazlug/telemetry/_metrics.py
@@ -83,6 +83,7 @@
     MAX_SLOWNESS = "topazlug.replicas.max_slowness"
     EJECTED_REPLICAS = "topazlug.replicas.ejected"
     TABLE_AGE = "topazlug.tables.age"
+    CUT_OFF = "topazlug.replicas.cut_off"
 
 
 class Total(enum.Enum):
@@ -101,6 +102,7 @@
     RECOVERED_DISPLACED = "topazlug.owner.recovered_displaced_chats"
     EJECTIONS = "topazlug.owner.ejections"
     LATE_REQUESTS = "topazlug.requests.late_heads"
+    CUTS = "topazlug.replicas.cuts"
 
 
 _UNITS: dict[Gauge | Total, str] = {
@@ -136,6 +138,8 @@
     Total.EJECTIONS: "Ejections of owned replicas, for all daemons.",
     Total.LATE_REQUESTS: "Requests reported as failed while they waited for "
     "the head of an answer.",
+    Gauge.CUT_OFF: "1 while no replica accepts connections from this daemon.",
+    Total.CUTS: "Times that no replica accepted connections from this daemon.",
     Gauge.TABLE_AGE: "Age of the oldest word of the store on a table.",
     Total.CONTROL_SENT: "Bytes sent to peers.",
     Total.CONTROL_RECEIVED: "Bytes received from peers.",
--- a/tests/topazlug/forwarding/test_exchange.py
+++ b/tests/topazlug/forwarding/test_exchange.py
@@ -13,6 +13,8 @@
 from topazlug.forwarding import _wire
 from topazlug.placement import _mechanisms
 from topazlug.placement import _replica_view
+from topazlug.targets import _path_check
+from topazlug.targets import _replica_paths
 from topazlug.targets import _target_client
 from topazlug.targets import _targets
 
@@ -30,6 +32,16 @@
         return _wire.LoadReport(1, 0, 8, slowness=2.5)
 
 
+def connected_path_check(clock):
+    """Return a check that finds no cut, as there are no other replicas."""
+    return _path_check.PathCheck(
+        paths=_replica_paths.ReplicaPaths(clock=clock),
+        connector=types.SimpleNamespace(),
+        targets=tuple,
+        clock=clock,
+    )
+
+
 def view_after_answers(*disabled):
     """Return the view of a replica that reported its slowness for 2 s."""
     clock = claim_fakes.FakeClock()
@@ -49,6 +61,7 @@
             is_cold=lambda target: False,
             clock=clock,
         ),
+        path_check=connected_path_check(clock),
         clock=clock,
         disabled=frozenset(disabled),
     )
@@ -109,6 +122,7 @@
             is_cold=lambda target: False,
             clock=clock,
         ),
+        path_check=connected_path_check(clock),
         clock=clock,
     )
 
