Have other daemons serve requests of one that reaches no replica

Cause: a daemon that takes a request had to reach the replica itself. When it can't, each request tried one replica after the other, 0.25 s each, and was refused with 503, while other daemons of the fleet reach all replicas. Failed connections were also noted as failures of the replicas: they were presumed to have restarted, here and at their owners.

Change: a daemon that finds no replica of a group reachable sends the whole request to another daemon, over an authenticated connection to a port of its own, and relays the answer. The other daemon serves it like any request, with what is left of its deadline and its attempts, and never passes it on. It declines at once if it is cut off too, has an older table, is stopping or has 128 such requests. A daemon that declines is left out for 0.5 to 2 s. If none serves, the request is refused with the time until one is tried again. While cut off nothing is recorded of the replicas; the path is checked each 0.5 s. A mechanism, "delegation", switches it off.

--- a/src/topazlug/_errors.py
+++ b/src/topazlug/_errors.py
@@ -251,6 +251,14 @@
     status = HTTPStatus.SERVICE_UNAVAILABLE
 
 
+@final
+class NoReplicaPath(RequestError):
+    """No replica of any group accepts connections from this daemon."""
+
+    code = Code.NO_TARGET
+    status = HTTPStatus.SERVICE_UNAVAILABLE
+
+
 @final
 class TargetRefused(RequestError):
     """The target reported that it did not run the request."""
--- a/src/topazlug/_generated/messages.py
+++ b/src/topazlug/_generated/messages.py
@@ -424,6 +424,55 @@
     ]
 
 
+class DelegatedCall(Struct, kw_only=True, omit_defaults=True):
+    """
+    Sent in a header with a caller's request that another daemon serves.
+    """
+
+    remaining: Annotated[
+        float, Meta(description="Seconds until the deadline of the request.")
+    ]
+    replicas: Annotated[
+        int,
+        Meta(
+            description="Maximum number of replicas that the request may still be sent to."
+        ),
+    ]
+    table: Annotated[
+        int,
+        Meta(
+            description="Version of the routing table that the sender has in force."
+        ),
+    ]
+    counted: (
+        Annotated[
+            bool,
+            Meta(
+                description="Whether the sender has counted the request for the retry budget."
+            ),
+        ]
+    ) = False
+    resume_after: (
+        Annotated[
+            int,
+            Meta(
+                description="Number of the last event that the caller has received, if the sender resumes a stream; else -1."
+            ),
+        ]
+    ) = -1
+
+
+class DeclineReason(StrEnum):
+    """
+    Why a daemon does not serve a request of another one.
+    """
+
+    cut_off = "cut_off"
+    table_behind = "table_behind"
+    busy = "busy"
+    stopping = "stopping"
+
+
 class Displaced(Struct, kw_only=True, omit_defaults=True):
     """
     A chat was displaced from its home, or has returned to it if replica is empty.
--- a/src/topazlug/calls/_attempts.py
+++ b/src/topazlug/calls/_attempts.py
@@ -82,6 +82,7 @@
         may_repeat: MayRepeat | None = None,
         max_replicas: int = _MAX_ATTEMPTS,
         free_connects: bool = False,
+        is_counted: bool = False,
     ) -> ResultT:
         """Run attempts until one succeeds.
 
@@ -102,13 +103,16 @@
         free_connects : bool
             Whether failed connections, over which nothing was sent, count
             neither as attempts nor as retries.
+        is_counted : bool
+            Whether the request has already been counted for the retry budget.
 
         Raises
         ------
         RequestError
             The last failure, with the outcome of all attempts combined.
         """
-        self._budget.earn(request.group)
+        if not is_counted:
+            self._budget.earn(request.group)
         sent = 0
         outcome = _errors.Outcome.NOT_RUN
         excluded: frozenset[_ids.ReplicaId] = frozenset()
@@ -121,6 +125,11 @@
                 failure = self._connect_failed(placement, error)
             except _errors.TargetRefused as error:
                 failure = self._rejected(placement, error)
+            except _errors.NoReplicaPath as error:
+                # No other replica can be reached from this daemon either.
+                self._admission.release(placement)
+                error.outcome = outcome
+                raise
             except _errors.RequestError as error:
                 failure = error
                 if error.outcome is not _errors.Outcome.NOT_RUN:
--- /dev/null
+++ b/src/topazlug/delegation/__init__.py
@@ -0,0 +1,1 @@
+"""Serving of requests by another daemon of the fleet, the delegate."""
--- a/src/topazlug/fleet/_fleet.py
+++ b/src/topazlug/fleet/_fleet.py
@@ -41,6 +41,7 @@
 
     daemon: _ids.DaemonId
     address: _settings_types.AddressSettings
+    delegation_port: int
     relays: bool
     staleness_bounds: _staleness_bounds.StalenessBounds
     first_start: bool
@@ -89,6 +90,7 @@
                 host=options.address.host,
                 port=options.address.port,
                 relays=options.relays,
+                delegation_port=options.delegation_port,
             ),
         )
         self._plan = _reading_plan.ReadingPlan(
--- a/src/topazlug/fleet/_fleet_directory.py
+++ b/src/topazlug/fleet/_fleet_directory.py
@@ -42,11 +42,14 @@
         Where it listens for peers.
     relays : bool
         Whether its network link is fast enough to relay changes to others.
+    delegation_port : int
+        Where it listens for requests of other daemons; 0 if it does not.
     """
 
     host: str
     port: int
     relays: bool
+    delegation_port: int = 0
 
 
 @final
@@ -176,6 +179,8 @@
         ipaddress.IPv4Address(row.host)
         if not 0 < row.port <= _MAX_PORT:
             raise ValueError(f"port {row.port}")
+        if not 0 <= row.delegation_port <= _MAX_PORT:
+            raise ValueError(f"delegation port {row.delegation_port}")
         return row
     except (msgspec.MsgspecError, ValueError, RecursionError) as error:
         _log.warning(
--- a/src/topazlug/forwarding/_app.py
+++ b/src/topazlug/forwarding/_app.py
@@ -3,19 +3,25 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Mapping
+import functools
 from http import HTTPStatus
 from typing import Any
 from typing import final
 
+import msgspec
+
 from topazlug import _clock
 from topazlug import _errors
 from topazlug import _ids
 from topazlug import _logs
+from topazlug._generated import messages
 from topazlug.callers import _caller_answer
 from topazlug.callers import _caller_request
 from topazlug.callers import _caller_watch
 from topazlug.callers import _wsgi
 from topazlug.crashes import _fingerprint
+from topazlug.delegation import _delegation_server
+from topazlug.delegation import _delegation_wire
 from topazlug.forwarding import _call
 from topazlug.forwarding import _call_metrics
 from topazlug.forwarding import _forwarder
@@ -31,6 +37,9 @@
 _DEFAULT_TIMEOUT_SECONDS = 60.0
 _BODY_TIMEOUT_SECONDS = 10.0
 _NOT_READY_RETRY_SECONDS = 0.5
+# Requests of other daemons served at once. A daemon that is one of the few
+# that still reach replicas must keep its capacity for its own callers.
+_MAX_DELEGATED_IN_PROGRESS = 128
 # Statuses that promise the caller that its request has not run.
 _NOT_RUN_STATUSES = frozenset(
     {
@@ -60,6 +69,9 @@
         Delays requests while the daemon starts.
     call_metrics : CallMetrics
         Counts requests and their durations.
+    is_stopping : callable
+        Returns whether the daemon is stopping, so that it accepts no more
+        requests of other daemons.
     clock : Clock
         Clock of the daemon.
 
@@ -67,6 +79,10 @@
     ----------
     in_progress : int
         Number of requests whose answer has not ended.
+    delegated_in_progress : int
+        Those of them that other daemons have sent.
+    delegated_count : int
+        Number of requests that this daemon served for others.
     """
 
     def __init__(
@@ -78,8 +94,10 @@
         decoder: _wire.CallerHeaderDecoder,
         gate: _startup_gate.StartupGate,
         call_metrics: _call_metrics.CallMetrics,
+        is_stopping: Callable[[], bool],
         clock: _clock.Clock,
     ) -> None:
+        self._is_stopping = is_stopping
         self._gate = gate
         self._forwarder = forwarder
         self._tables = tables
@@ -88,21 +106,26 @@
         self._call_metrics = call_metrics
         self._clock = clock
         self.in_progress = 0
+        self.delegated_in_progress = 0
+        self.delegated_count = 0
 
     def __call__(
         self, environ: Mapping[str, Any], start_response: _wsgi.StartResponse
     ) -> Iterable[bytes]:
         """Answer one WSGI request."""
+        is_delegated = _delegation_server.SENDER in environ
         self.in_progress += 1
+        self.delegated_in_progress += is_delegated
         return _wsgi.respond(
             lambda: self._answer(environ),
             start_response,
             is_head=environ["REQUEST_METHOD"] == "HEAD",
-            on_end=self._on_answer_end,
+            on_end=functools.partial(self._on_answer_end, is_delegated),
         )
 
-    def _on_answer_end(self) -> None:
+    def _on_answer_end(self, is_delegated: bool) -> None:
         self.in_progress -= 1
+        self.delegated_in_progress -= is_delegated
 
     def _answer(
         self, environ: Mapping[str, Any]
@@ -111,11 +134,23 @@
         attempt = _ids.RequestId("")
         # A failure before the key is checked is counted for no team.
         team = _metrics.NO_TEAM
+        fields = environ[_caller_request.FIELDS]
+        sender = environ.get(_delegation_server.SENDER)
         try:
-            head = self._decoder.decode(environ[_caller_request.FIELDS])
+            delegation = None
+            if sender is not None:
+                delegation = _delegation_wire.decode(fields)
+                fields = _delegation_wire.without_own_fields(fields)
+            head = self._decoder.decode(fields)
             attempt = head.attempt
-            with _logs.request_fields(request_id=attempt):
+            with _logs.request_fields(
+                request_id=attempt, **({"sender": sender} if sender else {})
+            ):
+                if delegation is not None:
+                    head = self._accept_delegated(head, delegation)
                 call = self._read_call(environ, head, started_at)
+                call.fields = list(fields)
+                call.delegation = delegation
                 team = call.team_name
                 return self._forward_with_log_fields(call)
         except _errors.TopazlugError as error:
@@ -127,6 +162,53 @@
             fault = _errors.TopazlugError("internal error")
             return _caller_answer.error_answer(fault, attempt)
 
+    def _accept_delegated(
+        self, head: _wire.CallHead, delegation: messages.DelegatedCall
+    ) -> _wire.CallHead:
+        """Return the head of a request that another daemon has sent.
+
+        Raises
+        ------
+        DelegationDeclined
+            This daemon does not serve it.
+        """
+        reason = self._decline_reason(delegation)
+        if reason is not None:
+            raise _delegation_wire.DelegationDeclined(reason)
+        self.delegated_count += 1
+        _log.info(
+            "serves a request of a daemon that reaches no replica",
+            remaining=round(delegation.remaining, 3),
+            replicas_left=delegation.replicas,
+            sender_table=delegation.table,
+        )
+        caller_timeout = delegation.remaining
+        if head.caller_timeout is not None:
+            caller_timeout = min(caller_timeout, head.caller_timeout)
+        resume_after = head.resume_after
+        if delegation.resume_after >= 0:
+            resume_after = delegation.resume_after
+        return msgspec.structs.replace(
+            head, caller_timeout=caller_timeout, resume_after=resume_after
+        )
+
+    def _decline_reason(
+        self, delegation: messages.DelegatedCall
+    ) -> messages.DeclineReason | None:
+        """Return why a delegated request is declined, None if it is not.
+
+        With an older table than the sender's, this daemon could reject a
+        request for a route or key that the sender already knows.
+        """
+        reasons = messages.DeclineReason
+        if self._is_stopping():
+            return reasons.stopping
+        if self.delegated_in_progress > _MAX_DELEGATED_IN_PROGRESS:
+            return reasons.busy
+        if self._tables.version < delegation.table:
+            return reasons.table_behind
+        return None
+
     def _read_call(
         self,
         environ: Mapping[str, Any],
@@ -177,6 +259,7 @@
                 team=team.name if team else _ids.TeamName(""),
                 body=body,
             ),
+            fields=[],
         )
 
     def _forward_with_log_fields(
@@ -226,6 +309,10 @@
         )
         if answer.status in _NOT_RUN_STATUSES and not _has_not_run(error):
             answer.status = int(HTTPStatus.BAD_GATEWAY)
+        if isinstance(error, _delegation_wire.DelegationDeclined):
+            answer.headers.append(
+                (_delegation_wire.DECLINED, error.reason.value)
+            )
         with _logs.request_fields(request_id=attempt, status=answer.status):
             if isinstance(error, _caller_watch.CallerLeft):
                 _log.info("caller disconnected before its answer began")
--- a/src/topazlug/forwarding/_awaited_heads.py
+++ b/src/topazlug/forwarding/_awaited_heads.py
@@ -45,6 +45,10 @@
         returns whether it was reported.
     is_cold : callable
         Returns whether a replica has just started.
+    is_cut_off : callable
+        Called with a replica and the time of a request to it; returns
+        whether this daemon can't reach the replica's group. Its requests
+        then say nothing of the replica.
     clock : Clock
         Time.
     """
@@ -55,11 +59,13 @@
         views: _replica_view.ReplicaViews,
         report_late: Callable[[_placement.Placement], bool],
         is_cold: Callable[[_targets.Target], bool],
+        is_cut_off: Callable[[_targets.Target, float], bool],
         clock: _clock.Clock,
     ) -> None:
         self._views = views
         self._report_late = report_late
         self._is_cold = is_cold
+        self._is_cut_off = is_cut_off
         self._clock = clock
         self._waits: dict[int, _Wait] = {}
 
@@ -83,6 +89,8 @@
                 continue
             if self._waits.pop(key, None) is None:
                 continue
+            if self._is_cut_off(wait.placement.target, wait.started_at):
+                continue
             if self._report_late(wait.placement):
                 _log.info(
                     "no answer from {replica} for {seconds:.1f} s",
--- a/src/topazlug/forwarding/_call.py
+++ b/src/topazlug/forwarding/_call.py
@@ -5,13 +5,40 @@
 
 import msgspec
 
+from topazlug import _errors
 from topazlug import _ids
+from topazlug._generated import messages
 from topazlug.forwarding import _table
 from topazlug.forwarding import _wire
 from topazlug.routing import _placement
 from topazlug.routing import _ranking
 
 
+@final
+class Progress(msgspec.Struct):
+    """What this daemon has done for a request so far.
+
+    Attributes
+    ----------
+    placed : int
+        Replicas that were chosen for it.
+    sent : int
+        Replicas that it was sent to.
+    replica : ReplicaId
+        The last of them, empty if there is none.
+    is_counted : bool
+        Whether it has been counted for the retry budget.
+    outcome : Outcome
+        Whether it may have run.
+    """
+
+    placed: int = 0
+    sent: int = 0
+    replica: _ids.ReplicaId = _ids.ReplicaId("")
+    is_counted: bool = False
+    outcome: _errors.Outcome = _errors.Outcome.NOT_RUN
+
+
 @final
 class ForwardedCall(msgspec.Struct, kw_only=True):
     """One request of a caller.
@@ -41,6 +68,11 @@
         The caller's connection.
     fingerprint : Fingerprint
         Identical for all repeats of this request at any daemon.
+    fields : list of (str, str)
+        Header fields as the caller sent them.
+    delegation : DelegatedCall or None
+        What another daemon, which has the request from the caller, left of
+        its attempts; None if this daemon has it from the caller.
     """
 
     method: str
@@ -56,6 +88,15 @@
     deadline: float
     socket: Any
     fingerprint: _ids.Fingerprint
+    fields: list[_wire.Field]
+    delegation: messages.DelegatedCall | None = None
+
+    @property
+    def max_replicas(self) -> int:
+        """Return the maximum number of replicas it may be sent to."""
+        if self.delegation is None:
+            return self.route.max_replicas
+        return min(self.route.max_replicas, self.delegation.replicas)
 
     @property
     def team_name(self) -> _ids.TeamName:
--- a/src/topazlug/forwarding/_daemon.py
+++ b/src/topazlug/forwarding/_daemon.py
@@ -5,12 +5,14 @@
 
 import gevent
 from gevent import event
+import msgspec
 
 from topazlug import _clock
 from topazlug import _logs
 from topazlug import _tasks
 from topazlug._generated import settings as _settings_types
 from topazlug.callers import _caller_server
+from topazlug.delegation import _delegation_role
 from topazlug.fleet import _fleet
 from topazlug.fleet import _fleet_directory
 from topazlug.fleet import _table_feed
@@ -148,6 +150,7 @@
                 daemon=options.daemon,
                 address=options.peers,
                 relays=options.relays,
+                delegation_port=options.delegation_port,
                 staleness_bounds=options.staleness_bounds,
                 first_start=options.first_start,
             ),
@@ -163,12 +166,15 @@
             wire=replica_codec,
             idle_per_target=_MAX_IDLE_CONNECTIONS_PER_REPLICA,
             handle_report=self.targets.handle_report,
-            on_connected=paths.record_reached,
+            on_connected=lambda target: self._path_check.record_reached(
+                target
+            ),
         )
         self._path_check = _path_check.PathCheck(
             paths=paths,
             connector=self._connections,
             targets=lambda: self.targets.target_by_replica.values(),
+            on_lost_replicas=self._presume_restarted,
             clock=clock,
         )
         self._crash_assembly = _crash_assembly.CrashAssembly(
@@ -190,8 +196,22 @@
             views=self.views,
             report_late=self._admission.outcome_reporting.report_late,
             is_cold=self.targets.cold.is_cold,
+            is_cut_off=self._is_cut_off,
+            clock=clock,
+        )
+        self._delegation = _delegation_role.DelegationRole(
+            daemon=options.daemon,
+            daemons=lambda: self._fleet.directory.daemons_by_id,
+            table_version=lambda: self.tables.version,
+            budget=self.budget,
+            paths=paths,
+            targets=self.targets,
+            replica_wire=replica_codec,
             clock=clock,
         )
+        is_delegating = (
+            _mechanisms.Mechanism.DELEGATION not in options.disabled
+        )
         forwarder_assembly = _forwarder_assembly.ForwarderAssembly(
             admission=self._admission,
             awaited_heads=self._awaited_heads,
@@ -202,6 +222,7 @@
             guard=self._crash_assembly.guard,
             call_metrics=self._call_metrics,
             path_check=self._path_check,
+            delegator=self._delegation.delegator if is_delegating else None,
             targets=self.targets,
             views=self.views,
             codec=replica_codec,
@@ -214,6 +235,7 @@
             decoder=caller_decoder,
             gate=self._gate,
             call_metrics=self._call_metrics,
+            is_stopping=lambda: self._stopping,
             clock=clock,
         )
         self._callers = _caller_server.CallersServer(
@@ -228,6 +250,7 @@
             tables=self.tables,
             targets=self.targets,
             paths=paths,
+            delegator=self._delegation.delegator,
             fleet=self._fleet,
             guard=self._crash_assembly.guard,
             read_placements=self._admission.read_placements,
@@ -294,6 +317,23 @@
             )
             self._connections.drop_connections(before[target.replica])
 
+    def _presume_restarted(self, targets: list[_targets.Target]) -> None:
+        """Treat replicas as cold that no daemon has reached for a while."""
+        self.targets.cold.presume_cold(targets)
+        if self._admission.owner_client is not None:
+            for target in targets:
+                self._admission.owner_client.report_connection_failure(
+                    target.replica
+                )
+
+    def _is_cut_off(self, target: _targets.Target, since: float) -> bool:
+        """Return whether an answer is late because of this daemon's path."""
+        if self._connections.last_received_at >= since:
+            return False
+        return self._path_check.find_cut(
+            target.group, failed=target.replica, since=since
+        )
+
     def _open_gate(self) -> None:
         if self.is_ready():
             self._gate.open()
@@ -335,6 +375,13 @@
         )
         _owner_gauges.watch_recoveries(self.metrics, self._owners.recoveries)
         self._crash_assembly.join(links)
+        self._delegation.join(
+            links,
+            address=msgspec.structs.replace(
+                self._options.peers, port=self._options.delegation_port
+            ),
+            app=self._app,
+        )
         if _mechanisms.Mechanism.OWNERS not in self._options.disabled:
             self._admission.owner_client = self._owners.owner_client
             reporting = self._admission.outcome_reporting
@@ -437,6 +484,7 @@
         while True:
             self._clock.sleep(_SWEEP_INTERVAL_SECONDS)
             self._connections.sweep()
+            self._delegation.sweep()
 
     def is_ready(self) -> bool:
         """Return whether the load balancer may send requests here."""
@@ -467,5 +515,6 @@
         self._monitoring.stop()
         gevent.killall(self._greenlets, block=False)
         self._connections.close()
+        self._delegation.stop()
         self._fleet.stop()
         self.stopped.set()
--- a/src/topazlug/forwarding/_event_relay.py
+++ b/src/topazlug/forwarding/_event_relay.py
@@ -343,7 +343,7 @@
         route = self._call.route
         if self._resumer.is_disabled:
             return False
-        return route.resumable and self._tried < route.max_replicas
+        return route.resumable and self._tried < self._call.max_replicas
 
     def _resume(self, error: _errors.RequestError) -> bool:
         if not self._may_resume():
--- a/src/topazlug/forwarding/_exchange.py
+++ b/src/topazlug/forwarding/_exchange.py
@@ -74,7 +74,7 @@
     awaited_heads : AwaitedHeads
         Watches the requests that wait for an answer.
     path_check : PathCheck
-        Finds out whether this daemon is cut off from all replicas.
+        Finds out whether this daemon is cut off from a group.
     clock : Clock
         Clock of the daemon.
     disabled : frozenset of Mechanism
@@ -127,11 +127,16 @@
         ------
         ConnectFailed
             Nothing was sent.
+        NoReplicaPath
+            Nothing was sent, as this daemon is cut off from the group.
         TargetRefused
             The replica rejected the request and did not run it.
         RequestError
             The request may have run.
         """
+        if self._path_check.is_cut_off(call.group):
+            placement.is_outcome_unknown = True
+            raise _no_replica_path_error(call)
         view = self._views.of_incarnation(placement.target)
         sent_at = self._clock.monotonic()
         try:
@@ -143,9 +148,12 @@
                     deadline=call.deadline,
                 )
         except _target_client.ConnectFailed as error:
-            self._path_check.find_cut(
-                failed=placement.target.replica, since=sent_at
-            )
+            if self._path_check.find_cut(
+                call.group, failed=placement.target.replica, since=sent_at
+            ):
+                # The replica is not at fault, so nothing is recorded of it.
+                placement.is_outcome_unknown = True
+                raise _no_replica_path_error(call) from error
             view.record_outcome(failed=True)
             # A cut of a zone makes healthy replicas time out for some daemons.
             placement.failed = not error.is_timeout
@@ -153,6 +161,9 @@
             self._on_connection_failure(placement, timed_out=error.is_timeout)
             raise
         except _errors.RequestError as error:
+            if self._path_check.is_cut_off(call.group):
+                placement.is_outcome_unknown = True
+                raise
             view.record_outcome(failed=True)
             _failures.record(placement, error)
             raise
@@ -229,3 +240,11 @@
         self._on_answer_head(placement, head)
         if call.route.has_context:
             self._contexts.record_read(call.chat, placement.target)
+
+
+def _no_replica_path_error(
+    call: _call.ForwardedCall,
+) -> _errors.NoReplicaPath:
+    return _errors.NoReplicaPath(
+        f"no replica of {call.group} accepts connections from this daemon"
+    )
--- a/src/topazlug/forwarding/_forwarder.py
+++ b/src/topazlug/forwarding/_forwarder.py
@@ -8,21 +8,26 @@
 from topazlug import _clock
 from topazlug import _errors
 from topazlug import _logs
+from topazlug._generated import messages
 from topazlug.callers import _caller_answer
 from topazlug.callers import _caller_watch
 from topazlug.calls import _attempts
 from topazlug.crashes import _crash_guard
+from topazlug.delegation import _delegation_wire
+from topazlug.delegation import _delegator
+from topazlug.forwarding import _answer_fields
 from topazlug.forwarding import _call
 from topazlug.forwarding import _call_metrics
 from topazlug.forwarding import _event_relay
 from topazlug.forwarding import _exchange
 from topazlug.forwarding import _failures
-from topazlug.forwarding import _wire
 from topazlug.limits import _retry_share
 from topazlug.placement import _mechanisms
 from topazlug.placement import _replica_view
 from topazlug.routing import _placement
+from topazlug.targets import _path_check
 from topazlug.targets import _target_answer
+from topazlug.targets import _target_client
 
 _log = _logs.logger("forwarding")
 _OK = 200
@@ -30,6 +35,8 @@
 # An answer up to this size is read completely before the caller receives any
 # of it. If it breaks off, the request is retried or fails with a clean error.
 _MAX_BUFFERED_BYTES = 1 << 20
+# A daemon that is cut off notices the end of its cut within about this time.
+_CUT_RETRY_AFTER_SECONDS = 0.5
 # A second replica is tried once the first byte takes longer than this many
 # times the latency objective. Before that, the first replica may still answer
 # on time.
@@ -37,19 +44,6 @@
 # A second replica is not tried before this many times the replica's recent
 # latency: if the whole service is slow, retries only add load.
 _EARLY_RETRY_LATENCIES = 4.0
-# Fields that apply to one connection only (RFC 9110, 7.6.1).
-_HOP_BY_HOP_FIELDS = frozenset(
-    {
-        "connection",
-        "keep-alive",
-        "proxy-authenticate",
-        "proxy-connection",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-    }
-)
 
 
 @final
@@ -68,6 +62,10 @@
         Resumes broken streams.
     guard : CrashGuard
         Rejects requests that crash replicas.
+    path_check : PathCheck
+        Finds out whether this daemon is cut off from a group.
+    delegator : Delegator or None
+        Has other daemons serve requests meanwhile; None if none may.
     views : ReplicaViews
         Load, latency and outcomes of replicas.
     budget : RetryShare
@@ -88,6 +86,8 @@
         exchange: _exchange.Exchange,
         resumer: _event_relay.StreamResumer,
         guard: _crash_guard.CrashGuard,
+        path_check: _path_check.PathCheck,
+        delegator: _delegator.Delegator | None,
         views: _replica_view.ReplicaViews,
         budget: _retry_share.RetryShare,
         call_metrics: _call_metrics.CallMetrics,
@@ -102,6 +102,8 @@
         self._exchange = exchange
         self._resumer = resumer
         self._guard = guard
+        self._path_check = path_check
+        self._delegator = delegator
         self._views = views
         self._budget = budget
         self._call_metrics = call_metrics
@@ -120,44 +122,97 @@
         # request that crashes every replica it runs on crashed eleven of them
         # in eleven seconds, each with two to twelve other requests.
         self._guard.check(call.fingerprint)
-        tried: list[_placement.Placement] = []
-        attempt = functools.partial(self._attempt, call, tried)
+        progress = _call.Progress(
+            is_counted=call.delegation is not None and call.delegation.counted
+        )
         with _caller_watch.cancel_on_disconnect(call.socket):
-            try:
-                return self._attempts.run(
-                    call.placement_request(),
-                    attempt,
-                    repeatable=call.route.repeatable,
-                    may_repeat=functools.partial(
-                        self._guard.may_repeat, call.fingerprint
-                    ),
-                    max_replicas=call.route.max_replicas,
-                    free_connects=True,
+            if self._path_check.is_cut_off(call.group):
+                error = _errors.NoReplicaPath(
+                    f"this daemon reaches no replica of {call.group}"
                 )
+                return self._serve_elsewhere(call, progress, error)
+            try:
+                answer = self._serve_here(call, progress)
+                if call.delegation is not None:
+                    answer.headers.append(
+                        (_delegation_wire.REPLICA, progress.replica)
+                    )
+                return answer
+            except _errors.NoReplicaPath as error:
+                progress.outcome = error.outcome
+                return self._serve_elsewhere(call, progress, error)
             except _exchange.AnsweredWithFailure as error:
                 self._call_metrics.record_answer(call, error.answer.status)
                 return _buffered_answer(error.answer, error.body)
 
+    def _serve_here(
+        self, call: _call.ForwardedCall, progress: _call.Progress
+    ) -> _caller_answer.CallerAnswer:
+        is_counted, progress.is_counted = progress.is_counted, True
+        return self._attempts.run(
+            call.placement_request(),
+            functools.partial(self._attempt, call, progress),
+            repeatable=call.route.repeatable,
+            may_repeat=functools.partial(
+                self._guard.may_repeat, call.fingerprint
+            ),
+            max_replicas=call.max_replicas,
+            free_connects=True,
+            is_counted=is_counted,
+        )
+
+    def _serve_elsewhere(
+        self,
+        call: _call.ForwardedCall,
+        progress: _call.Progress,
+        error: _errors.NoReplicaPath,
+    ) -> _caller_answer.CallerAnswer:
+        """Have another daemon serve a request, as this one can't.
+
+        A request that another daemon has sent here is declined instead, so
+        that requests never go round in circles.
+        """
+        is_certain = progress.outcome is _errors.Outcome.NOT_RUN
+        if call.delegation is not None and is_certain:
+            raise _delegation_wire.DelegationDeclined(
+                messages.DeclineReason.cut_off
+            )
+        may_send = progress.sent < call.max_replicas and (
+            is_certain or call.route.repeatable
+        )
+        if self._delegator is None or call.delegation or not may_send:
+            error.retry_after = _CUT_RETRY_AFTER_SECONDS
+            raise error
+        return self._delegator.serve(call, progress)
+
     def _attempt(
         self,
         call: _call.ForwardedCall,
-        tried: list[_placement.Placement],
+        progress: _call.Progress,
         placement: _placement.Placement,
     ) -> _caller_answer.CallerAnswer:
-        if not tried:
+        if not progress.placed:
             self._call_metrics.record_sent(call)
-        tried.append(placement)
+        progress.replica = placement.target.replica
+        progress.placed += 1
+        progress.sent += 1
         with _logs.request_fields(replica=placement.target.replica):
-            answer = self._exchange.send(
-                call,
-                placement,
-                head_timeout=self._answer_timeout(call, placement, len(tried)),
-                resume_after=call.head.resume_after,
-            )
+            try:
+                answer = self._exchange.send(
+                    call,
+                    placement,
+                    head_timeout=self._answer_timeout(
+                        call, placement, progress.placed
+                    ),
+                    resume_after=call.head.resume_after,
+                )
+            except (_target_client.ConnectFailed, _errors.NoReplicaPath):
+                progress.sent -= 1
+                raise
             try:
                 if answer.status == _OK and _is_stream(answer):
                     return self._relay_stream(
-                        call, placement, answer, len(tried)
+                        call, placement, answer, progress.placed
                     )
                 return self._relay_whole(call, placement, answer)
             except BaseException as error:
@@ -184,7 +239,7 @@
         route = call.route
         if not self._early_retries:
             return remaining_seconds
-        if not route.repeatable or tried >= route.max_replicas:
+        if not route.repeatable or tried >= call.max_replicas:
             return remaining_seconds
         if not self._budget.can_retry(call.group):
             return remaining_seconds
@@ -268,7 +323,7 @@
 
         return _caller_answer.CallerAnswer(
             status=answer.status,
-            headers=forwarded_fields(answer, keep_length=True),
+            headers=_answer_fields.forwarded_fields(answer, keep_length=True),
             body=_caller_answer.prime(pieces()),
         )
 
@@ -299,27 +354,11 @@
         self._call_metrics.record_first_byte(call)
         return _caller_answer.CallerAnswer(
             status=answer.status,
-            headers=forwarded_fields(answer, keep_length=False),
+            headers=_answer_fields.forwarded_fields(answer, keep_length=False),
             body=_caller_answer.prime(relay.body_pieces(first_events)),
         )
 
 
-def forwarded_fields(
-    answer: _target_answer.TargetAnswer, *, keep_length: bool
-) -> list[_wire.Field]:
-    """Return the fields of a replica's answer that the caller receives."""
-    removed = set(_HOP_BY_HOP_FIELDS)
-    for value in answer.header_values("Connection"):
-        removed.update(name.strip().lower() for name in value.split(","))
-    if not keep_length:
-        removed.add("content-length")
-    return [
-        (name, value)
-        for name, value in answer.headers
-        if name.lower() not in removed
-    ]
-
-
 def _is_stream(answer: _target_answer.TargetAnswer) -> bool:
     media_type = answer.header("Content-Type")
     return media_type.partition(";")[0].strip().lower() == "text/event-stream"
@@ -328,7 +367,7 @@
 def _buffered_answer(
     answer: _target_answer.TargetAnswer, body: bytes
 ) -> _caller_answer.CallerAnswer:
-    headers = forwarded_fields(answer, keep_length=False)
+    headers = _answer_fields.forwarded_fields(answer, keep_length=False)
     headers.append(("Content-Length", str(len(body))))
     return _caller_answer.CallerAnswer(
         status=answer.status, headers=headers, body=iter([body])
--- a/src/topazlug/forwarding/_forwarder_assembly.py
+++ b/src/topazlug/forwarding/_forwarder_assembly.py
@@ -8,6 +8,7 @@
 from topazlug import _logs
 from topazlug.calls import _attempts
 from topazlug.crashes import _crash_guard
+from topazlug.delegation import _delegator
 from topazlug.forwarding import _awaited_heads
 from topazlug.forwarding import _call_metrics
 from topazlug.forwarding import _event_relay
@@ -50,7 +51,9 @@
     call_metrics : CallMetrics
         Counts requests and their durations.
     path_check : PathCheck
-        Finds out whether this daemon is cut off from all replicas.
+        Finds out whether this daemon is cut off from a group.
+    delegator : Delegator or None
+        Has other daemons serve requests while this one is cut off.
     targets : TargetDirectory
         Known replicas.
     views : ReplicaViews
@@ -70,6 +73,7 @@
     guard: _crash_guard.CrashGuard
     call_metrics: _call_metrics.CallMetrics
     path_check: _path_check.PathCheck
+    delegator: _delegator.Delegator | None
     targets: _targets.TargetDirectory
     views: _replica_view.ReplicaViews
     codec: _wire.ReplicaHeaderCodec
@@ -84,6 +88,8 @@
             exchange=exchange,
             resumer=self._new_resumer(exchange),
             guard=self.guard,
+            path_check=self.path_check,
+            delegator=self.delegator,
             views=self.views,
             budget=self.budget,
             call_metrics=self.call_metrics,
--- a/src/topazlug/forwarding/_gauges.py
+++ b/src/topazlug/forwarding/_gauges.py
@@ -4,6 +4,7 @@
 
 from topazlug.callers import _caller_server
 from topazlug.crashes import _crash_guard
+from topazlug.delegation import _delegator
 from topazlug.fleet import _fleet
 from topazlug.forwarding import _app
 from topazlug.forwarding import _table
@@ -23,6 +24,7 @@
     tables: _table.TableHolder,
     targets: _targets.TargetDirectory,
     paths: _replica_paths.ReplicaPaths,
+    delegator: _delegator.Delegator,
     fleet: _fleet.Fleet,
     guard: _crash_guard.CrashGuard,
     read_placements: _read_search.ReadPlacements,
@@ -39,9 +41,12 @@
     metrics.watch(gauge.TABLE_AGE, lambda: fleet.table_age)
     metrics.watch(gauge.MEMBERS, lambda: fleet.size)
     metrics.watch(gauge.BLOCKED, lambda: guard.blocked)
-    metrics.watch(gauge.CUT_OFF, lambda: paths.is_cut_off)
+    metrics.watch(gauge.CUT_OFF, lambda: len(paths.cut_groups()))
     total = _metrics.Total
     metrics.watch(total.CUTS, lambda: paths.cut_count)
+    metrics.watch(total.DELEGATED, lambda: delegator.sent_count)
+    metrics.watch(total.NOT_DELEGATED, lambda: delegator.refused_count)
+    metrics.watch(total.SERVED_FOR_OTHERS, lambda: app.delegated_count)
     metrics.watch(total.FAIRNESS_REJECTIONS, fairness_rejections)
     metrics.watch(total.LATE_REQUESTS, late_requests)
     metrics.watch(total.CONTROL_SENT, lambda: fleet.bytes_sent)
--- a/src/topazlug/forwarding/_options.py
+++ b/src/topazlug/forwarding/_options.py
@@ -34,6 +34,9 @@
         requests, plus `retry_extra`.
     peers : AddressSettings
         Listener for other daemons.
+    delegation_port : int
+        Port at the address of `peers` for requests that other daemons
+        delegate to this one; 0 to serve none.
     relays : bool
         Whether it relays changes of tables to other daemons.
     staleness_bounds : StalenessBounds
@@ -60,6 +63,7 @@
     retry_extra: float
     retry_window: float
     peers: _settings_types.AddressSettings
+    delegation_port: int
     relays: bool
     staleness_bounds: _staleness_bounds.StalenessBounds
     first_start: bool
--- a/src/topazlug/peers/_peer_connections.py
+++ b/src/topazlug/peers/_peer_connections.py
@@ -58,6 +58,10 @@
         self._traffic.sent += sent
         return data[sent:]
 
+    def detach(self) -> socket.socket:
+        """Return the connection itself, whose bytes are no longer counted."""
+        return self._sock
+
     def close(self) -> None:
         """Close the connection and wake a greenlet that reads from it."""
         self._sock.close()
--- a/src/topazlug/peers/_peers.py
+++ b/src/topazlug/peers/_peers.py
@@ -194,6 +194,42 @@
         """
         return self._link_to(to).call(message, timeout=timeout)
 
+    def open_stream(
+        self, to: _ids.DaemonId, address: Address
+    ) -> socket.socket:
+        """Open an authenticated connection that carries no messages.
+
+        Raises
+        ------
+        PeerRefused
+            If it is not the expected peer, or not a member of the fleet.
+        OSError
+            If the connection fails or the handshake times out.
+        """
+        counted, _session = self._connector.dial(*address, expected=to)
+        return counted.detach()
+
+    def accept_stream(
+        self, sock: socket.socket
+    ) -> tuple[socket.socket, _ids.DaemonId]:
+        """Authenticate a connection that `open_stream` has opened.
+
+        Returns
+        -------
+        tuple
+            The connection to use from now on, and the daemon at its other
+            end.
+
+        Raises
+        ------
+        PeerRefused
+            If it is not a member of the fleet.
+        OSError
+            If the connection fails or the handshake times out.
+        """
+        counted, session = self._connector.accept(sock)
+        return counted.detach(), session.peer.daemon_id
+
     def received_since(self, peer: _ids.DaemonId, moment: float) -> bool:
         """Return whether a peer has sent data on the stream dialled to it.
 
--- a/src/topazlug/placement/_mechanisms.py
+++ b/src/topazlug/placement/_mechanisms.py
@@ -17,6 +17,7 @@
     CONTEXT_READS = "context-reads"
     CONTEXT_RECOVERY = "context-recovery"
     CRASH_GUARD = "crash-guard"
+    DELEGATION = "delegation"
     DISPLACEMENT = "displaced"
     FAIR_SHARES = "fair-shares"
     OUTLIER_EJECTION = "holding-out"
--- a/src/topazlug/targets/_path_check.py
+++ b/src/topazlug/targets/_path_check.py
@@ -1,7 +1,7 @@
 """Connects to replicas to find out whether this daemon is cut off."""
 
 from collections.abc import Callable
-from collections.abc import Iterable
+from collections.abc import Collection
 from typing import Protocol
 from typing import final
 
@@ -9,6 +9,7 @@
 from gevent import event
 
 from topazlug import _clock
+from topazlug import _ids
 from topazlug.targets import _replica_paths
 from topazlug.targets import _target
 
@@ -26,7 +27,7 @@
 
 @final
 class PathCheck:
-    """Checks the path of this daemon to its replicas.
+    """Checks the paths of this daemon to replicas.
 
     Parameters
     ----------
@@ -36,6 +37,9 @@
         Opens connections.
     targets : callable
         Returns all listed replicas.
+    on_lost_replicas : callable
+        Called with the replicas of a group that is reachable again, if none
+        of them has answered any daemon meanwhile.
     clock : Clock
         Time.
     """
@@ -45,21 +49,24 @@
         *,
         paths: _replica_paths.ReplicaPaths,
         connector: ReplicaConnector,
-        targets: Callable[[], Iterable[_target.Target]],
+        targets: Callable[[], Collection[_target.Target]],
+        on_lost_replicas: Callable[[list[_target.Target]], None],
         clock: _clock.Clock,
     ) -> None:
         self.paths = paths
         self._connector = connector
         self._targets = targets
+        self._on_lost_replicas = on_lost_replicas
         self._clock = clock
-        self._running: event.Event | None = None
+        self._ended_by_group: dict[_ids.GroupName, event.Event] = {}
 
-    @property
-    def is_cut_off(self) -> bool:
-        """Return whether no replica could be reached in the last check."""
-        return self.paths.is_cut_off
+    def is_cut_off(self, group: _ids.GroupName) -> bool:
+        """Return whether no replica of a group could be reached."""
+        return self.paths.is_cut_off(group)
 
-    def find_cut(self, *, failed: str, since: float) -> bool:
+    def find_cut(
+        self, group: _ids.GroupName, *, failed: str = "", since: float
+    ) -> bool:
         """Return whether this daemon is cut off, after a failed connection.
 
         Concurrent callers wait for the same check. It runs in a greenlet of
@@ -67,41 +74,65 @@
 
         Parameters
         ----------
+        group : GroupName
+            The group of the replica.
         failed : str
             The replica that could not be reached.
         since : float
             Monotonic seconds at which the connection was begun.
         """
-        if self._running is None and self.paths.needs_check(since=since):
-            self._start(failed)
-        if self._running is not None:
-            self._running.wait()
-        return self.paths.is_cut_off
+        if self.paths.needs_check(group, since=since):
+            self._start(group, failed)
+        ended = self._ended_by_group.get(group)
+        if ended is not None:
+            ended.wait()
+        return self.paths.is_cut_off(group)
 
     def recheck_forever(self) -> None:
-        """Check periodically while this daemon is cut off."""
+        """Check periodically the groups that this daemon is cut off from."""
         while True:
             self._clock.sleep(_RECHECK_SECONDS)
-            if self.paths.is_cut_off and self._running is None:
-                self._start()
-
-    def _start(self, failed: str = "") -> None:
-        self._running = event.Event()
-        gevent.spawn(self._check, failed, self._running)
-
-    def _check(self, failed: str, done: event.Event) -> None:
+            for group in self.paths.cut_groups():
+                self._start(group)
+
+    def record_reached(self, target: _target.Target) -> None:
+        """Record that a replica has accepted a connection."""
+        self._end_cut(target.group)
+
+    def _end_cut(self, group: _ids.GroupName) -> None:
+        if self.paths.record_reached(group):
+            self._on_lost_replicas(
+                [one for one in self._targets() if one.group == group]
+            )
+
+    def _start(self, group: _ids.GroupName, failed: str = "") -> None:
+        if group not in self._ended_by_group:
+            self.paths.record_check(group)
+            self._ended_by_group[group] = event.Event()
+            gevent.spawn(self._check, group, failed)
+
+    def _check(self, group: _ids.GroupName, failed: str) -> None:
         """Connect to some replicas; ends as soon as one has accepted."""
+        was_cut_off = self.paths.is_cut_off(group)
         try:
-            chosen = self.paths.choose(self._targets(), failed=failed)
+            chosen = self.paths.choose(group, self._targets(), failed=failed)
             connects = [
                 gevent.spawn(self._connector.can_connect, one)
                 for one in chosen
             ]
-            for ended in gevent.iwait(connects):
-                if ended.value:
-                    self.paths.record_check(reached=1, checked=len(chosen))
-                    return
-            self.paths.record_check(reached=0, checked=len(chosen))
+            is_reached = any(one.value for one in gevent.iwait(connects))
+            if is_reached or not chosen:
+                self._end_cut(group)
+                return
+            self.paths.record_unreached(group, checked=len(chosen))
         finally:
-            self._running = None
-            done.set()
+            self._ended_by_group.pop(group).set()
+        if self.paths.is_cut_off(group) and not was_cut_off:
+            self._check_other_groups(group)
+
+    def _check_other_groups(self, group: _ids.GroupName) -> None:
+        """Check all groups: a daemon is often cut off from all at once."""
+        now = self._clock.monotonic()
+        for other in {one.group for one in self._targets()} - {group}:
+            if self.paths.needs_check(other, since=now):
+                self._start(other)
--- a/src/topazlug/targets/_target_client.py
+++ b/src/topazlug/targets/_target_client.py
@@ -41,6 +41,7 @@
 _KEEPALIVE_PROBES = 2
 _UNACKNOWLEDGED_MILLISECONDS = 3000
 
+Opener = Callable[[_targets.Target], socket.socket]
 ReportHandler = Callable[
     [_targets.Target, _target_report.TargetReport], object
 ]
@@ -118,10 +119,15 @@
     handle_report : callable or None
         Called with each target that answers, and its report.
     on_connected : callable or None
-        Called each time a target has accepted a connection.
+        Called with each target that has accepted a connection.
+    opener : callable or None
+        Opens a connection to a target, and raises OSError or PeerRefused if
+        that fails; None for plain TCP.
 
     Attributes
     ----------
+    last_received_at : float
+        Monotonic seconds at which any target last sent something.
     runs : RunTracker
         Runs of callers' requests on each replica process.
     """
@@ -134,8 +140,11 @@
         wire: _target_wire.TargetWire | None = None,
         idle_per_target: int = _target_answer.IDLE_PER_TARGET,
         handle_report: ReportHandler | None = None,
-        on_connected: Callable[[], None] | None = None,
+        on_connected: Callable[[_targets.Target], None] | None = None,
+        opener: Opener | None = None,
     ) -> None:
+        self._open = opener or self._open_plain
+        self.last_received_at = -math.inf
         self._handle_report = handle_report
         self._on_connected = on_connected
         self._idle_per_target = idle_per_target
@@ -266,7 +275,8 @@
 
     def record_received(self, target: _targets.Target) -> None:
         """Record that a target has just sent something."""
-        self._last_received_at[target.replica] = self._clock.monotonic()
+        self.last_received_at = self._clock.monotonic()
+        self._last_received_at[target.replica] = self.last_received_at
 
     def _previous_request(
         self, idle: _target_answer.IdleConnection | None
@@ -295,19 +305,22 @@
 
     def _connect(self, target: _targets.Target) -> socket.socket:
         try:
-            connection = socket.create_connection(
-                (target.host, target.port), timeout=self._connect_timeout
-            )
-        except OSError as error:
+            connection = self._open(target)
+        except (OSError, _errors.PeerRefused) as error:
             raise ConnectFailed(
                 f"no connection to {target.replica}: {error}",
                 is_timeout=isinstance(error, TimeoutError),
             ) from error
         _set_options(connection)
         if self._on_connected is not None:
-            self._on_connected()
+            self._on_connected(target)
         return connection
 
+    def _open_plain(self, target: _targets.Target) -> socket.socket:
+        return socket.create_connection(
+            (target.host, target.port), timeout=self._connect_timeout
+        )
+
     def can_connect(self, target: _targets.Target) -> bool:
         """Return whether a target accepts a connection, which is closed."""
         try:
--- a/src/topazlug/telemetry/_metrics.py
+++ b/src/topazlug/telemetry/_metrics.py
@@ -103,6 +103,9 @@
     EJECTIONS = "topazlug.owner.ejections"
     LATE_REQUESTS = "topazlug.requests.late_heads"
     CUTS = "topazlug.replicas.cuts"
+    DELEGATED = "topazlug.requests.delegated"
+    NOT_DELEGATED = "topazlug.requests.not_delegated"
+    SERVED_FOR_OTHERS = "topazlug.requests.served_for_others"
 
 
 _UNITS: dict[Gauge | Total, str] = {
@@ -138,8 +141,14 @@
     Total.EJECTIONS: "Ejections of owned replicas, for all daemons.",
     Total.LATE_REQUESTS: "Requests reported as failed while they waited for "
     "the head of an answer.",
-    Gauge.CUT_OFF: "1 while no replica accepts connections from this daemon.",
-    Total.CUTS: "Times that no replica accepted connections from this daemon.",
+    Gauge.CUT_OFF: "Groups of which no replica accepts connections from this "
+    "daemon.",
+    Total.CUTS: "Times that this daemon was cut off from a group.",
+    Total.DELEGATED: "Requests served by another daemon, as this one reached "
+    "no replica.",
+    Total.NOT_DELEGATED: "Requests that no other daemon could serve either.",
+    Total.SERVED_FOR_OTHERS: "Requests served for daemons that reach no "
+    "replica.",
     Gauge.TABLE_AGE: "Age of the oldest word of the store on a table.",
     Total.CONTROL_SENT: "Bytes sent to peers.",
     Total.CONTROL_RECEIVED: "Bytes received from peers.",
--- a/tests/topazlug/forwarding/test_awaited_heads.py
+++ b/tests/topazlug/forwarding/test_awaited_heads.py
@@ -21,10 +21,12 @@
         self.late = []
         self.is_cold = False
         self.is_reported = True
+        self.is_cut_off = False
         self.heads = _awaited_heads.AwaitedHeads(
             views=self.views,
             report_late=self.report,
             is_cold=lambda target: self.is_cold,
+            is_cut_off=lambda target, since: self.is_cut_off,
             clock=self.clock,
         )
         self.placement = types.SimpleNamespace(
@@ -57,6 +59,13 @@
         rig.wait(0.61)
         assert rig.late == [rig.placement]
 
+    def test_late_answer_of_a_cut_off_daemon_is_not_reported(self, rig):
+        """Daemons that reached nothing had sound replicas ejected for all."""
+        rig.is_cut_off = True
+        rig.views.of(TARGET.replica).record_latency(0.1)
+        rig.wait(0.61)
+        assert not rig.late
+
     def test_answer_may_take_twice_the_objective(self, rig):
         rig.views.of(TARGET.replica).record_latency(0.1)
         rig.wait(0.59)
--- a/tests/topazlug/forwarding/test_exchange.py
+++ b/tests/topazlug/forwarding/test_exchange.py
@@ -38,6 +38,7 @@
         paths=_replica_paths.ReplicaPaths(clock=clock),
         connector=types.SimpleNamespace(),
         targets=tuple,
+        on_lost_replicas=lambda targets: None,
         clock=clock,
     )
 
@@ -59,6 +60,7 @@
             views=views,
             report_late=lambda placement: False,
             is_cold=lambda target: False,
+            is_cut_off=lambda target, since: False,
             clock=clock,
         ),
         path_check=connected_path_check(clock),
@@ -67,6 +69,7 @@
     )
     target = fixtures.target("i-1")
     call = types.SimpleNamespace(
+        group=fixtures.GROUP,
         deadline=1e9,
         team=None,
         rank=0,
@@ -120,6 +123,7 @@
             views=views,
             report_late=lambda placement: False,
             is_cold=lambda target: False,
+            is_cut_off=lambda target, since: False,
             clock=clock,
         ),
         path_check=connected_path_check(clock),
@@ -160,6 +164,7 @@
             request=types.SimpleNamespace(latency_objective=0.3),
         )
         call = types.SimpleNamespace(
+            group=fixtures.GROUP,
             deadline=1e9,
             team=None,
             rank=0,
--- a/tests/topazlug_platform/crash_fleet.py
+++ b/tests/topazlug_platform/crash_fleet.py
@@ -23,6 +23,8 @@
 
 CRASHING = b"crashes whoever runs it"
 ORDINARY = b"does no harm"
+# Requests that begin with this get a stream.
+STREAMED = b"stream"
 SLOW = b"does no harm, and takes long"
 _RUN_SECONDS = 0.02
 
@@ -59,6 +61,8 @@
         self.name = name
         self.runs = runs
         self.is_running = True
+        self.is_silent = False
+        self.last_head = b""
         self._sockets = set()
         self._server = server.StreamServer(("127.0.0.1", 0), self._serve)
         self._server.start()
@@ -78,6 +82,7 @@
 
     def _answer(self, sock, data):
         head, _, body = data.partition(b"\r\n\r\n")
+        self.last_head = head
         self.runs.append((self.name, body))
         attempt = next(
             line.split()[1].decode()
@@ -87,12 +92,23 @@
         gevent.sleep(_RUN_SECONDS)
         if body == CRASHING:
             self.crash()
+        if self.is_silent:
+            gevent.sleep(60)
+        if body.startswith(STREAMED):
+            self._stream(sock, attempt)
+            return
         if body == SLOW:
             sock.sendall(platform_rig.stream_head(attempt))
             sock.sendall(platform_rig.chunk(platform_rig.event(1)))
             gevent.sleep(60)
         sock.sendall(platform_rig.answer(attempt=attempt))
 
+    def _stream(self, sock, attempt):
+        sock.sendall(platform_rig.stream_head(attempt))
+        for number in range(1, 4):
+            sock.sendall(platform_rig.chunk(platform_rig.event(number)))
+        sock.sendall(platform_rig.END)
+
     def crash(self):
         """Close the listener and all connections, as if the process ended."""
         if not self.is_running:
@@ -130,6 +146,7 @@
         self.replicas = [self._new_replica() for _ in range(replicas)]
         self.store_views = [StoreView(self.store) for _ in range(daemons)]
         self._peers = [processes.free_port() for _ in range(daemons)]
+        self._delegation = [processes.free_port() for _ in range(daemons)]
         self.daemons = [self._new_daemon(n) for n in range(daemons)]
         self.list_replicas()
 
@@ -144,6 +161,7 @@
                 peers=settings.AddressSettings(
                     host="127.0.0.1", port=self._peers[number]
                 ),
+                delegation_port=self._delegation[number],
             ),
             caller_decoder=headers.ClientHeaders(),
             replica_codec=headers.ReplicaHeaders(),
--- a/tests/topazlug_platform/platform_rig.py
+++ b/tests/topazlug_platform/platform_rig.py
@@ -71,6 +71,7 @@
         "retry_extra": 100.0,
         "retry_window": 10.0,
         "peers": ANY,
+        "delegation_port": 0,
         "relays": True,
         "staleness_bounds": _staleness_bounds.StalenessBounds(
             propagation=0.1, recovery=0.0
