Admit requests to brittle replicas by their owners' counts only

Callers saw: replicas that say they are brittle crash if they reject more than a few requests in a second.

Cause: requests without context were placed by each daemon's own view, which knows a sliver of the load, so what was too much reached the replicas, and nothing read what their answers say.

Change: the adapter decodes the header into the report of a target, which marks its group as brittle until answers stop saying so, for 3 s at most. Meanwhile a request needs a slot that the replica's owner counts. The owner grants no more than the slots, queues a request for a part of its objective, and rejects the rest with the expected wait. A rejection that reaches it with the release lowers the limit and, after half of those tolerated, ends what is sent for a second. Without an owner's reply a daemon keeps to its share of the slots. Early retries are off, as they leave runs behind.

--- a/bench/capacity/capacity_routing.py
+++ b/bench/capacity/capacity_routing.py
@@ -224,7 +224,7 @@
     def admit_and_release() -> None:
         for ask in asks:
             owner.handle_admission_request(sender, ask, _ignore)
-            owner.release(sender, [ask.ask])
+            owner.release(sender, messages.Release(asks=[ask.ask]))
 
     admission_micros = sizes.processor_micros(
         admit_and_release, count=_ADMISSIONS
--- a/src/topazlug/_generated/messages.py
+++ b/src/topazlug/_generated/messages.py
@@ -175,6 +175,14 @@
             ),
         ]
     ) = 0
+    brittle: (
+        Annotated[
+            int,
+            Meta(
+                description="Requests that the replica can reject within a second without a crash, as far as the entry daemon knows; -1 if it is not brittle."
+            ),
+        ]
+    ) = -1
     held: (
         Annotated[
             int,
@@ -273,6 +281,14 @@
             ),
         ]
     ) = field(default_factory=list)
+    rejected: (
+        Annotated[
+            list[int],
+            Meta(
+                description="Those of the released ones whose request the replica rejected."
+            ),
+        ]
+    ) = field(default_factory=list)
 
 
 class HeldPlace(Struct, kw_only=True, omit_defaults=True):
--- a/src/topazlug/forwarding/_daemon.py
+++ b/src/topazlug/forwarding/_daemon.py
@@ -425,6 +425,7 @@
         # once all daemons have joined. Before that the fleet may still be
         # growing, hence the minimum.
         self.budget.daemons = max(_MIN_DAEMONS, daemons)
+        self._admission.brittle_placement.daemons = daemons
         seconds = _replica_view.REPORT_LIFETIME_SECONDS
         if daemons > _fleet_directory.MAX_SMALL_FLEET:
             seconds = _replica_view.LARGE_FLEET_REPORT_LIFETIME_SECONDS
--- a/src/topazlug/forwarding/_failures.py
+++ b/src/topazlug/forwarding/_failures.py
@@ -12,6 +12,7 @@
     It is not if the replica rejected the request without running it, or if
     the request's own deadline had passed. Its outcome is then unknown.
     """
+    placement.is_rejected = isinstance(error, _errors.TargetRefused)
     if isinstance(error, (_errors.TargetRefused, _errors.DeadlineExceeded)):
         placement.is_outcome_unknown = True
     else:
--- a/src/topazlug/forwarding/_forwarder.py
+++ b/src/topazlug/forwarding/_forwarder.py
@@ -1,5 +1,6 @@
 """Forwards requests to replicas and returns their answers."""
 
+from collections.abc import Callable
 from collections.abc import Iterator
 import contextlib
 import functools
@@ -7,6 +8,7 @@
 
 from topazlug import _clock
 from topazlug import _errors
+from topazlug import _ids
 from topazlug import _logs
 from topazlug._generated import messages
 from topazlug.callers import _caller_answer
@@ -74,6 +76,9 @@
         Counts requests and their durations.
     clock : Clock
         Clock of the daemon.
+    is_brittle : callable
+        Returns whether a group's replicas are brittle. Early retries would
+        then leave runs behind that occupy slots which count as free.
     disabled : frozenset of Mechanism
         Mechanisms that are switched off.
     """
@@ -91,6 +96,7 @@
         views: _replica_view.ReplicaViews,
         budget: _retry_share.RetryShare,
         call_metrics: _call_metrics.CallMetrics,
+        is_brittle: Callable[[_ids.GroupName], bool],
         clock: _clock.Clock,
         disabled: _mechanisms.DisabledMechanisms = _mechanisms.NONE_DISABLED,
     ) -> None:
@@ -98,6 +104,7 @@
             _mechanisms.Mechanism.EARLY_RETRIES not in disabled
         )
         self._attempts = attempts
+        self._is_brittle = is_brittle
         self._admission = admission
         self._exchange = exchange
         self._resumer = resumer
@@ -237,7 +244,7 @@
         """
         remaining_seconds = call.deadline - self._clock.monotonic()
         route = call.route
-        if not self._early_retries:
+        if not self._early_retries or self._is_brittle(call.group):
             return remaining_seconds
         if not route.repeatable or tried >= call.max_replicas:
             return remaining_seconds
--- a/src/topazlug/forwarding/_forwarder_assembly.py
+++ b/src/topazlug/forwarding/_forwarder_assembly.py
@@ -93,6 +93,9 @@
             views=self.views,
             budget=self.budget,
             call_metrics=self.call_metrics,
+            is_brittle=lambda group: (
+                self.targets.brittle.tolerated_by(group) is not None
+            ),
             disabled=self.disabled,
             clock=self.clock,
         )
--- a/src/topazlug/placement/_owner_admission.py
+++ b/src/topazlug/placement/_owner_admission.py
@@ -16,6 +16,7 @@
 from topazlug import _ids
 from topazlug import _logs
 from topazlug._generated import messages
+from topazlug.placement import _brittle_placement
 from topazlug.placement import _context_locator
 from topazlug.placement import _mechanisms
 from topazlug.placement import _outcome_reporting
@@ -61,6 +62,8 @@
     owner_client : OwnerClient or None
         Sends admission requests to owners; None until this daemon has joined
         its fleet.
+    brittle_placement : BrittlePlacement
+        Places requests of groups whose replicas are brittle.
     outcome_reporting : OutcomeReporting
         Reports the outcomes of requests to owners.
     read_placements : ReadPlacements
@@ -92,6 +95,12 @@
             clock=clock,
             disabled=disabled,
         )
+        self.brittle_placement = _brittle_placement.BrittlePlacement(
+            view_admission=view_admission,
+            targets=targets,
+            views=views,
+            clock=clock,
+        )
         self.owner_client: _owner_client.OwnerClient | None = None
         self.outcome_reporting = _outcome_reporting.OutcomeReporting(
             is_enabled=_mechanisms.Mechanism.SHARED_OUTCOMES not in disabled
@@ -116,6 +125,11 @@
         owner_client = self.owner_client
         if owner_client is None:
             return self._view_admission.admit(request)
+        tolerated = self._targets.brittle.tolerated_by(request.group)
+        if tolerated is not None:
+            request = msgspec.structs.replace(request, brittle=tolerated)
+            if not request.keeps_context:
+                return self.brittle_placement.admit(owner_client, request)
         if not request.keeps_context:
             return self._place_by_latency(owner_client, request)
         if _mechanisms.Mechanism.RANK_LIMITS in self._disabled:
@@ -125,11 +139,11 @@
                 request, held_tokens=request.shared_tokens
             )
         placement = self._search_owners(owner_client, request)
-        return (
-            self._place_by_view(owner_client, request)
-            if placement is None
-            else placement
-        )
+        if placement is not None:
+            return placement
+        if tolerated is not None:
+            return self.brittle_placement.hold_share(owner_client, request)
+        return self._place_by_view(owner_client, request)
 
     def _can_copy_context(self, request: _placement.PlacementRequest) -> bool:
         return (
--- a/src/topazlug/placement/_owner_search.py
+++ b/src/topazlug/placement/_owner_search.py
@@ -308,11 +308,13 @@
         would wait on a replica until its deadline, and delay others.
         """
         is_over = messages.Verdict.over_bound
+        # A brittle replica must not get more than it has slots for.
+        is_unlimited = request.rank < 0 and request.brittle is None
         placeable = {
             replica: answer
             for replica, answer in rejections.items()
             if not answer.reply.cold
-            and (answer.reply.verdict is is_over or request.rank < 0)
+            and (answer.reply.verdict is is_over or is_unlimited)
         }
         if placeable:
             return self._place_on_least_loaded(
--- a/src/topazlug/routing/_admission_control.py
+++ b/src/topazlug/routing/_admission_control.py
@@ -251,6 +251,14 @@
             now=self._clock.monotonic(),
             mean=total.mean,
         )
+        is_brittle = ledger.brittle_limit.is_active(
+            now=self._clock.monotonic()
+        )
+        if is_brittle and fit is _ledger.Fit.FULL:
+            self._handle_full_brittle(ledger, key, entry, ask, reply)
+            return
+        if is_brittle and not ask.tokens:
+            fit = _ledger.Fit.FREE
         if fit is _ledger.Fit.OVER_BOUND:
             fit = self._recheck_returning_chat(ledger, entry, fit)
         uses_margin = (
@@ -261,7 +269,7 @@
         )
         if uses_margin and ask.accept_over_bound:
             fit = _ledger.Fit.FREE
-        if ask.rank != _ledger.UNRANKED:
+        if ask.rank != _ledger.UNRANKED and (ask.tokens or not is_brittle):
             if self._rank_admission.reject(ledger, entry, ask, reply):
                 return
             if fit is _ledger.Fit.FULL:
@@ -306,6 +314,24 @@
             return
         self._queue.enqueue(ledger, key, entry, ask.wait, reply)
 
+    def _handle_full_brittle(
+        self,
+        ledger: _ledger.ReplicaLedger,
+        key: _slot_key.SlotKey,
+        entry: _ledger.LedgerEntry,
+        ask: messages.AdmitAsk,
+        reply: _owner_replies.Reply,
+    ) -> None:
+        """Queue a request for a brittle replica, or reject it."""
+        closed_for = ledger.brittle_limit.closed_for(
+            now=self._clock.monotonic()
+        )
+        expected = max(closed_for, ledger.expected_wait(batch=entry.batch))
+        if expected <= ask.wait:
+            self._queue.enqueue(ledger, key, entry, ask.wait, reply)
+        else:
+            self._queue.reject(ledger, expected, reply)
+
     def _grant(
         self,
         ledger: _ledger.ReplicaLedger,
--- a/src/topazlug/routing/_held_placements.py
+++ b/src/topazlug/routing/_held_placements.py
@@ -110,6 +110,7 @@
                 placement.ask,
                 failed=placement.has_unreported_failure,
                 unknown=placement.is_outcome_unknown,
+                rejected=placement.is_rejected,
             )
 
     def send_release(
@@ -119,18 +120,22 @@
         *,
         failed: bool = False,
         unknown: bool = False,
+        rejected: bool = False,
     ) -> None:
         """Notify an owner that an admitted or queued request has ended."""
         failures: list[int] = [ask] if failed else []
         unknowns: list[int] = [ask] if unknown and not failed else []
+        message = messages.Release(
+            asks=[ask],
+            failed=failures,
+            unknown=unknowns,
+            rejected=[ask] if rejected else [],
+        )
         if owner == self._daemon:
-            self._owner.release(self._daemon, [ask], failures, unknowns)
+            self._owner.release(self._daemon, message)
             return
         self._mark_unconfirmed(owner)
-        self.send(
-            owner,
-            messages.Release(asks=[ask], failed=failures, unknown=unknowns),
-        )
+        self.send(owner, message)
 
     def release_unused(
         self,
@@ -146,13 +151,11 @@
 
         Its slot is not released.
         """
+        message = messages.Release(asks=[], failed=[placement.ask])
         if placement.owner == self._daemon:
-            self._owner.release(self._daemon, [], [placement.ask])
+            self._owner.release(self._daemon, message)
         elif placement.owner is not None:
-            self.send(
-                placement.owner,
-                messages.Release(asks=[], failed=[placement.ask]),
-            )
+            self.send(placement.owner, message)
 
     def _mark_unconfirmed(self, owner: _ids.DaemonId) -> None:
         """Include an owner in renewals until it confirms.
--- a/src/topazlug/routing/_ledger.py
+++ b/src/topazlug/routing/_ledger.py
@@ -15,6 +15,7 @@
 
 from topazlug import _ids
 from topazlug._generated import messages
+from topazlug.capacity import _brittle_limit
 from topazlug.capacity import _cold_rate
 from topazlug.capacity import _context_reads
 from topazlug.capacity import _context_recovery
@@ -127,6 +128,7 @@
         self.rank_limits = _rank_limits.RankLimits(slots=slots)
         self.cold_rate = _cold_rate.ColdRateLimiter()
         self.reservations = _reservations.Reservations()
+        self.brittle_limit = _brittle_limit.BrittleLimit()
         self.backoff = _shared_backoff.SharedBackoff()
         self.speed = _replica_speed.ReplicaSpeed()
         self.slow_phase = _slow_limits.SlowPhase()
@@ -176,7 +178,10 @@
             FREE, OVER_BOUND, or FULL if no slot is free for it.
         """
         load = self.effective_load(now=now, mean=mean)
-        if load + weight > self.slots and self.load:
+        if self.brittle_limit.is_active(now=now):
+            if load + weight > self.brittle_limit.limit(self.slots, now=now):
+                return Fit.FULL
+        elif load + weight > self.slots and self.load:
             return Fit.FULL
         if batch and self.batch_load + weight > self.batch_slots:
             return Fit.FULL
--- a/src/topazlug/routing/_owner.py
+++ b/src/topazlug/routing/_owner.py
@@ -4,7 +4,6 @@
 so each admission request is decided against an exact count.
 """
 
-from collections.abc import Iterable
 from collections.abc import Mapping
 import math
 from typing import Protocol
@@ -192,6 +191,10 @@
         if ledger is None or not self._targets.is_in_service(replica):
             self._replies.send(reply, messages.Verdict.expired)
             return
+        if ask.brittle >= 0:
+            ledger.brittle_limit.record_brittle(
+                ask.brittle, now=self._clock.monotonic()
+            )
         if ask.tokens:
             self.recoveries.handle_prompt(ledger.group)
         if ask.home and self._redirect_displaced(ask, reply):
@@ -301,9 +304,7 @@
     def release(
         self,
         sender: _ids.DaemonId,
-        asks: Iterable[int],
-        failed: Iterable[int] = (),
-        unknown: Iterable[int] = (),
+        message: messages.Release,
     ) -> None:
         """Release placements and queued requests of an entry daemon.
 
@@ -311,20 +312,23 @@
         in `asks` have not ended yet. The outcome of those in `unknown` is
         not counted.
         """
-        uncounted = set(unknown)
+        uncounted = set(message.unknown)
+        rejected = set(message.rejected)
         now = self._clock.monotonic()
-        for ask in failed:
+        for ask in message.failed:
             key = _slot_key.SlotKey(sender, _ids.AdmissionRequestId(ask))
             ledger = self._find_ledger(key)
             if ledger is not None:
                 self.ejections.record_failure(ledger, key)
-        for ask in asks:
+        for ask in message.asks:
             key = _slot_key.SlotKey(sender, _ids.AdmissionRequestId(ask))
             ledger = self._find_ledger(key)
             if ledger is None:
                 continue
             if ask not in uncounted:
                 self.ejections.record_end(ledger, key)
+            if ask in rejected:
+                ledger.brittle_limit.record_rejection(ledger.slots, now=now)
             ledger.release(key, now=now)
             self._queue.grant_queued(ledger)
 
--- a/src/topazlug/routing/_owner_client.py
+++ b/src/topazlug/routing/_owner_client.py
@@ -180,6 +180,7 @@
             accept_over_bound=accept_over_bound,
             objective=request.latency_objective,
             held=request.held_tokens,
+            brittle=-1 if request.brittle is None else request.brittle,
         )
         self.held_placements.pending_by_ask[ask] = owner
         try:
--- a/src/topazlug/routing/_owner_endpoint.py
+++ b/src/topazlug/routing/_owner_endpoint.py
@@ -122,9 +122,7 @@
     def _on_release(
         self, sender: _ids.DaemonId, message: Any, reply: _peers.Reply
     ) -> None:
-        self._owner.release(
-            sender, message.asks, message.failed, message.unknown
-        )
+        self._owner.release(sender, message)
 
     def _on_outcomes(
         self, sender: _ids.DaemonId, message: Any, reply: _peers.Reply
--- a/src/topazlug/routing/_placement.py
+++ b/src/topazlug/routing/_placement.py
@@ -52,6 +52,9 @@
     max_pause : float
         Longest pause in seconds between two events for which a stream is on
         time, 0 if unknown.
+    brittle : int or None
+        Rejections within a second that replicas of the group tolerate; None
+        if they are not brittle.
     held_tokens : int
         Shared tokens that a replica is known to hold, so that any replica
         has them or can copy them.
@@ -74,6 +77,7 @@
     output_tokens: int = 0
     max_pause: float = 0.0
     held_tokens: int = 0
+    brittle: int | None = None
 
 
 class AnswerHead(msgspec.Struct, frozen=True, kw_only=True):
@@ -124,6 +128,8 @@
     is_outcome_unknown : bool
         Whether its request did not run, or ended before its outcome was
         known. It then counts neither as a success nor as a failure.
+    is_rejected : bool
+        Whether the replica rejected its request without running it.
     is_failure_reported : bool
         Whether its failure was reported before the request ended.
     released : bool
@@ -144,6 +150,7 @@
         self.is_counted = is_counted
         self.failed = False
         self.is_outcome_unknown = False
+        self.is_rejected = False
         self.is_failure_reported = False
         self.reads_context = reads_context
         self.target = target
--- a/src/topazlug/targets/_target_gauges.py
+++ b/src/topazlug/targets/_target_gauges.py
@@ -16,4 +16,5 @@
         gauge.LEAVING_REPLICAS, lambda: len(targets.reported_leaving())
     )
     metrics.watch(gauge.BACKOFF_REPLICAS, lambda: len(targets.in_backoff()))
+    metrics.watch(gauge.BRITTLE_GROUPS, targets.brittle.brittle_count)
     metrics.watch(gauge.UNREACHED_REPLICAS, lambda: len(targets.unreachable()))
--- a/src/topazlug/targets/_target_report.py
+++ b/src/topazlug/targets/_target_report.py
@@ -25,10 +25,14 @@
         Whether the target is about to exit and accepts no new requests.
     backoff : float
         Seconds for which this daemon must not send it requests.
+    tolerated_rejections : int or None
+        Requests that it can reject within a second without a crash; None if
+        it is not brittle.
     """
 
     leaving: bool = False
     backoff: float = 0.0
+    tolerated_rejections: int | None = None
 
 
 EMPTY_REPORT = TargetReport()
--- a/src/topazlug/targets/_targets.py
+++ b/src/topazlug/targets/_targets.py
@@ -18,6 +18,7 @@
 from topazlug import _clock
 from topazlug import _ids
 from topazlug._generated import messages
+from topazlug.targets import _brittle_groups
 from topazlug.targets import _cold_replicas
 from topazlug.targets import _ejected_replicas
 from topazlug.targets import _listed_targets
@@ -91,6 +92,8 @@
         Zones that accept connections from this daemon.
     ejected : EjectedReplicas
         Replicas that their owners have ejected.
+    brittle : BrittleGroups
+        Groups whose replicas crash if they reject too many requests.
     reported : ReportedStates
         States that targets have reported in their answers.
     """
@@ -100,6 +103,7 @@
         self.cold = _cold_replicas.ColdReplicas(clock=clock)
         self.reachability = _zone_reachability.ZoneReachability(clock=clock)
         self.ejected = _ejected_replicas.EjectedReplicas(clock=clock)
+        self.brittle = _brittle_groups.BrittleGroups(clock=clock)
         self.reported = _reported_states.ReportedStates(clock=clock)
         self._flap_window = flap_window
         self._health_by_replica: dict[_ids.ReplicaId, _Health] = {}
@@ -251,6 +255,7 @@
         self, target: Target, report: _target_report.TargetReport
     ) -> None:
         """Apply the report in a target's answer."""
+        self.brittle.record(target, report.tolerated_rejections)
         if not self.reported.record(target, report):
             return
         self._candidates_by_group.pop(target.group, None)
--- a/src/topazlug/telemetry/_metrics.py
+++ b/src/topazlug/telemetry/_metrics.py
@@ -83,6 +83,7 @@
     MAX_SLOWNESS = "topazlug.replicas.max_slowness"
     EJECTED_REPLICAS = "topazlug.replicas.ejected"
     TABLE_AGE = "topazlug.tables.age"
+    BRITTLE_GROUPS = "topazlug.replicas.brittle_groups"
     CUT_OFF = "topazlug.replicas.cut_off"
 
 
@@ -141,6 +142,8 @@
     Total.EJECTIONS: "Ejections of owned replicas, for all daemons.",
     Total.LATE_REQUESTS: "Requests reported as failed while they waited for "
     "the head of an answer.",
+    Gauge.BRITTLE_GROUPS: "Groups whose replicas report that rejections "
+    "crash them.",
     Gauge.CUT_OFF: "Groups of which no replica accepts connections from this "
     "daemon.",
     Total.CUTS: "Times that this daemon was cut off from a group.",
--- a/tests/topazlug/fleet_fakes.py
+++ b/tests/topazlug/fleet_fakes.py
@@ -88,7 +88,7 @@
             return
         owner = self._fleet.entry_by_name[to].owner
         if isinstance(message, messages.Release):
-            owner.release(self._sender, message.asks)
+            owner.release(self._sender, message)
         elif isinstance(message, messages.Renew):
             owner.renew(self._sender, message)
         elif isinstance(message, messages.Backoff):
--- a/tests/topazlug/routing/test_owner.py
+++ b/tests/topazlug/routing/test_owner.py
@@ -102,7 +102,7 @@
 
     def test_release_of_an_unknown_request(self, requester, entry):
         requester.fill(1)
-        entry.owner.release(PEER, [99, 99])
+        entry.owner.release(PEER, messages.Release(asks=[99, 99]))
         assert entry.owner.ledger_by_replica[R0].load == 1
 
 
@@ -145,7 +145,7 @@
         for number in (21, 21, 22):
             requester.count = number - 1
             assert requester.ask(wait=9.0) is None
-        entry.owner.release(PEER, range(1, 11))
+        entry.owner.release(PEER, messages.Release(asks=list(range(1, 11))))
         ledger = entry.owner.ledger_by_replica[R0]
         assert (ledger.load, len(ledger.queued_by_key)) == (2, 0)
 
@@ -275,7 +275,7 @@
     def test_one_request_is_always_granted(self, requester, entry, clock):
         """A replica without any work could not show that it had recovered."""
         requester.fill(1)
-        entry.owner.release(PEER, [1])
+        entry.owner.release(PEER, messages.Release(asks=[1]))
         clock.advance(5)
         self.report(entry, clock, 15.0)
         assert self.granted(requester, rank=0) == 1
@@ -290,7 +290,7 @@
         assert requester.ask(wait=9.0) is None
         entry.owner.refresh_slots()
         assert entry.owner.queued_count() == 1
-        entry.owner.release(PEER, [1, 2, 3, 4])
+        entry.owner.release(PEER, messages.Release(asks=[1, 2, 3, 4]))
         assert entry.owner.queued_count() == 0
 
     def test_changes_are_logged_once(self, requester, entry, clock):
--- a/tests/topazlug_platform/crash_fleet.py
+++ b/tests/topazlug_platform/crash_fleet.py
@@ -84,11 +84,7 @@
         head, _, body = data.partition(b"\r\n\r\n")
         self.last_head = head
         self.runs.append((self.name, body))
-        attempt = next(
-            line.split()[1].decode()
-            for line in head.split(b"\r\n")
-            if line.lower().startswith(b"x-attempt-id")
-        )
+        attempt = attempt_of(data)
         gevent.sleep(_RUN_SECONDS)
         if body == CRASHING:
             self.crash()
@@ -285,6 +281,15 @@
             replica.crash()
 
 
+def attempt_of(data):
+    """Return the attempt of a request as a replica received it."""
+    return next(
+        line.split()[1].decode()
+        for line in data.split(b"\r\n")
+        if line.lower().startswith(b"x-attempt-id")
+    )
+
+
 def wait_until(condition):
     """Wait until `condition` returns true."""
     routing_fixtures.wait_until(condition)
--- a/tests/topazlug_platform/test_headers.py
+++ b/tests/topazlug_platform/test_headers.py
@@ -34,6 +34,27 @@
     def test_leaving_in_answers_of_every_kind(self, status):
         assert report(status, ("Server-Leaving", "1")).leaving
 
+    @pytest.mark.parametrize("status", [200, 500, 503])
+    def test_brittle_in_answers_of_every_kind(self, status):
+        found = report(status, ("Server-Brittle", "4"))
+        assert found.tolerated_rejections == 4
+
+    @pytest.mark.parametrize(
+        ("values", "tolerated"),
+        [
+            ((), None),
+            (("0",), 0),
+            (("7", "2"), 2),
+            (("-1",), None),
+            (("NaN",), None),
+            (("9" * 400,), None),
+            (("x", "3"), 3),
+        ],
+    )
+    def test_brittle_values(self, values, tolerated):
+        fields = [("Server-Brittle", value) for value in values]
+        assert report(200, *fields).tolerated_rejections == tolerated
+
     def test_leaving_in_one_of_two_fields(self):
         fields = ("Server-Leaving", "0"), ("Server-Leaving", "1")
         assert report(200, *fields).leaving
