Bear the silence of a second in a stream of a sound replica

Callers saw: a stream was resumed at another replica after five times its longest pause, 0.25 s for a pause of 0.05 s, while the first replica went on with the run after a second of silence. Evidence: test_silent_replicas, two runs of one request before, one after. The timeout is at least 1.5 s now; callers give a stream up after two.

--- a/src/topazlug/forwarding/_event_relay.py
+++ b/src/topazlug/forwarding/_event_relay.py
@@ -30,6 +30,9 @@
 # maximum pause. After it the stream is resumed at another replica. Callers
 # give up after eight pauses, or after two seconds.
 _SILENCE_TIMEOUT_PAUSES = 5.0
+# Minimum of that timeout: a healthy replica may be silent for a second, and
+# would go on with the run while another replica repeats it.
+_MIN_SILENCE_TIMEOUT_SECONDS = 1.5
 # Replicas that a broken stream is sent to until one accepts it. Each that is
 # unreachable without refusing the connection takes 0.25 s, and callers abandon
 # a stream after a gap of two seconds.
@@ -336,7 +339,10 @@
             return remaining_seconds
         return min(
             remaining_seconds,
-            _SILENCE_TIMEOUT_PAUSES * self._call.route.max_pause,
+            max(
+                _MIN_SILENCE_TIMEOUT_SECONDS,
+                _SILENCE_TIMEOUT_PAUSES * self._call.route.max_pause,
+            ),
         )
 
     def _may_resume(self) -> bool:
