Derive keepalive probes and user timeout from one figure

On Linux a TCP_USER_TIMEOUT decides when keepalive probes give up, whatever their number. The connections to replicas and to the store set both to the same time by hand. Connections of delegated requests had a user timeout of 5 s and no probes, so a daemon that waited there for an answer did not notice that the other one had vanished. One function sets all options from the seconds of silence that are borne: 3 s for replicas and daemons, 2 s for the store, as before. Test: test_connection_loss.py drops all packets of an established connection; it ends with ETIMEDOUT while idle and while data is unacknowledged.

--- a/src/topazlug/peers/_peers.py
+++ b/src/topazlug/peers/_peers.py
@@ -22,6 +22,7 @@
 import msgspec
 
 from topazlug import _clock
+from topazlug import _connection_loss
 from topazlug import _errors
 from topazlug import _ids
 from topazlug._generated import settings as _settings
@@ -36,6 +37,7 @@
 REAPS_PER_IDLE_PERIOD = 4
 MAX_PENDING_HANDSHAKES = 128
 BACKLOG = 1024
+_MAX_STREAM_SILENCE_SECONDS = 3
 
 _log = logbook.Logger("topazlug.peers")
 
@@ -207,7 +209,7 @@
             If the connection fails or the handshake times out.
         """
         counted, _session = self._connector.dial(*address, expected=to)
-        return counted.detach()
+        return _limit_silence(counted.detach())
 
     def accept_stream(
         self, sock: socket.socket
@@ -228,7 +230,8 @@
             If the connection fails or the handshake times out.
         """
         counted, session = self._connector.accept(sock)
-        return counted.detach(), session.peer.daemon_id
+        sock = _limit_silence(counted.detach())
+        return sock, session.peer.daemon_id
 
     def received_since(self, peer: _ids.DaemonId, moment: float) -> bool:
         """Return whether a peer has sent data on the stream dialled to it.
@@ -396,6 +399,15 @@
             _send_refusal(link, frame)
 
 
+def _limit_silence(sock: socket.socket) -> socket.socket:
+    """Return a stream that ends if the other daemon vanishes.
+
+    A stream carries no heartbeats, and may wait for an answer for minutes.
+    """
+    _connection_loss.limit_silence(sock, seconds=_MAX_STREAM_SILENCE_SECONDS)
+    return sock
+
+
 def _do_nothing() -> None:
     pass
 
--- a/src/topazlug/store/_platform_http.py
+++ b/src/topazlug/store/_platform_http.py
@@ -19,6 +19,7 @@
 import msgspec
 
 from topazlug import _clock
+from topazlug import _connection_loss
 from topazlug import _errors
 
 MAX_CONNECTIONS = 8
@@ -31,9 +32,7 @@
 _MAX_TRANSFER_SECONDS = 4.0
 # After two seconds without acknowledgements the platform counts as
 # unreachable. A new connection works as soon as it is reachable again.
-_KEEPALIVE_SECONDS = 1
-_KEEPALIVE_PROBES = 1
-_UNACKNOWLEDGED_TIMEOUT_MILLISECONDS = 2000
+_MAX_SILENCE_SECONDS = 2
 _REQUEST_HEAD = (
     "{method} {target} HTTP/1.1\r\n"
     "Host: {host}:{port}\r\n"
@@ -67,15 +66,8 @@
     # A call may wait long for its answer by design. Only keepalive probes
     # detect that the platform has become unreachable meanwhile.
     def after_connect(self, sock: socket.socket) -> None:
-        tcp = socket.IPPROTO_TCP
-        sock.setsockopt(tcp, socket.TCP_NODELAY, 1)
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-        sock.setsockopt(tcp, socket.TCP_KEEPIDLE, _KEEPALIVE_SECONDS)
-        sock.setsockopt(tcp, socket.TCP_KEEPINTVL, _KEEPALIVE_SECONDS)
-        sock.setsockopt(tcp, socket.TCP_KEEPCNT, _KEEPALIVE_PROBES)
-        sock.setsockopt(
-            tcp, socket.TCP_USER_TIMEOUT, _UNACKNOWLEDGED_TIMEOUT_MILLISECONDS
-        )
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        _connection_loss.limit_silence(sock, seconds=_MAX_SILENCE_SECONDS)
 
     # The library's method uses select(), which fails for descriptors from
     # 1024 on. A daemon with many callers would then open a connection for
--- a/src/topazlug/targets/_target_client.py
+++ b/src/topazlug/targets/_target_client.py
@@ -20,6 +20,7 @@
 import msgspec
 
 from topazlug import _clock
+from topazlug import _connection_loss
 from topazlug import _errors
 from topazlug import _ids
 from topazlug import _logs
@@ -35,11 +36,9 @@
 # A body of up to this many bytes fits the kernel buffers of both ends and is
 # sent in one call. A longer one is sent while the answer is being read.
 _MAX_INLINE_BODY_BYTES = 16384
-# Keepalive detects a connection whose peer vanished without a reset, well
+# A connection whose peer vanished without a reset fails after this time, well
 # before callers give up.
-_KEEPALIVE_IDLE_SECONDS = 1
-_KEEPALIVE_PROBES = 2
-_UNACKNOWLEDGED_MILLISECONDS = 3000
+_MAX_SILENCE_SECONDS = 3
 
 Opener = Callable[[_targets.Target], socket.socket]
 ReportHandler = Callable[
@@ -421,21 +420,10 @@
 
 
 def _set_options(connection: socket.socket) -> None:
-    tcp = _plain_socket.IPPROTO_TCP
-    connection.setsockopt(tcp, _plain_socket.TCP_NODELAY, 1)
     connection.setsockopt(
-        _plain_socket.SOL_SOCKET, _plain_socket.SO_KEEPALIVE, 1
-    )
-    connection.setsockopt(
-        tcp, _plain_socket.TCP_KEEPIDLE, _KEEPALIVE_IDLE_SECONDS
-    )
-    connection.setsockopt(
-        tcp, _plain_socket.TCP_KEEPINTVL, _KEEPALIVE_IDLE_SECONDS
-    )
-    connection.setsockopt(tcp, _plain_socket.TCP_KEEPCNT, _KEEPALIVE_PROBES)
-    connection.setsockopt(
-        tcp, _plain_socket.TCP_USER_TIMEOUT, _UNACKNOWLEDGED_MILLISECONDS
+        _plain_socket.IPPROTO_TCP, _plain_socket.TCP_NODELAY, 1
     )
+    _connection_loss.limit_silence(connection, seconds=_MAX_SILENCE_SECONDS)
 
 
 def _send_body(connection: socket.socket, body: bytes) -> bool:
