Pass a request's head and its sender through the application as one value

No change of behaviour: the head of a request was completed after its call had been built. An answer with a replica's own failure now names the replica to the daemon that delegated the request, as other answers do.

--- a/src/topazlug/forwarding/_app.py
+++ b/src/topazlug/forwarding/_app.py
@@ -3,9 +3,11 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Mapping
+from collections.abc import Sequence
 import functools
 from http import HTTPStatus
 from typing import Any
+from typing import NamedTuple
 from typing import final
 
 import msgspec
@@ -51,6 +53,21 @@
 )
 
 
+@final
+class _ReceivedHead(NamedTuple):
+    """Head of a request, from a caller or from another daemon."""
+
+    fields: Sequence[_wire.Field]
+    head: _wire.CallHead
+    delegation: messages.DelegatedCall | None = None
+    sender: _ids.DaemonId | None = None
+
+    @property
+    def log_fields(self) -> dict[str, str]:
+        """Return the fields of all log lines of the request."""
+        return {} if self.sender is None else {"sender": self.sender}
+
+
 @final
 class ForwardingApp:
     """Answers the requests of the forwarding listener.
@@ -134,23 +151,13 @@
         attempt = _ids.RequestId("")
         # A failure before the key is checked is counted for no team.
         team = _metrics.NO_TEAM
-        fields = environ[_caller_request.FIELDS]
-        sender = environ.get(_delegation_server.SENDER)
         try:
-            delegation = None
-            if sender is not None:
-                delegation = _delegation_wire.decode(fields)
-                fields = _delegation_wire.without_own_fields(fields)
-            head = self._decoder.decode(fields)
-            attempt = head.attempt
+            received = self._decode(environ)
+            attempt = received.head.attempt
             with _logs.request_fields(
-                request_id=attempt, **({"sender": sender} if sender else {})
+                request_id=attempt, **received.log_fields
             ):
-                if delegation is not None:
-                    head = self._accept_delegated(head, delegation)
-                call = self._read_call(environ, head, started_at)
-                call.fields = list(fields)
-                call.delegation = delegation
+                call = self._read_call(environ, received, started_at)
                 team = call.team_name
                 return self._forward_with_log_fields(call)
         except _errors.TopazlugError as error:
@@ -162,6 +169,18 @@
             fault = _errors.TopazlugError("internal error")
             return _caller_answer.error_answer(fault, attempt)
 
+    def _decode(self, environ: Mapping[str, Any]) -> _ReceivedHead:
+        """Return the decoded head of a request."""
+        fields = environ[_caller_request.FIELDS]
+        sender = environ.get(_delegation_server.SENDER)
+        if sender is None:
+            return _ReceivedHead(fields, self._decoder.decode(fields))
+        delegation = _delegation_wire.decode(fields)
+        fields = _delegation_wire.without_own_fields(fields)
+        return _ReceivedHead(
+            fields, self._decoder.decode(fields), delegation, sender
+        )
+
     def _accept_delegated(
         self, head: _wire.CallHead, delegation: messages.DelegatedCall
     ) -> _wire.CallHead:
@@ -212,10 +231,13 @@
     def _read_call(
         self,
         environ: Mapping[str, Any],
-        head: _wire.CallHead,
+        received: _ReceivedHead,
         started_at: float,
     ) -> _call.ForwardedCall:
         """Return a request with its route, its team and its body."""
+        head = received.head
+        if received.delegation is not None:
+            head = self._accept_delegated(head, received.delegation)
         self._gate.wait()
         table = self._tables.current
         if table is None:
@@ -259,7 +281,8 @@
                 team=team.name if team else _ids.TeamName(""),
                 body=body,
             ),
-            fields=[],
+            fields=received.fields,
+            delegation=received.delegation,
         )
 
     def _forward_with_log_fields(
--- a/src/topazlug/forwarding/_call.py
+++ b/src/topazlug/forwarding/_call.py
@@ -1,5 +1,6 @@
 """One request that is forwarded from a caller to a replica."""
 
+from collections.abc import Sequence
 from typing import Any
 from typing import final
 
@@ -68,7 +69,7 @@
         The caller's connection.
     fingerprint : Fingerprint
         Identical for all repeats of this request at any daemon.
-    fields : list of (str, str)
+    fields : sequence of (str, str)
         Header fields as the caller sent them.
     delegation : DelegatedCall or None
         What another daemon, which has the request from the caller, left of
@@ -88,7 +89,7 @@
     deadline: float
     socket: Any
     fingerprint: _ids.Fingerprint
-    fields: list[_wire.Field]
+    fields: Sequence[_wire.Field]
     delegation: messages.DelegatedCall | None = None
 
     @property
--- a/src/topazlug/forwarding/_forwarder.py
+++ b/src/topazlug/forwarding/_forwarder.py
@@ -140,17 +140,15 @@
                 return self._serve_elsewhere(call, progress, error)
             try:
                 answer = self._serve_here(call, progress)
-                if call.delegation is not None:
-                    answer.headers.append(
-                        (_delegation_wire.REPLICA, progress.replica)
-                    )
-                return answer
             except _errors.NoReplicaPath as error:
                 progress.outcome = error.outcome
                 return self._serve_elsewhere(call, progress, error)
             except _exchange.AnsweredWithFailure as error:
                 self._call_metrics.record_answer(call, error.answer.status)
-                return _buffered_answer(error.answer, error.body)
+                answer = _buffered_answer(error.answer, error.body)
+        if call.delegation is not None:
+            answer.headers.append((_delegation_wire.REPLICA, progress.replica))
+        return answer
 
     def _serve_here(
         self, call: _call.ForwardedCall, progress: _call.Progress
