Cut daemons off from all replicas, and turn replicas brittle, in the soak

In half of the seeds each daemon reads the replicas' addresses through a port of the store of its own, which names a link of this daemon to each replica. One, most or all daemons are cut off for some seconds: connections hang, are reset, or live on while new ones are refused. Replicas say that they are brittle for some seconds and exit when they reject more than two requests in a second; two exits and a tenth of their number are allowed each time. The plan's new property is drawn last, so earlier seeds determine the same faults as before.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -83,7 +83,13 @@
         if plan.has_pressure:
             surge = surging_team.surge
             senders.append(gevent.spawn(surging_team.run))
-        faults = _faults.Faults(world=world, seed=seed, only=only, surge=surge)
+        faults = _faults.Faults(
+            world=world,
+            seed=seed,
+            only=only,
+            surge=surge,
+            cuts_daemons=plan.cuts_daemons,
+        )
         faults.run(until)
         gevent.joinall(senders, raise_error=True)
         ended.set()
@@ -109,7 +115,8 @@
         print(
             f"seed {seed}: {len(violations)} violations; {plan.load_report.value}"
             f"{', pressure' if plan.has_pressure else ''}"
-            f"{', waves' if plan.has_waves else ''}; {summary}",
+            f"{', waves' if plan.has_waves else ''}"
+            f"{', cut daemons' if plan.cuts_daemons else ''}; {summary}",
             flush=True,
         )
         if surging_team.surges:
--- a/soak/_expected.py
+++ b/soak/_expected.py
@@ -15,6 +15,10 @@
 COLD_SECONDS: Final = 1.5
 COLD_PER_SECOND: Final = 6.0
 COLD_CRASH_RATE: Final = 1.5 * COLD_PER_SECOND + 5
+# Rejections in a second that a brittle replica survives, and the seconds after
+# which more of them crash it.
+TOLERATED_REJECTIONS: Final = 2
+BRITTLE_NOTICE: Final = 3.0
 # Team of the callers whose requests are many times its usual for a while.
 SURGING_TEAM: Final = "surging"
 # Kind of the record that a daemon asked a replica which contexts it holds.
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -12,6 +12,7 @@
 
 from soak import _store
 from soak import _world
+from standins import _cut_link
 
 _PAUSE_SECONDS = (0.2, 1.2)
 _LOAD_PAUSE_SECONDS = (0.5, 2.5)
@@ -31,6 +32,10 @@
 # Several times the second after which a failing replica must not matter.
 _FAILING_SECONDS = 2.5
 _FLAP_SECONDS = 0.4
+# Longer than the time after which callers must be served elsewhere.
+_CUT_SECONDS = 4.0
+# Longer than the time after which rejections crash brittle replicas.
+_BRITTLE_SECONDS = 5.0
 _SURGE_KIND = "team-surges"
 # Includes the time that daemons may need to learn of the evacuation.
 _EVACUATION_SECONDS = 3.0
@@ -87,6 +92,9 @@
     surge : callable or None
         Has one team send many times its usual load; None if no team surges in
         this run.
+    cuts_daemons : bool
+        Whether to cut daemons off from all replicas, and to turn replicas
+        brittle.
     """
 
     def __init__(
@@ -96,12 +104,14 @@
         seed: int,
         only: str = "",
         surge: _Inject | None = None,
+        cuts_daemons: bool = False,
     ) -> None:
         self._world = world
         self._seed = seed
         self._running: list[gevent.Greenlet] = []
         self._is_briefly_silent = False
         self._has_lost_power = False
+        self._is_brittle = False
         self.injected: list[InjectedFault] = []
         kinds: dict[str, _Inject] = {
             "daemon-stopped": self._stop_daemon,
@@ -129,8 +139,14 @@
             "replica-flaps": self._flap_replica,
             "daemons-lose-power": self._lose_power,
         }
+        cut_kinds: dict[str, _Inject] = {}
+        if cuts_daemons:
+            cut_kinds = {
+                "daemons-cut-off": self._cut_off_daemons,
+                "replicas-brittle": self._turn_brittle,
+            }
         parts = only.split(",")
-        known = [*kinds, *load_kinds, _SURGE_KIND, *owner_kinds]
+        known = [*kinds, *load_kinds, _SURGE_KIND, *owner_kinds, *cut_kinds]
         if not any(part in kind for kind in known for part in parts):
             raise ValueError(f"{only!r} is part of none of {known}")
         if surge is not None:
@@ -138,6 +154,7 @@
         self._kinds = _select(kinds, parts)
         self._load_kinds = _select(load_kinds, parts)
         self._owner_kinds = _select(owner_kinds, parts)
+        self._cut_kinds = _select(cut_kinds, parts)
 
     def run(self, until: float) -> None:
         """Inject faults until a point in time, then wait until they end."""
@@ -158,6 +175,7 @@
                     self._owner_kinds,
                     _OWNER_PAUSE_SECONDS,
                 ),
+                (f"cut {self._seed}", self._cut_kinds, _LOAD_PAUSE_SECONDS),
             )
             if kinds
         ]
@@ -297,6 +315,28 @@
                 gevent.sleep(_FLAP_SECONDS)
         replica.is_failing = False
 
+    def _cut_off_daemons(self, number: int, duration: float) -> None:
+        """Cut one, most or all daemons off from all replicas for a while."""
+        daemons = len(self._world.daemons)
+        count = 1 + number % daemons
+        chosen = frozenset((number + one) % daemons for one in range(count))
+        how = list(_cut_link.Cut)[number % len(_cut_link.Cut)]
+        self._world.cut_off_daemons(chosen, how, _CUT_SECONDS + duration)
+
+    def _turn_brittle(self, number: int, duration: float) -> None:
+        """Have all replicas report for a while that they are brittle."""
+        if self._is_brittle:
+            return
+        self._is_brittle = True
+        self._world.brittle_periods += 1
+        brittle = list(self._world.replicas)
+        for replica in brittle:
+            replica.process.send(signal.SIGURG)
+        gevent.sleep(_BRITTLE_SECONDS + duration)
+        for replica in brittle:
+            replica.process.send(signal.SIGURG)
+        self._is_brittle = False
+
     def _lose_power(self, number: int, duration: float) -> None:
         """Have all daemons lose power at once, at most once in a run.
 
--- a/soak/_guarantees.py
+++ b/soak/_guarantees.py
@@ -2,8 +2,10 @@
 
 import collections
 from collections.abc import Iterator
+import functools
 
 from soak import _clients
+from soak import _cut_daemons
 from soak import _exemptions
 from soak import _expected
 from soak import _load_guarantees
@@ -50,6 +52,12 @@
         yield f"FAILBACK {line}: cold replica overloaded"
     yield from _check_crashing_requests(world, runs, outcomes)
     yield from _owner_guarantees.check_power_losses(world, outcomes)
+    yield from _owner_guarantees.check_brittle_replicas(world)
+    yield from _cut_daemons.check_cut_daemons(
+        world.cut_periods,
+        outcomes,
+        functools.partial(_exemptions.has_current_data, world),
+    )
     yield from _owner_guarantees.check_context_lists(world)
     yield from _owner_guarantees.check_rejections(world, outcomes)
     yield from _owner_guarantees.check_bound(world)
--- a/soak/_owner_guarantees.py
+++ b/soak/_owner_guarantees.py
@@ -74,6 +74,13 @@
                 )
 
 
+def check_brittle_replicas(world: _world.World) -> Iterator[str]:
+    """Check that few brittle replicas crash of what daemons send them."""
+    allowed = world.brittle_periods * (2 + len(world.replicas) // 10)
+    if world.falls() > allowed:
+        yield f"LIMIT: {world.falls()} brittle replicas fell, {allowed} may"
+
+
 def check_context_lists(world: _world.World) -> Iterator[str]:
     """Check that replicas are asked for their contexts a few times only.
 
--- a/soak/_replica.py
+++ b/soak/_replica.py
@@ -13,6 +13,7 @@
 from collections.abc import Iterator
 import contextlib
 import json
+import math
 import os
 import random
 import signal
@@ -63,6 +64,8 @@
         self._is_leaving = False
         self._is_rejecting = False
         self._is_failing = False
+        self._brittle_since = math.inf
+        self._rejected_at: collections.deque[float] = collections.deque()
         self._failures = random.Random(f"failures {settings['seed']}")
         self._failure = "status"
         self._failing_part = 1.0
@@ -91,6 +94,8 @@
             return _http.bytes_answer(421, b"")
         if self._is_rejecting:
             return self._reject(attempt)
+        if self._is_brittle and self._in_flight >= self._settings["slots"]:
+            return self._reject_for_room(attempt)
         self._record_run(attempt, request.path)
         self._crash_if_overloaded()
         if request.body == _expected.CRASHING:
@@ -111,6 +116,7 @@
             ("Keep-Alive", "timeout=5"),
             *load_fields,
             *self._leaving_fields(attempt),
+            *self._brittle_fields(),
         )
         if request.path.startswith(_expected.STREAM):
             return self._stream(request, attempt, fields)
@@ -157,6 +163,31 @@
         )
         return _http.bytes_answer(503, b"", fields)
 
+    @property
+    def _is_brittle(self) -> bool:
+        return self._brittle_since < math.inf
+
+    def _brittle_fields(self) -> tuple[tuple[str, str], ...]:
+        if not self._is_brittle:
+            return ()
+        return (("Server-Brittle", str(_expected.TOLERATED_REJECTIONS)),)
+
+    def _reject_for_room(self, attempt: str) -> _http.Answer:
+        """Reject a request; crash if that happens too often in a second."""
+        now = time.monotonic()
+        self._rejected_at.append(now)
+        while self._rejected_at[0] <= now - 1.0:
+            self._rejected_at.popleft()
+        is_fragile = now - self._brittle_since > _expected.BRITTLE_NOTICE
+        if is_fragile and (
+            len(self._rejected_at) > _expected.TOLERATED_REJECTIONS
+        ):
+            with open(self._settings["ledger"] + ".brittle", "a") as ledger:
+                ledger.write(f"{now} {self._settings['id']}\n")
+            os._exit(1)
+        fields = (("X-Attempt-Id", attempt), ("X-Not-Executed", "1"))
+        return _http.bytes_answer(503, b"", (*fields, *self._brittle_fields()))
+
     def _fail(self, attempt: str) -> _http.Answer:
         if self._failure == "status":
             fields = (("X-Attempt-Id", attempt),)
@@ -269,6 +300,11 @@
         self._failure = self._failures.choice(["status", "reset", "silence"])
         self._failing_part = self._failures.choice([0.5, 1.0])
 
+    def toggle_brittle(self) -> None:
+        """Start to crash of too many rejections, or stop doing so."""
+        is_brittle = self._is_brittle
+        self._brittle_since = math.inf if is_brittle else time.monotonic()
+
     def toggle_slow(self) -> None:
         """Start to work slowly, or stop working slowly."""
         self._slowness.is_slow = not self._slowness.is_slow
@@ -285,6 +321,7 @@
     gevent.spawn(replica.register_forever)
     gevent.signal_handler(signal.SIGTERM, gevent.spawn, replica.drain)
     gevent.signal_handler(signal.SIGUSR1, replica.toggle_rejecting)
+    gevent.signal_handler(signal.SIGURG, replica.toggle_brittle)
     gevent.signal_handler(signal.SIGHUP, replica.toggle_slow)
     gevent.signal_handler(signal.SIGWINCH, replica.toggle_failing)
     gevent.signal_handler(signal.SIGUSR2, replica.announce_leaving)
--- a/soak/_run_plan.py
+++ b/soak/_run_plan.py
@@ -6,6 +6,7 @@
 
 _PRESSURE_PROBABILITY = 0.5
 _WAVES_PROBABILITY = 0.5
+_CUTS_PROBABILITY = 0.5
 
 
 class LoadReport(enum.Enum):
@@ -29,11 +30,15 @@
         second team, which surges.
     has_waves : bool
         Whether the callers send in clumps, with pauses between them.
+    cuts_daemons : bool
+        Whether daemons are cut off from all replicas, and replicas turn
+        brittle.
     """
 
     load_report: LoadReport = LoadReport.NONE
     has_pressure: bool = False
     has_waves: bool = False
+    cuts_daemons: bool = False
 
     @property
     def sends_context(self) -> bool:
@@ -54,4 +59,5 @@
         load_report=generator.choice(reports),
         has_pressure=generator.random() < _PRESSURE_PROBABILITY,
         has_waves=generator.random() < _WAVES_PROBABILITY,
+        cuts_daemons=generator.random() < _CUTS_PROBABILITY,
     )
--- a/soak/_store.py
+++ b/soak/_store.py
@@ -1,7 +1,9 @@
 """A stand-in for the platform's metadata store, with fault injection."""
 
 import base64
+from collections.abc import Callable
 import enum
+import functools
 import json
 import time
 from typing import Any
@@ -12,6 +14,7 @@
 from standins import _http
 
 EXPIRY_SECONDS = 1.2
+MapEntry = Callable[[bytes], bytes]
 
 
 class Mode(enum.Enum):
@@ -49,8 +52,26 @@
         self._server = _http.server(self._answer, 0)
         self.port = int(self._server.server_port)
         self.url = f"http://127.0.0.1:{self.port}"
+        self._views: list[Any] = []
         self._expirer = gevent.spawn(self._expire_entries)
 
+    def add_view(self, map_entry: MapEntry) -> int:
+        """Listen at one more port, whose clients see other entries.
+
+        Parameters
+        ----------
+        map_entry : callable
+            Returns the entry of a replica as these clients see it.
+
+        Returns
+        -------
+        int
+            The port.
+        """
+        answer = functools.partial(self._answer, map_entry=map_entry)
+        self._views.append(_http.server(answer, 0))
+        return int(self._views[-1].server_port)
+
     def put(self, table: str, key: str, value: Any) -> None:
         """Write a row, as the operator or a replica does."""
         data = base64.b64encode(json.dumps(value).encode()).decode()
@@ -75,7 +96,8 @@
     def stop(self) -> None:
         """Close the listener."""
         self._expirer.kill()
-        self._server.stop(timeout=0)
+        for server in [self._server, *self._views]:
+            server.stop(timeout=0)
 
     def _write(self, rows: list[tuple[str, str, str | None]]) -> None:
         self._version += 1
@@ -100,7 +122,9 @@
                     del self._heartbeat_times[key]
                     self._write([("servers", key, None)])
 
-    def _answer(self, request: _http.Request) -> _http.Answer:
+    def _answer(
+        self, request: _http.Request, map_entry: MapEntry | None = None
+    ) -> _http.Answer:
         if request.path == "/soak/beat":
             beat = _http.parse_json_body(request)
             self._heartbeat_times[beat["key"]] = time.monotonic()
@@ -115,9 +139,11 @@
             raise _http.ConnectionCut()
         if self.mode is Mode.BUSY:
             return _http.json_answer(503, {})
-        return self._serve(request)
+        return self._serve(request, map_entry)
 
-    def _serve(self, request: _http.Request) -> _http.Answer:
+    def _serve(
+        self, request: _http.Request, map_entry: MapEntry | None
+    ) -> _http.Answer:
         if request.path == "/v1/rows-get":
             table = request.query["table"]
             rows = [
@@ -125,19 +151,31 @@
                 for (name, key), (data, version) in sorted(self._rows.items())
                 if name == table and key >= request.query.get("source", "")
             ]
-            return self._rows_answer(rows)
+            return self._rows_answer(table, rows, map_entry)
         if request.path == "/v1/rows-feed":
-            return self._feed(request)
+            return self._feed(request, map_entry)
         if request.path == "/v1/rows-tx":
             return self._transaction(_http.parse_json_body(request))
         return _http.json_answer(404, {})
 
-    def _rows_answer(self, rows: list[dict[str, Any]]) -> _http.Answer:
+    def _rows_answer(
+        self,
+        table: str,
+        rows: list[dict[str, Any]],
+        map_entry: MapEntry | None,
+    ) -> _http.Answer:
+        if table == "servers" and map_entry is not None:
+            for row in rows:
+                if row["data"]:
+                    entry = map_entry(base64.b64decode(row["data"]))
+                    row["data"] = base64.b64encode(entry).decode()
         return _http.json_answer(
             200, {"rows": rows, "row_version": self._version}
         )
 
-    def _feed(self, request: _http.Request) -> _http.Answer:
+    def _feed(
+        self, request: _http.Request, map_entry: MapEntry | None
+    ) -> _http.Answer:
         table = request.query["table"]
         after = int(request.query["after"])
         end = time.monotonic() + int(request.query["wait_time_ms"]) / 1000
@@ -151,7 +189,7 @@
             ]
             remaining = end - time.monotonic()
             if rows or remaining <= 0 or self.mode is not Mode.NORMAL:
-                return self._rows_answer(rows)
+                return self._rows_answer(table, rows, map_entry)
             self._changed.wait(remaining)
 
     def _transaction(self, transaction: dict[str, Any]) -> _http.Answer:
--- a/soak/_world.py
+++ b/soak/_world.py
@@ -15,10 +15,12 @@
 
 from bench.fleets import processes
 from soak import _clients
+from soak import _cut_daemons
 from soak import _expected
 from soak import _run_plan
 from soak import _store
 from soak import _surging_team
+from standins import _cut_link
 from standins import _relay
 
 ROOT = pathlib.Path(__file__).parents[1]
@@ -263,6 +265,8 @@
         self.former_replicas: list[Replica] = []
         self._replacing: list[Replica] = []
         self.evacuations: list[Evacuation] = []
+        self.cut_periods: list[_cut_daemons.CutPeriod] = []
+        self.brittle_periods = 0
         self.power_restored_at: list[float] = []
         self._evacuated: set[str] = set()
         self._added_keys: list[_clients.AddedKey] = []
@@ -271,11 +275,19 @@
         for _ in range(replicas):
             self.replicas.append(self._new_replica())
         self._starts_cold = True
+        self._links = [
+            _cut_daemons.DaemonLinks(self.store)
+            for _ in range(daemons if plan.cuts_daemons else 0)
+        ]
         self.daemons = [
             Daemon(
                 number=number,
                 folder=folder,
-                store_port=self.store.port,
+                store_port=(
+                    self._links[number].store_port
+                    if plan.cuts_daemons
+                    else self.store.port
+                ),
                 seed=seed,
                 has_pressure=plan.has_pressure,
             )
@@ -311,6 +323,26 @@
         self.evacuations.append(Evacuation(zone, began, ended))
         self._evacuated.discard(zone)
 
+    def cut_off_daemons(
+        self, numbers: frozenset[int], how: _cut_link.Cut, seconds: float
+    ) -> None:
+        """Cut daemons off from all replicas for a while."""
+        if any(links.is_cut for links in self._links):
+            return
+        began = time.monotonic()
+        for number in numbers:
+            self._links[number].cut(how)
+        gevent.sleep(seconds)
+        self.cut_periods.append(
+            _cut_daemons.CutPeriod(numbers, began, time.monotonic())
+        )
+        for number in numbers:
+            self._links[number].heal()
+
+    def falls(self) -> int:
+        """Return how many brittle replicas crashed of their rejections."""
+        return len(self._read("runs.txt.brittle"))
+
     def cold_overloads(self) -> list[str]:
         """Return the records of cold replicas that crashed of overload."""
         path = self.folder / "runs.txt.cold"
@@ -440,4 +472,6 @@
         for replica in [*self.replicas, *self.former_replicas]:
             replica.process.kill()
             replica.link.stop()
+        for links in self._links:
+            links.stop()
         self.store.stop()
--- a/tests/soak/test_guarantees.py
+++ b/tests/soak/test_guarantees.py
@@ -40,6 +40,8 @@
     disruptions=(),
     evacuations=(),
     cold_overloads=(),
+    brittle_periods=0,
+    falls=0,
 ):
     replica = types.SimpleNamespace(
         name="i-1",
@@ -54,6 +56,9 @@
         ends=lambda: [],
         evacuations=list(evacuations),
         cold_overloads=lambda: list(cold_overloads),
+        brittle_periods=brittle_periods,
+        falls=lambda: falls,
+        cut_periods=[],
         runs=lambda: list(runs),
         reports=lambda: list(reports),
         daemons=[
@@ -202,6 +207,19 @@
         ) == ["FAILBACK"]
 
 
+class TestBrittleReplicas:
+    def test_more_falls_than_allowed(self):
+        assert violation_kinds(
+            outcome(), runs=[RUN], brittle_periods=1, falls=3
+        ) == ["LIMIT:"]
+
+    def test_two_falls_in_a_period_are_allowed(self):
+        assert (
+            violation_kinds(outcome(), runs=[RUN], brittle_periods=1, falls=2)
+            == []
+        )
+
+
 class TestReplicaReports:
     """Requests to a replica that has reported leaving or a backoff."""
 
--- a/tests/soak/test_replica.py
+++ b/tests/soak/test_replica.py
@@ -102,3 +102,32 @@
         replica._failure, replica._failing_part = "reset", 1.0
         with pytest.raises(_http.ConnectionCut):
             answer(replica, _expected.READ)
+
+
+class TestBrittle:
+    def test_says_so_only_while_it_is(self, new_replica):
+        replica = new_replica(REPORT.NONE)
+        assert "Server-Brittle" not in dict(answer(replica, "/read/").headers)
+        replica.toggle_brittle()
+        assert "Server-Brittle" in dict(answer(replica, "/read/").headers)
+        replica.toggle_brittle()
+        assert "Server-Brittle" not in dict(answer(replica, "/read/").headers)
+
+    def test_rejects_what_it_has_no_slot_for(self, new_replica):
+        replica = new_replica(REPORT.NONE, slots=0)
+        replica.toggle_brittle()
+        rejected = answer(replica, "/read/")
+        assert rejected.status == 503
+        assert "X-Not-Executed" in dict(rejected.headers)
+
+    def test_falls_of_too_many_rejections(self, new_replica, monkeypatch):
+        fallen = []
+        monkeypatch.setattr(_replica.os, "_exit", fallen.append)
+        replica = new_replica(REPORT.NONE, slots=0)
+        replica.toggle_brittle()
+        replica._brittle_since -= _expected.BRITTLE_NOTICE + 1
+        for _ in range(_expected.TOLERATED_REJECTIONS):
+            answer(replica, "/read/")
+        assert not fallen
+        answer(replica, "/read/")
+        assert fallen == [1]
--- a/tests/soak/test_run_plan.py
+++ b/tests/soak/test_run_plan.py
@@ -2,7 +2,7 @@
 
 from soak import _run_plan
 
-SEEDS = range(1, 41)
+SEEDS = range(1, 201)
 
 
 class TestDraw:
@@ -12,12 +12,13 @@
             _run_plan.draw(seed) for seed in SEEDS
         ]
 
-    def test_each_load_report_with_and_without_pressure_and_waves(self):
+    def test_each_load_report_with_and_without_each_property(self):
         """No combination may be left untested by a run of many seeds."""
         plans = {_run_plan.draw(seed) for seed in SEEDS}
         assert plans == {
-            _run_plan.RunPlan(report, has_pressure, has_waves)
+            _run_plan.RunPlan(report, has_pressure, has_waves, cuts_daemons)
             for report in _run_plan.LoadReport
             for has_pressure in (False, True)
             for has_waves in (False, True)
+            for cuts_daemons in (False, True)
         }
