Do not leave out the only connected daemon for a silent replica

Cause, from the logs: a repeatable request got no answer for half of its time, as its replica was frozen; daemon 1 took daemon 0 for frozen and left it out for 0.5 s, and there was no other. A daemon that has answered another request within the last second is not frozen, and is used on. The new test fails without the change (503 for a request after the silent one) and passes with it.

--- a/src/topazlug/delegation/_delegator.py
+++ b/src/topazlug/delegation/_delegator.py
@@ -34,6 +34,8 @@
 # Part of the remaining time after which a repeatable request is sent to
 # another daemon if the first one is silent.
 _SILENCE_FRACTION = 0.5
+# A daemon that has answered a request this recently is not frozen.
+_RECENT_ANSWER_SECONDS = 1.0
 # Minimum Retry-After while no daemon reaches a replica: a daemon that is cut
 # off notices the end of its cut within about this time.
 _MIN_RETRY_AFTER_SECONDS = 0.5
@@ -155,7 +157,8 @@
             except _errors.RequestError as error:
                 progress.outcome = _errors.Outcome.UNKNOWN
                 progress.sent += _allowed_replicas(call, progress)
-                delegates.record_failure(delegate)
+                if self._is_unresponsive(delegate, error):
+                    delegates.record_failure(delegate)
                 if not self._may_repeat(call, progress, error):
                     raise
         raise self._refusal(call, progress, tried, list(rows))
@@ -177,6 +180,21 @@
             if row.delegation_port and daemon != self._daemon
         }
 
+    def _is_unresponsive(
+        self, delegate: _ids.DaemonId, error: _errors.RequestError
+    ) -> bool:
+        """Return whether a failure is that of the daemon itself.
+
+        Most failures are those of its replica: it waits while the replica is
+        silent, and ends its answer early if the replica's ends early. The
+        only daemon that reaches replicas must not be left out for that.
+        """
+        return isinstance(error, _errors.TargetSilent) and not (
+            self._connections.has_answered_within(
+                _ids.ReplicaId(delegate), _RECENT_ANSWER_SECONDS
+            )
+        )
+
     def _may_repeat(
         self,
         call: _call.ForwardedCall,
--- a/src/topazlug/targets/_target_client.py
+++ b/src/topazlug/targets/_target_client.py
@@ -286,10 +286,10 @@
         return idle.last_request
 
     def has_answered_within(
-        self, target: _targets.Target, seconds: float
+        self, replica: _ids.ReplicaId, seconds: float
     ) -> bool:
         """Return whether a target has recently answered a caller's request."""
-        at = self._last_received_at.get(target.replica, -math.inf)
+        at = self._last_received_at.get(replica, -math.inf)
         return self._clock.monotonic() - at < seconds
 
     def _pool(self, target: _targets.Target) -> _target_answer.IdleConnections:
--- a/src/topazlug/targets/_target_poller.py
+++ b/src/topazlug/targets/_target_poller.py
@@ -135,7 +135,7 @@
         failing = failures.errors >= _ERRORS_UNTIL_DEAD
         # An engine may serve requests although its load can't be read.
         has_answered = self._connections.has_answered_within(
-            target, _RECENT_ANSWER_SECONDS
+            target.replica, _RECENT_ANSWER_SECONDS
         )
         if unreachable or (failing and not has_answered):
             self._publish(target, messages.FactState.dead)
--- a/tests/topazlug_platform/crash_fleet.py
+++ b/tests/topazlug_platform/crash_fleet.py
@@ -25,6 +25,8 @@
 ORDINARY = b"does no harm"
 # Requests that begin with this get a stream.
 STREAMED = b"stream"
+# These get no answer.
+SILENT = b"silent"
 SLOW = b"does no harm, and takes long"
 _RUN_SECONDS = 0.02
 
@@ -90,6 +92,8 @@
             self.crash()
         if self.is_silent:
             gevent.sleep(60)
+        if body.startswith(SILENT):
+            gevent.sleep(60)
         if body.startswith(STREAMED):
             self._stream(sock, attempt)
             return
--- a/tests/topazlug_platform/cut_fleet.py
+++ b/tests/topazlug_platform/cut_fleet.py
@@ -95,6 +95,10 @@
         sock.sendall(sent)
         return sock
 
+    def send_silent(self, number):
+        """Send a request that gets no answer from its replica."""
+        self.send(number, crash_fleet.SILENT)
+
     def begin_slow_stream(self, number):
         """Send a request whose stream does not end; return the connection."""
         return self._send(number, crash_fleet.SLOW)
--- a/tests/topazlug_platform/test_cut_off_daemons.py
+++ b/tests/topazlug_platform/test_cut_off_daemons.py
@@ -2,6 +2,7 @@
 
 import contextlib
 
+import gevent
 import logbook
 import pytest
 
@@ -227,6 +228,18 @@
             assert fleet.statuses(0, TRIES, "/new/x") == [200] * TRIES
 
 
+class TestFailingReplicas:
+    def test_only_connected_daemon_is_not_blamed_for_its_replicas(self):
+        """All callers were refused for a while after one got no answer."""
+        with running_fleet(timeout=1.0, daemons=2) as fleet:
+            fleet.cut_off(CUT.RESET, 0)
+            fleet.notice_cut(0)
+            silent = gevent.spawn(fleet.send_silent, 0)
+            while not silent.ready():
+                assert fleet.try_(0)[0] == 200
+            assert fleet.try_(0)[0] == 200
+
+
 class TestLogs:
     def test_both_daemons_log_the_request(self):
         with running_fleet() as fleet:
