Keep the port of a cut link in the stand-ins and the soak

A soak run ended with 'Address already in use': a link that refuses connections had closed its listener, and another process had taken the port when the link was restored. A bound socket that does not listen keeps it.

--- a/standins/_cut_link.py
+++ b/standins/_cut_link.py
@@ -6,6 +6,7 @@
 from typing import final
 
 from gevent import server as gevent_server
+from gevent import socket as gevent_socket
 
 from standins import _http
 from standins import _relay
@@ -53,13 +54,13 @@
 
     def __init__(self, port: int) -> None:
         self._relay = _relay.Relay(host=_http.HOST, port=port)
-        self._listener = self._listen(0)
+        self._reserved: Any = None
+        self._listener = self._listen(_bind(0))
         self.port = int(self._listener.server_port)
 
-    def _listen(self, port: int) -> Any:
-        listener = gevent_server.StreamServer(
-            (_http.HOST, port), self._relay.handle, backlog=_http.BACKLOG
-        )
+    def _listen(self, sock: Any) -> Any:
+        sock.listen(_http.BACKLOG)
+        listener = gevent_server.StreamServer(sock, self._relay.handle)
         listener.start()
         return listener
 
@@ -75,13 +76,17 @@
             self._relay.set_faults(_relay.Faults(blackhole=True))
             return
         self._listener.stop(timeout=0)
+        # A bound socket that does not listen refuses connections, and keeps
+        # other programs from taking the port meanwhile.
+        self._reserved = _bind(self.port)
         if how is Cut.RESET:
             self._relay.set_faults(_relay.Faults(cut=True))
 
     def heal(self) -> None:
         """Restore the link; what was held back is delivered."""
-        if self._listener.closed:
-            self._listener = self._listen(self.port)
+        if self._reserved is not None:
+            self._listener = self._listen(self._reserved)
+            self._reserved = None
         else:
             self._listener.socket.setsockopt(
                 socket.SOL_SOCKET, _SO_DETACH_FILTER, 0
@@ -91,4 +96,13 @@
     def stop(self) -> None:
         """Close the listener and all connections."""
         self._listener.stop(timeout=0)
+        if self._reserved is not None:
+            self._reserved.close()
         self._relay.set_faults(_relay.Faults(cut=True))
+
+
+def _bind(port: int) -> Any:
+    sock = gevent_socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    sock.bind((_http.HOST, port))
+    return sock
