Log the versions of replicas, and the attempt that a request takes up

Callers saw: streams of two software versions. No line of a daemon told the version of a replica, lines of streams resumed within one answer had no request id, and none told that a request continues an earlier attempt, so the three hypotheses of the incident could not be told apart.

Daemons read the version of a replica's entry and the Resumes field, and log both. Entries whose version is not a text, or has more than 200 characters, name no replica, as with other fields. No decision changes.

--- a/src/topazlug/_ids.py
+++ b/src/topazlug/_ids.py
@@ -4,6 +4,7 @@
 
 DaemonId = NewType("DaemonId", str)
 ReplicaId = NewType("ReplicaId", str)
+SoftwareVersion = NewType("SoftwareVersion", str)
 GroupName = NewType("GroupName", str)
 TeamName = NewType("TeamName", str)
 RequestId = NewType("RequestId", str)
--- a/src/topazlug/forwarding/_app.py
+++ b/src/topazlug/forwarding/_app.py
@@ -294,6 +294,8 @@
             "table": self._tables.version,
             "fingerprint": call.fingerprint,
         }
+        if call.head.resumes:
+            fields["resumes"] = call.head.resumes
         with _logs.request_fields(**fields):
             return self._serve(call)
 
--- a/src/topazlug/forwarding/_event_relay.py
+++ b/src/topazlug/forwarding/_event_relay.py
@@ -130,6 +130,8 @@
         _log.info(
             "stream resumed at {replica} after event {last}",
             replica=placement.target.replica,
+            version=placement.target.version,
+            version_before=broken.target.version,
             last=last_id,
         )
         return placement, answer
@@ -301,6 +303,7 @@
             "a stream ends early after event {last}: {why}",
             request_id=self._call.head.attempt,
             replica=self._placement.target.replica,
+            version=self._placement.target.version,
             last=self._reader.last_id,
             tried=self._tried,
             caller_left=self._has_caller_left,
@@ -357,9 +360,11 @@
         if isinstance(error, _errors.DeadlineExceeded):
             return False
         self._reader.discard_partial()
-        resumed = self._resumer.resume(
-            self._call, self._placement, self._reader.last_id
-        )
+        # The body is read after the request's own log context has ended.
+        with _logs.request_fields(request_id=self._call.head.attempt):
+            resumed = self._resumer.resume(
+                self._call, self._placement, self._reader.last_id
+            )
         if resumed is None:
             return False
         self._resumer.release(self._placement, failed=True)
--- a/src/topazlug/forwarding/_wire.py
+++ b/src/topazlug/forwarding/_wire.py
@@ -49,6 +49,9 @@
         Fields that are forwarded to the replica unchanged.
     output_tokens : int
         Maximum number of tokens to generate, 0 if unknown.
+    resumes : RequestId
+        Attempt that brought the first event of the stream that the caller
+        takes up again; empty if it names none.
     """
 
     attempt: _ids.RequestId
@@ -59,6 +62,7 @@
     resume_after: int | None
     fields: tuple[Field, ...]
     output_tokens: int = 0
+    resumes: _ids.RequestId = _ids.RequestId("")
 
 
 class CallerHeaderDecoder(Protocol):
--- a/src/topazlug/placement/_brittle_placement.py
+++ b/src/topazlug/placement/_brittle_placement.py
@@ -151,6 +151,7 @@
             "placed at {replica}, which is brittle: its owner {owner} counts "
             "{load}",
             replica=replica,
+            version=self._targets.target_by_replica[replica].version,
             owner=answer.owner,
             load=answer.reply.load,
         )
--- a/src/topazlug/placement/_owner_search.py
+++ b/src/topazlug/placement/_owner_search.py
@@ -358,15 +358,16 @@
         if not self._targets.is_usable(replica):
             owner_client.held_placements.send_release(answer.owner, answer.ask)
             return None
+        target = self._targets.target_by_replica[replica]
         _log.info(
             "placed at {replica}: its owner {owner} counts {load}",
             replica=replica,
+            version=target.version,
             owner=answer.owner,
             load=answer.reply.load,
             verdict=answer.reply.verdict.value,
             home=replica == home,
         )
-        target = self._targets.target_by_replica[replica]
         self._views.of_incarnation(target).in_flight += 1
         placement = _placement.Placement(
             target=target,
--- a/src/topazlug/placement/_view_admission.py
+++ b/src/topazlug/placement/_view_admission.py
@@ -71,16 +71,17 @@
             chosen, home = self._by_context(request, candidates)
         else:
             chosen, home = self._fastest(candidates), False
+        target = self._targets.target_by_replica[chosen]
         _log.info(
             "placed at {replica}: load {load:.1f}, mean {mean:.1f}",
             replica=chosen,
+            version=target.version,
             load=round(self._views.of(chosen).load, 2),
             mean=round(self._mean(candidates), 2),
             home=home,
             candidates=len(candidates),
             report_age=self._views.of(chosen).report_age,
         )
-        target = self._targets.target_by_replica[chosen]
         self._views.of_incarnation(target).in_flight += 1
         return _placement.Placement(
             target=target,
--- a/src/topazlug/targets/_target.py
+++ b/src/topazlug/targets/_target.py
@@ -38,6 +38,8 @@
         Whether it is about to exit and accepts no new requests.
     cold_for : float
         Seconds that it stays cold, counted from its report.
+    version : SoftwareVersion
+        Version of its software, empty if it names none.
     """
 
     replica: _ids.ReplicaId
@@ -50,6 +52,7 @@
     slots: int
     leaving: bool
     cold_for: float = 0.0
+    version: _ids.SoftwareVersion = _ids.SoftwareVersion("")
 
 
 class ReplicaProcess(NamedTuple):
--- a/tests/topazlug_platform/test_documents.py
+++ b/tests/topazlug_platform/test_documents.py
@@ -94,3 +94,22 @@
         assert (made.host, made.port, made.slots) == ("10.0.0.9", 8080, 64)
         assert made.leaving
         assert made.kind is _targets.TargetKind.ENGINE
+
+    def test_version_is_that_of_the_software(self):
+        """All replicas of a service counted as the same software."""
+        entry = {"service": "s1", "address": "10.0.0.9:8080"}
+        weights = [{"name": "m", "version": 3, "lora_adapters": []}]
+
+        def version_of(**fields):
+            data = json.dumps({**entry, "base_models": weights, **fields})
+            return documents.parse_target("i-1", data.encode()).version
+
+        assert version_of(version="v1.2") == "v1.2"
+        assert version_of() == ""
+
+    @pytest.mark.parametrize("version", [3, None, ["v1"], "v" * 201])
+    def test_invalid_version(self, version):
+        entry = {"service": "s1", "address": "10.0.0.9:8080"}
+        data = json.dumps({**entry, "version": version}).encode()
+        with pytest.raises(documents.Unreadable):
+            documents.parse_target("i-1", data)
--- a/tests/topazlug_platform/test_headers.py
+++ b/tests/topazlug_platform/test_headers.py
@@ -3,6 +3,7 @@
 import pytest
 from topazlug_platform import headers
 
+from topazlug import _errors
 from topazlug.forwarding import _wire
 from topazlug.targets import _target_answer
 from topazlug.targets import _target_report
@@ -148,3 +149,20 @@
         fields = [("X-Prompt-Prefix", "5c1e07a2:" + "9" * digits)]
         (part,) = headers.ClientHeaders().decode(fields).parts
         assert part.tokens == 0
+
+
+class TestResumedAttempt:
+    def test_names_the_attempt_that_brought_the_first_event(self):
+        fields = [("X-Attempt-Id", "a2"), ("resumes", " a1 ")]
+        head = headers.ClientHeaders().decode(fields)
+        assert (head.attempt, head.resumes) == ("a2", "a1")
+
+    def test_is_empty_for_a_new_stream(self):
+        head = headers.ClientHeaders().decode([("X-Attempt-Id", "a2")])
+        assert head.resumes == ""
+
+    def test_two_are_rejected(self):
+        """Two daemons could each look up another attempt."""
+        fields = [("Resumes", "a1"), ("Resumes", "a2")]
+        with pytest.raises(_errors.BadHeader):
+            headers.ClientHeaders().decode(fields)
