--- a/tests/topazlug_platform/test_streams_of_two_versions.py
+++ b/tests/topazlug_platform/test_streams_of_two_versions.py
@@ -7,6 +7,10 @@
 from tests.topazlug_platform import version_fleet
 from topazlug import _logs
 
+STREAMS = 40
+# Of the streams that are taken up, at least this fraction goes on.
+MIN_COMPLETE = 0.95
+
 
 @contextlib.contextmanager
 def running_fleet(**options):
@@ -18,6 +22,28 @@
         fleet.stop()
 
 
+def check(streams):
+    """Check that no stream is mixed, and that most are complete."""
+    assert [one for one in streams if one.is_mixed] == []
+    complete = [one for one in streams if one.is_complete]
+    assert len(complete) >= MIN_COMPLETE * len(streams)
+
+
+class TestReplicaBreaksStream:
+    def test_stream_goes_on_at_its_version(self):
+        """The rest of a broken stream came from another version."""
+        with running_fleet() as fleet:
+            fleet.break_streams(4)
+            check(fleet.streams(STREAMS, 0))
+
+
+class TestCallerGoesOnElsewhere:
+    def test_stream_goes_on_at_its_version(self):
+        """A stream that its caller took up came from another version."""
+        with running_fleet() as fleet:
+            check(fleet.streams(STREAMS, 0, 1, leaves_after=4))
+
+
 class Lines(logbook.TestHandler):
     """Keeps log lines with the fields of the request in progress."""
 
