Continue streams only at the software version that began them

Cause: a daemon sent the rest of a stream to any replica of its group. It read neither the versions of replicas nor the attempt that a caller takes up.

The first event fixes the version of a stream. Before the caller gets it, and only while the group has several versions, two daemons that follow from the hash of the attempt are told. A daemon that is asked to take a stream up looks into its own memory, then asks up to eight others; if nobody knows and the group may have had two versions, it refuses at once. A second version begins no stream until all daemons can know of it. Where entries give the start of a process, the replica is asked for it before a stream goes on there, and streams that began at about the time of a replacement go on nowhere.

Ruled out: computing the version from the attempt (lists differ, and half of all contexts would be read again); telling all daemons (30,000 streams a second to 880); the store (a call for each stream).

--- a/src/topazlug/_errors.py
+++ b/src/topazlug/_errors.py
@@ -38,6 +38,7 @@
     CLAIM_ENDED = "claim_ended"
     OVERLOADED = "overloaded"
     REQUEST_BLOCKED = "request_blocked"
+    STREAM_NOT_RESUMABLE = "stream_not_resumable"
     NOT_BLOCKED = "request_not_blocked"
     TEAM_CEILING = "team_ceiling_reached"
     NO_TARGET = "no_target"
@@ -259,6 +260,14 @@
     status = HTTPStatus.SERVICE_UNAVAILABLE
 
 
+@final
+class StreamNotResumable(RequestError):
+    """No replica may continue the stream that the caller takes up."""
+
+    code = Code.STREAM_NOT_RESUMABLE
+    status = HTTPStatus.SERVICE_UNAVAILABLE
+
+
 @final
 class TargetRefused(RequestError):
     """The target reported that it did not run the request."""
--- a/src/topazlug/_generated/messages.py
+++ b/src/topazlug/_generated/messages.py
@@ -476,6 +476,113 @@
             ),
         ]
     ) = -1
+    is_pinned: (
+        Annotated[
+            bool,
+            Meta(
+                description="Whether the sender knows the software version that began the stream."
+            ),
+        ]
+    ) = False
+    version: (
+        Annotated[
+            str,
+            Meta(
+                description="That version; replicas of no other one may get the request."
+            ),
+        ]
+    ) = ""
+
+
+class StreamBegun(Struct, kw_only=True, omit_defaults=True):
+    """
+    A stream began at a replica. Sent before its caller receives the first event.
+    """
+
+    stream: Annotated[
+        int,
+        Meta(
+            description="64-bit hash of the attempt that brings the first event."
+        ),
+    ]
+    group: str
+    version: Annotated[
+        str, Meta(description="Version of the software of the replica.")
+    ]
+    process: Annotated[
+        int,
+        Meta(
+            description="64-bit hash of the id and the incarnation of the replica."
+        ),
+    ]
+    is_certain: (
+        Annotated[
+            bool,
+            Meta(
+                description="Whether it was this version for certain. If not, the stream may go on nowhere."
+            ),
+        ]
+    ) = True
+
+
+class OriginAsk(Struct, kw_only=True, omit_defaults=True):
+    """
+    A daemon asks at which software version a stream began.
+    """
+
+    group: Annotated[
+        str, Meta(description="Group whose versions the sender asks for.")
+    ]
+    stream: Annotated[
+        int,
+        Meta(
+            description="64-bit hash of the attempt that brought the first event."
+        ),
+    ]
+
+
+class OriginReply(Struct, kw_only=True, omit_defaults=True):
+    """
+    What a daemon knows of the beginning of a stream, and of the versions of its group.
+    """
+
+    is_known: Annotated[
+        bool,
+        Meta(description="Whether the daemon knows where the stream began."),
+    ]
+    is_certain: (
+        Annotated[bool, Meta(description="As in StreamBegun.")]
+    ) = True
+    group: (
+        Annotated[str, Meta(description="Group at which it began.")]
+    ) = ""
+    version: (
+        Annotated[str, Meta(description="Version at which it began.")]
+    ) = ""
+    versions: (
+        Annotated[
+            list[str],
+            Meta(
+                description="Versions that the group asked for has had lately."
+            ),
+        ]
+    ) = field(default_factory=list)
+    is_current: (
+        Annotated[
+            bool,
+            Meta(
+                description="Whether the daemon's list of replicas is up to date."
+            ),
+        ]
+    ) = False
+    knows_past: (
+        Annotated[
+            bool,
+            Meta(
+                description="Whether it has had the list for as long as streams are remembered."
+            ),
+        ]
+    ) = False
 
 
 class DeclineReason(StrEnum):
--- a/src/topazlug/delegation/_delegator.py
+++ b/src/topazlug/delegation/_delegator.py
@@ -299,6 +299,8 @@
             replicas=replicas,
             table=self._table_version(),
             counted=progress.is_counted,
+            is_pinned=call.version is not None,
+            version=call.version or "",
         )
         return _target_client.TargetRequest(
             method=call.method,
--- a/src/topazlug/forwarding/_call.py
+++ b/src/topazlug/forwarding/_call.py
@@ -74,6 +74,8 @@
     delegation : DelegatedCall or None
         What another daemon, which has the request from the caller, left of
         its attempts; None if this daemon has it from the caller.
+    version : SoftwareVersion or None
+        Version that began its stream; None if no event has been relayed.
     """
 
     method: str
@@ -91,6 +93,19 @@
     fingerprint: _ids.Fingerprint
     fields: Sequence[_wire.Field]
     delegation: messages.DelegatedCall | None = None
+    version: _ids.SoftwareVersion | None = None
+
+    @property
+    def takes_stream_up(self) -> bool:
+        """Return whether the caller has received part of the stream."""
+        if self.route.kind is not _table.RequestKind.STREAM:
+            return False
+        return bool(self.head.resumes) or self.head.resume_after is not None
+
+    @property
+    def stream_attempt(self) -> _ids.RequestId:
+        """Return the attempt that brings the first event of the stream."""
+        return self.head.resumes or self.head.attempt
 
     @property
     def max_replicas(self) -> int:
@@ -137,6 +152,8 @@
             prompt_tokens=sum(part.tokens for part in self.head.parts),
             output_tokens=self.head.output_tokens,
             max_pause=self.route.max_pause,
+            version=self.version,
+            begins_stream=self.route.resumable and self.version is None,
         )
 
 
--- a/src/topazlug/forwarding/_daemon.py
+++ b/src/topazlug/forwarding/_daemon.py
@@ -43,10 +43,13 @@
 from topazlug.routing import _owner_gauges
 from topazlug.targets import _listed_targets
 from topazlug.targets import _path_check
+from topazlug.targets import _process_check
 from topazlug.targets import _replica_paths
 from topazlug.targets import _target_client
 from topazlug.targets import _targets
 from topazlug.telemetry import _metrics
+from topazlug.versions import _group_versions
+from topazlug.versions import _stream_versions
 
 _log = _logs.logger("daemon")
 _SWEEP_INTERVAL_SECONDS = 1.0
@@ -84,6 +87,9 @@
         Clock of the daemon.
     context_codec : ContextListCodec or None
         The platform's form of a replica's list of contexts, if it has one.
+    process_codec : ProcessReportCodec or None
+        The platform's form of a replica's report on its process, if it has
+        one.
 
     Attributes
     ----------
@@ -102,6 +108,7 @@
         new_store: Callable[[], _table_source.TableStore],
         clock: _clock.Clock,
         context_codec: _context_lister.ContextListCodec | None = None,
+        process_codec: _process_check.ProcessReportCodec | None = None,
     ) -> None:
         self._options = options
         self._context_codec = context_codec
@@ -134,9 +141,22 @@
             unreachable=options.staleness_bounds.recovery,
             clock=clock,
         )
+        self.versions = _stream_versions.StreamVersions(
+            daemon=options.daemon,
+            daemons=lambda: self._fleet.directory.daemons_by_id,
+            groups=_group_versions.GroupVersions(
+                clock=clock,
+                list_age=lambda: self.replicas.source_age(),
+                max_list_age=options.staleness_bounds.propagation,
+                knows_past=options.first_start,
+            ),
+            clock=clock,
+        )
         self._admission = _owner_admission.OwnerOrViewAdmission(
             view_admission=_view_admission.ViewAdmission(
-                targets=self.targets, views=self.views
+                targets=self.targets,
+                views=self.views,
+                versions=self.versions.groups,
             ),
             targets=self.targets,
             views=self.views,
@@ -225,6 +245,13 @@
             delegator=self._delegation.delegator if is_delegating else None,
             targets=self.targets,
             views=self.views,
+            versions=self.versions,
+            process_check=_process_check.ProcessCheck(
+                connections=self._connections,
+                listed=lambda: self.targets.target_by_replica,
+                codec=process_codec,
+                clock=clock,
+            ),
             codec=replica_codec,
             disabled=options.disabled,
         )
@@ -296,6 +323,7 @@
         _replica_list.log_changes(before, targets)
         self._drop_stale_connections(targets)
         self._crash_assembly.guard.handle_list_change(before, targets)
+        self.versions.update_targets(before, targets)
         self.views.update_targets(targets)
         self.contexts.update_targets(targets)
         self.targets.set_list(targets)
@@ -375,6 +403,7 @@
         )
         _owner_gauges.watch_recoveries(self.metrics, self._owners.recoveries)
         self._crash_assembly.join(links)
+        self.versions.join(links)
         self._delegation.join(
             links,
             address=msgspec.structs.replace(
@@ -437,7 +466,7 @@
         listener: _table_feed.TableListener,
         *,
         pace: _table_feed.Pace = _table_feed.DEFAULT_PACE,
-    ) -> None:
+    ) -> _table_feed.TableFeed:
         """Start following a table of the platform's store."""
         feed = self._fleet.feed(table, listener, pace=pace)
 
@@ -446,6 +475,7 @@
             feed.run()
 
         self.spawn(run)
+        return feed
 
     def start(self) -> None:
         """Start the listeners and the background tasks."""
--- a/src/topazlug/forwarding/_event_relay.py
+++ b/src/topazlug/forwarding/_event_relay.py
@@ -24,6 +24,7 @@
 from topazlug.routing import _placement
 from topazlug.targets import _target_answer
 from topazlug.targets import _target_client
+from topazlug.versions import _stream_versions
 
 _log = _logs.logger("forwarding")
 # Timeout for the next data of a resumable stream, in multiples of its route's
@@ -209,6 +210,8 @@
         Resumes the stream if it breaks.
     call_metrics : CallMetrics
         Counts requests and their durations.
+    versions : StreamVersions
+        Remembers at which software versions streams began.
     clock : Clock
         Clock of the daemon.
     """
@@ -222,8 +225,10 @@
         tried: int,
         resumer: StreamResumer,
         call_metrics: _call_metrics.CallMetrics,
+        versions: _stream_versions.StreamVersions,
         clock: _clock.Clock,
     ) -> None:
+        self._versions = versions
         self._call = call
         self._placement = placement
         self._answer = answer
@@ -253,9 +258,22 @@
         for data in chunks:
             events = self._complete_events(data)
             if events:
+                self._begin()
                 return events
         return b""
 
+    def _begin(self) -> None:
+        """Fix the version of the stream; only its replicas may continue it.
+
+        Without an event, the caller has received nothing, and the request may
+        still be sent to any replica.
+        """
+        target = self._placement.target
+        if self._call.version is None:
+            self._call.version = target.version
+        if self._call.route.resumable:
+            self._versions.begin(self._call.stream_attempt, target)
+
     def body_pieces(self, first_events: bytes) -> Iterator[bytes]:
         """Yield the body sent to the caller; an exception cuts it off.
 
@@ -270,6 +288,7 @@
             yield first_events
             yield from self._relay_until_end()
             failed = False
+            self._versions.complete(self._call.stream_attempt)
             self._call_metrics.record_answer(self._call, self._answer.status)
         finally:
             watch.stop()
@@ -359,6 +378,13 @@
             return False
         if isinstance(error, _errors.DeadlineExceeded):
             return False
+        if not self._versions.is_certain(self._call.stream_attempt):
+            _log.info(
+                "stream not resumed: its replica was replaced by another "
+                "version at about the time when it began",
+                request_id=self._call.head.attempt,
+            )
+            return False
         self._reader.discard_partial()
         # The body is read after the request's own log context has ended.
         with _logs.request_fields(request_id=self._call.head.attempt):
--- a/src/topazlug/forwarding/_exchange.py
+++ b/src/topazlug/forwarding/_exchange.py
@@ -15,6 +15,7 @@
 from topazlug.placement import _replica_view
 from topazlug.routing import _placement
 from topazlug.targets import _path_check
+from topazlug.targets import _process_check
 from topazlug.targets import _target_answer
 from topazlug.targets import _target_client
 from topazlug.targets import _targets
@@ -75,6 +76,8 @@
         Watches the requests that wait for an answer.
     path_check : PathCheck
         Finds out whether this daemon is cut off from a group.
+    process_check : ProcessCheck
+        Confirms that a replica still runs the version that it is listed with.
     clock : Clock
         Clock of the daemon.
     disabled : frozenset of Mechanism
@@ -95,6 +98,7 @@
         ],
         awaited_heads: _awaited_heads.AwaitedHeads,
         path_check: _path_check.PathCheck,
+        process_check: _process_check.ProcessCheck,
         clock: _clock.Clock,
         disabled: _mechanisms.DisabledMechanisms = _mechanisms.NONE_DISABLED,
     ) -> None:
@@ -106,6 +110,7 @@
         self._on_answer_head = on_answer_head
         self._awaited_heads = awaited_heads
         self._path_check = path_check
+        self._process_check = process_check
         self._connections = connections
         self._targets = targets
         self._views = views
@@ -137,6 +142,8 @@
         if self._path_check.is_cut_off(call.group):
             placement.is_outcome_unknown = True
             raise _no_replica_path_error(call)
+        if call.version is not None:
+            self._confirm_process(placement)
         view = self._views.of_incarnation(placement.target)
         sent_at = self._clock.monotonic()
         try:
@@ -172,6 +179,15 @@
             placement.is_outcome_unknown = True
             raise
         self._record_answer(call, placement, answer, sent_at)
+        if call.version is not None and self._process_check.was_replaced(
+            placement.target
+        ):
+            answer.close()
+            placement.is_outcome_unknown = True
+            raise _errors.TargetFailed(
+                "the replica was replaced while it received the request",
+                outcome=_errors.Outcome.UNKNOWN,
+            )
         if self._codec.verdict(answer) is _wire.AnswerVerdict.NOT_GENUINE:
             answer.close()
             view.record_outcome(failed=True)
@@ -182,6 +198,15 @@
             )
         return answer
 
+    def _confirm_process(self, placement: _placement.Placement) -> None:
+        """Confirm that a replica may continue a stream of its version."""
+        try:
+            self._process_check.confirm(placement.target)
+        except BaseException:
+            # Nothing of the request was sent.
+            placement.is_outcome_unknown = True
+            raise
+
     def _target_request(
         self,
         call: _call.ForwardedCall,
@@ -196,7 +221,8 @@
             replica=placement.target.replica,
             team=call.team.name if call.team else None,
             is_generation=call.route.has_context,
-            priority=call.rank,
+            # What has begun goes before what is new.
+            priority=call.rank if resume_after is None else 0,
             resume_after=resume_after,
             context_source=context_source,
         )
--- a/src/topazlug/forwarding/_forwarder.py
+++ b/src/topazlug/forwarding/_forwarder.py
@@ -30,6 +30,7 @@
 from topazlug.targets import _path_check
 from topazlug.targets import _target_answer
 from topazlug.targets import _target_client
+from topazlug.versions import _stream_versions
 
 _log = _logs.logger("forwarding")
 _OK = 200
@@ -70,6 +71,8 @@
         Has other daemons serve requests meanwhile; None if none may.
     views : ReplicaViews
         Load, latency and outcomes of replicas.
+    versions : StreamVersions
+        Finds out at which software versions streams began.
     budget : RetryShare
         Retry budget of this daemon.
     call_metrics : CallMetrics
@@ -79,6 +82,8 @@
     is_brittle : callable
         Returns whether a group's replicas are brittle. Early retries would
         then leave runs behind that occupy slots which count as free.
+    count_usable : callable
+        Returns the number of usable replicas of a group and a version.
     disabled : frozenset of Mechanism
         Mechanisms that are switched off.
     """
@@ -94,9 +99,11 @@
         path_check: _path_check.PathCheck,
         delegator: _delegator.Delegator | None,
         views: _replica_view.ReplicaViews,
+        versions: _stream_versions.StreamVersions,
         budget: _retry_share.RetryShare,
         call_metrics: _call_metrics.CallMetrics,
         is_brittle: Callable[[_ids.GroupName], bool],
+        count_usable: Callable[[_ids.GroupName, _ids.SoftwareVersion], int],
         clock: _clock.Clock,
         disabled: _mechanisms.DisabledMechanisms = _mechanisms.NONE_DISABLED,
     ) -> None:
@@ -105,6 +112,7 @@
         )
         self._attempts = attempts
         self._is_brittle = is_brittle
+        self._count_usable = count_usable
         self._admission = admission
         self._exchange = exchange
         self._resumer = resumer
@@ -112,6 +120,7 @@
         self._path_check = path_check
         self._delegator = delegator
         self._views = views
+        self._versions = versions
         self._budget = budget
         self._call_metrics = call_metrics
         self._clock = clock
@@ -133,6 +142,8 @@
             is_counted=call.delegation is not None and call.delegation.counted
         )
         with _caller_watch.cancel_on_disconnect(call.socket):
+            if call.takes_stream_up:
+                self._find_version(call)
             if self._path_check.is_cut_off(call.group):
                 error = _errors.NoReplicaPath(
                     f"this daemon reaches no replica of {call.group}"
@@ -150,12 +161,29 @@
             answer.headers.append((_delegation_wire.REPLICA, progress.replica))
         return answer
 
+    def _find_version(self, call: _call.ForwardedCall) -> None:
+        """Find out which version began the stream that the caller takes up.
+
+        Raises
+        ------
+        StreamNotResumable
+            It is not known.
+        """
+        delegation = call.delegation
+        if delegation is not None and delegation.is_pinned:
+            call.version = _ids.SoftwareVersion(delegation.version)
+            return
+        origin = self._versions.find(call.stream_attempt, call.group)
+        call.version = origin.version
+        if call.route.allows(origin.group):
+            call.group = origin.group
+
     def _serve_here(
         self, call: _call.ForwardedCall, progress: _call.Progress
     ) -> _caller_answer.CallerAnswer:
         is_counted, progress.is_counted = progress.is_counted, True
         return self._attempts.run(
-            call.placement_request(),
+            call.placement_request(is_resumed=call.takes_stream_up),
             functools.partial(self._attempt, call, progress),
             repeatable=call.route.repeatable,
             may_repeat=functools.partial(
@@ -246,6 +274,11 @@
             return remaining_seconds
         if not route.repeatable or tried >= call.max_replicas:
             return remaining_seconds
+        if call.version is not None and tried >= self._count_usable(
+            call.group, call.version
+        ):
+            # No other replica may continue the stream.
+            return remaining_seconds
         if not self._budget.can_retry(call.group):
             return remaining_seconds
         recent_latency = self._views.of_incarnation(placement.target).latency
@@ -351,6 +384,7 @@
             tried=tried,
             resumer=self._resumer,
             call_metrics=self._call_metrics,
+            versions=self._versions,
             clock=self._clock,
         )
         first_events = relay.read_first_events(
--- a/src/topazlug/forwarding/_forwarder_assembly.py
+++ b/src/topazlug/forwarding/_forwarder_assembly.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from topazlug import _clock
+from topazlug import _ids
 from topazlug import _logs
 from topazlug.calls import _attempts
 from topazlug.crashes import _crash_guard
@@ -22,8 +23,10 @@
 from topazlug.placement import _replica_view
 from topazlug.routing import _placement
 from topazlug.targets import _path_check
+from topazlug.targets import _process_check
 from topazlug.targets import _target_client
 from topazlug.targets import _targets
+from topazlug.versions import _stream_versions
 
 _log = _logs.logger("daemon")
 
@@ -58,6 +61,10 @@
         Known replicas.
     views : ReplicaViews
         Load, latency and outcomes of replicas.
+    versions : StreamVersions
+        Finds out at which software versions streams began.
+    process_check : ProcessCheck
+        Confirms that a replica still runs the version that it is listed with.
     codec : ReplicaHeaderCodec
         Encodes requests for replicas and decodes their answers.
     disabled : frozenset of Mechanism
@@ -76,6 +83,8 @@
     delegator: _delegator.Delegator | None
     targets: _targets.TargetDirectory
     views: _replica_view.ReplicaViews
+    versions: _stream_versions.StreamVersions
+    process_check: _process_check.ProcessCheck
     codec: _wire.ReplicaHeaderCodec
     disabled: _mechanisms.DisabledMechanisms
 
@@ -91,15 +100,26 @@
             path_check=self.path_check,
             delegator=self.delegator,
             views=self.views,
+            versions=self.versions,
             budget=self.budget,
             call_metrics=self.call_metrics,
             is_brittle=lambda group: (
                 self.targets.brittle.tolerated_by(group) is not None
             ),
+            count_usable=self._count_usable,
             disabled=self.disabled,
             clock=self.clock,
         )
 
+    def _count_usable(
+        self, group: _ids.GroupName, version: _ids.SoftwareVersion
+    ) -> int:
+        listed = self.targets.target_by_replica
+        return sum(
+            listed[replica].version == version
+            for replica in self.targets.usable(group)
+        )
+
     def _new_exchange(self) -> _exchange.Exchange:
         return _exchange.Exchange(
             connections=self.connections,
@@ -111,6 +131,7 @@
             on_answer_head=self.admission.handle_response_head,
             awaited_heads=self.awaited_heads,
             path_check=self.path_check,
+            process_check=self.process_check,
             disabled=self.disabled,
             clock=self.clock,
         )
--- a/src/topazlug/forwarding/_table.py
+++ b/src/topazlug/forwarding/_table.py
@@ -89,6 +89,12 @@
             self.kind is RequestKind.STREAM and self.resumable
         )
 
+    def allows(self, group: _ids.GroupName) -> bool:
+        """Return whether a service may run its requests."""
+        return any(
+            share.group == group and share.weight > 0 for share in self.shares
+        )
+
     def group_for(self, seed: int) -> _ids.GroupName:
         """Return the service of one request, chosen by weight.
 
--- a/src/topazlug/placement/_brittle_placement.py
+++ b/src/topazlug/placement/_brittle_placement.py
@@ -144,7 +144,7 @@
         answer: _owner_client.OwnerReply,
     ) -> _placement.Placement:
         """Hold a granted slot, unless the replica has left meanwhile."""
-        if not self._targets.is_usable(replica):
+        if not self._view_admission.may_use(request, replica):
             owner_client.held_placements.send_release(answer.owner, answer.ask)
             raise _full_error(request, _MIN_RETRY_AFTER_SECONDS)
         _log.info(
--- a/src/topazlug/placement/_owner_search.py
+++ b/src/topazlug/placement/_owner_search.py
@@ -355,7 +355,7 @@
         An error raised here for a replica that is gone would leave the slot
         counted by the owner for as long as this daemon runs.
         """
-        if not self._targets.is_usable(replica):
+        if not self._view_admission.may_use(request, replica):
             owner_client.held_placements.send_release(answer.owner, answer.ask)
             return None
         target = self._targets.target_by_replica[replica]
--- a/src/topazlug/placement/_replica_list.py
+++ b/src/topazlug/placement/_replica_list.py
@@ -46,6 +46,11 @@
         send requests to replicas that have left.
     clock : Clock
         Time.
+
+    Attributes
+    ----------
+    source_age : callable
+        Returns the age in seconds of the copy that the list is read from.
     """
 
     def __init__(
@@ -55,6 +60,7 @@
         unreachable: float,
         clock: _clock.Clock,
     ) -> None:
+        self.source_age: Callable[[], float] = float
         self._on_change = on_change
         self._clock = clock
         self._max_disconnected = unreachable - _MARGIN_SECONDS
--- a/src/topazlug/placement/_view_admission.py
+++ b/src/topazlug/placement/_view_admission.py
@@ -16,6 +16,7 @@
 from topazlug.routing import _placement
 from topazlug.routing import _ranking
 from topazlug.targets import _targets
+from topazlug.versions import _group_versions
 
 _log = _logs.logger("forwarding")
 # A replica may hold this multiple of its group's mean load plus the margin.
@@ -41,6 +42,8 @@
         Replicas that may get new work.
     views : ReplicaViews
         Load and health of replicas as seen by this daemon.
+    versions : GroupVersions or None
+        Software versions of each group; None to place new streams at all.
     """
 
     def __init__(
@@ -48,7 +51,9 @@
         *,
         targets: _targets.TargetDirectory,
         views: _replica_view.ReplicaViews,
+        versions: _group_versions.GroupVersions | None = None,
     ) -> None:
+        self._versions = versions
         self._targets = targets
         self._views = views
         self._numbers = itertools.count(1)
@@ -103,11 +108,14 @@
         Overloaded
             All replicas are in backoff.
         """
-        usable = [
-            replica
-            for replica in self._targets.usable(request.group)
-            if replica not in request.excluded
-        ]
+        usable = self._of_version(
+            request,
+            [
+                replica
+                for replica in self._targets.usable(request.group)
+                if replica not in request.excluded
+            ],
+        )
         if not usable:
             raise _no_usable_replica.no_usable_replica_error(
                 self._targets, request, retry_after=_RETRY_AFTER_SECONDS
@@ -118,6 +126,40 @@
         )
         return self._views.healthy(found)
 
+    def may_use(
+        self, request: _placement.PlacementRequest, replica: _ids.ReplicaId
+    ) -> bool:
+        """Return whether a replica that was chosen may still be used.
+
+        It may have left, or another version may have taken its place.
+        """
+        if not self._targets.is_usable(replica):
+            return False
+        if request.version is None:
+            return True
+        version = self._targets.target_by_replica[replica].version
+        return version == request.version
+
+    def _of_version(
+        self,
+        request: _placement.PlacementRequest,
+        usable: list[_ids.ReplicaId],
+    ) -> list[_ids.ReplicaId]:
+        """Return the replicas whose software version may get a request."""
+        targets = self._targets.target_by_replica
+        if request.version is not None:
+            return [
+                replica
+                for replica in usable
+                if targets[replica].version == request.version
+            ]
+        if self._versions is None or not request.begins_stream:
+            return usable
+        found = self._versions.settled(
+            request.group, [targets[replica] for replica in usable]
+        )
+        return [target.replica for target in found]
+
     def _reachable(self, usable: list[_ids.ReplicaId]) -> list[_ids.ReplicaId]:
         """Exclude replicas in unreachable zones, unless no other is left."""
         targets = self._targets.target_by_replica
--- a/src/topazlug/routing/_placement.py
+++ b/src/topazlug/routing/_placement.py
@@ -58,6 +58,11 @@
     held_tokens : int
         Shared tokens that a replica is known to hold, so that any replica
         has them or can copy them.
+    version : SoftwareVersion or None
+        Version that began the stream, which only its replicas may continue;
+        None for a new request.
+    begins_stream : bool
+        Whether it begins a stream that its caller can take up again.
     """
 
     group: _ids.GroupName
@@ -78,6 +83,8 @@
     max_pause: float = 0.0
     held_tokens: int = 0
     brittle: int | None = None
+    version: _ids.SoftwareVersion | None = None
+    begins_stream: bool = False
 
 
 class AnswerHead(msgspec.Struct, frozen=True, kw_only=True):
--- /dev/null
+++ b/src/topazlug/versions/__init__.py
@@ -0,0 +1,1 @@
+"""Software versions of replicas, and the version that began each stream."""
--- /dev/null
+++ b/src/topazlug/versions/_stream_versions.py
@@ -0,0 +1,268 @@
+"""Decides at which software version a stream goes on.
+
+A stream goes on only at the version that began it. While a group has one
+version, no daemon needs to be told or asked.
+"""
+
+from collections.abc import Callable
+from collections.abc import Iterable
+from collections.abc import Mapping
+from typing import Any
+from typing import final
+
+from topazlug import _clock
+from topazlug import _errors
+from topazlug import _ids
+from topazlug import _logs
+from topazlug.targets import _target
+from topazlug.versions import _group_versions
+from topazlug.versions import _origin_exchange
+from topazlug.versions import _stream_holders
+from topazlug.versions import _stream_origins
+
+_log = _logs.logger("versions")
+# Another daemon may know the stream, or this one reach those that do.
+_RETRY_AFTER_SECONDS = 0.2
+# A replica writes its entry within this time after its start.
+_REGISTRATION_SECONDS = 1.0
+
+
+@final
+class StreamVersions:
+    """Remembers where streams began, and finds out where others did.
+
+    Parameters
+    ----------
+    daemon : DaemonId
+        This daemon.
+    daemons : callable
+        Returns all known daemons by their ids.
+    groups : GroupVersions
+        Versions of each group.
+    clock : Clock
+        Time.
+
+    Attributes
+    ----------
+    taken_up_count : int
+        Streams that callers took up and that go on.
+    refused_count : int
+        Streams that callers took up and that can't go on, as it is not known
+        where they began.
+    """
+
+    def __init__(
+        self,
+        *,
+        daemon: _ids.DaemonId,
+        daemons: Callable[[], Mapping[_ids.DaemonId, Any]],
+        groups: _group_versions.GroupVersions,
+        clock: _clock.Clock,
+    ) -> None:
+        self.groups = groups
+        self._clock = clock
+        self._origins = _stream_origins.StreamOrigins(clock=clock)
+        self._holders = _stream_holders.StreamHolders(
+            daemon=daemon, daemons=daemons
+        )
+        self._exchange: _origin_exchange.OriginExchange | None = None
+        self.taken_up_count = 0
+        self.refused_count = 0
+
+    def join(self, links: _origin_exchange.Links) -> None:
+        """Tell and ask other daemons from now on."""
+        self._exchange = _origin_exchange.OriginExchange(
+            links=links,
+            holders=self._holders,
+            origins=self._origins,
+            view_of=self.groups.view,
+        )
+
+    @property
+    def remembered_count(self) -> int:
+        """Return the number of streams that this daemon remembers."""
+        return len(self._origins)
+
+    @property
+    def message_count(self) -> int:
+        """Return the number of messages that this daemon has sent."""
+        if self._exchange is None:
+            return 0
+        return self._exchange.told_count + self._exchange.asked_count
+
+    def update_targets(
+        self,
+        before: Mapping[_ids.ReplicaId, _target.Target],
+        targets: Iterable[_target.Target],
+    ) -> None:
+        """Apply a list of replicas."""
+        targets = list(targets)
+        for target in targets:
+            former = before.get(target.replica)
+            if former is not None:
+                self._handle_replacement(former, target)
+        for group in self.groups.update(targets):
+            for stream in self._origins.unfinished(group):
+                self._tell(*stream)
+
+    def _handle_replacement(
+        self, former: _target.Target, target: _target.Target
+    ) -> None:
+        """Handle a replica that was replaced under its id.
+
+        The list shows that some time after it happened. Streams that began
+        there in the meantime may be from either process.
+        """
+        is_same = _target.process_of(former) == _target.process_of(target)
+        if is_same or former.version == target.version:
+            return
+        seconds = self.groups.max_list_age + _REGISTRATION_SECONDS
+        uncertain = self._origins.make_uncertain(
+            _stream_origins.process_key(former),
+            since=self._clock.monotonic() - seconds,
+        )
+        _log.info(
+            "{replica} was replaced by another version",
+            replica=target.replica,
+            version=target.version,
+            version_before=former.version,
+            uncertain_streams=len(uncertain),
+        )
+        for stream in uncertain:
+            self._tell(*stream)
+
+    def _tell(
+        self,
+        key: _ids.StreamKey,
+        origin: _stream_origins.Origin,
+        process: _ids.ProcessKey,
+    ) -> None:
+        if self._exchange is not None:
+            self._exchange.tell(key, origin, process)
+
+    def begin(
+        self,
+        attempt: _ids.RequestId,
+        target: _target.Target,
+    ) -> None:
+        """Remember a stream whose first event is about to be relayed.
+
+        If the group has several versions, other daemons are told before the
+        caller receives the event, so that the stream can go on even if this
+        daemon ends right after it.
+
+        Parameters
+        ----------
+        attempt : RequestId
+            Attempt that brings the first event of the whole stream.
+        target : Target
+            Replica that sent the event.
+        """
+        key = _stream_origins.stream_key(attempt)
+        origin = _stream_origins.Origin(target.group, target.version)
+        process = _stream_origins.process_key(target)
+        self._origins.begin(key, origin, process)
+        if self.groups.is_mixed(target.group):
+            self._tell(key, origin, process)
+            # Lets the links write the messages.
+            self._clock.sleep(0)
+
+    def complete(self, attempt: _ids.RequestId) -> None:
+        """Record that a stream was sent to its caller completely."""
+        self._origins.complete(_stream_origins.stream_key(attempt))
+
+    def is_certain(self, attempt: _ids.RequestId) -> bool:
+        """Return whether the version that began a stream is certain."""
+        origin = self._origins.find(_stream_origins.stream_key(attempt))
+        return origin is None or origin.is_certain
+
+    def find(
+        self, attempt: _ids.RequestId, group: _ids.GroupName
+    ) -> _stream_origins.Origin:
+        """Return where a stream began that its caller takes up.
+
+        Parameters
+        ----------
+        attempt : RequestId
+            Attempt that brought the first event; empty if it is not named.
+        group : GroupName
+            Group that serves the request.
+
+        Raises
+        ------
+        StreamNotResumable
+            It is not known, or not certain.
+        """
+        try:
+            origin, source = self._find(attempt, group)
+        except _errors.StreamNotResumable:
+            self.refused_count += 1
+            raise
+        self.taken_up_count += 1
+        _log.info(
+            "the stream began at version {version} of {group}: {source}",
+            version=origin.version,
+            group=origin.group,
+            source=source,
+        )
+        return origin
+
+    def _find(
+        self, attempt: _ids.RequestId, group: _ids.GroupName
+    ) -> tuple[_stream_origins.Origin, str]:
+        """Return where a stream began, and how that is known."""
+        key = _stream_origins.stream_key(attempt)
+        origin = self._origins.find(key)
+        if origin is not None:
+            return _certain(origin), "remembered here"
+        own_view = self.groups.view(group)
+        version = own_view.sole_version
+        if version is not None and own_view.is_current and own_view.knows_past:
+            return _stream_origins.Origin(group, version), "the only version"
+        if self._exchange is None:
+            answers = _origin_exchange.Answers(has_gaps=True)
+        else:
+            answers = self._exchange.ask(key, group)
+        if answers.origin is not None:
+            return _certain(answers.origin), "another daemon"
+        version = _sole_version(
+            [own_view, *answers.views], has_gaps=answers.has_gaps
+        )
+        if version is not None:
+            return _stream_origins.Origin(group, version), "the only version"
+        version = self.groups.presumed(group)
+        if version is not None:
+            return _stream_origins.Origin(group, version), "the first version"
+        raise _errors.StreamNotResumable(
+            f"it is not known at which version of {group} the stream began, "
+            f"and {len(answers.views)} other daemons don't know either",
+            retry_after=_RETRY_AFTER_SECONDS,
+        )
+
+
+def _certain(origin: _stream_origins.Origin) -> _stream_origins.Origin:
+    if origin.is_certain:
+        return origin
+    raise _errors.StreamNotResumable(
+        "the replica that began the stream was replaced by another version "
+        "at about that time"
+    )
+
+
+def _sole_version(
+    views: Iterable[_group_versions.VersionsView], *, has_gaps: bool
+) -> _ids.SoftwareVersion | None:
+    """Return the only version that a group can have had lately.
+
+    One daemon that has followed an up-to-date list for long enough is proof.
+    Without one, as the store is down for all, or all daemons have just
+    started, it takes the answers of all that were asked: one that does not
+    answer may know of another version.
+    """
+    views = list(views)
+    versions = frozenset().union(*(view.versions for view in views))
+    if len(versions) != 1:
+        return None
+    is_proven = any(view.is_current and view.knows_past for view in views)
+    (version,) = versions
+    return version if is_proven or not has_gaps else None
--- a/tests/topazlug/forwarding/test_event_relay.py
+++ b/tests/topazlug/forwarding/test_event_relay.py
@@ -149,6 +149,7 @@
         relay = _event_relay.EventRelay(
             call=types.SimpleNamespace(
                 head=types.SimpleNamespace(resume_after=None),
+                stream_attempt="a1",
                 socket=None,
                 deadline=1e9,
                 route=types.SimpleNamespace(resumable=False),
@@ -165,6 +166,7 @@
             call_metrics=types.SimpleNamespace(
                 record_answer=lambda call, status: None
             ),
+            versions=types.SimpleNamespace(complete=lambda attempt: None),
             clock=claim_fakes.FakeClock(),
         )
         pieces = relay.body_pieces(b"id: 1\ndata: a\n\n")
--- a/tests/topazlug/forwarding/test_exchange.py
+++ b/tests/topazlug/forwarding/test_exchange.py
@@ -64,6 +64,7 @@
             clock=clock,
         ),
         path_check=connected_path_check(clock),
+        process_check=types.SimpleNamespace(),
         clock=clock,
         disabled=frozenset(disabled),
     )
@@ -80,6 +81,7 @@
         started_at=0.0,
         route=types.SimpleNamespace(has_context=False, repeatable=True),
         head=types.SimpleNamespace(attempt="a1"),
+        version=None,
     )
     placement = types.SimpleNamespace(
         target=target, request=types.SimpleNamespace(latency_objective=0.3)
@@ -127,6 +129,7 @@
             clock=clock,
         ),
         path_check=connected_path_check(clock),
+        process_check=types.SimpleNamespace(),
         clock=clock,
     )
 
@@ -175,6 +178,7 @@
             started_at=0.0,
             route=types.SimpleNamespace(has_context=False, repeatable=True),
             head=types.SimpleNamespace(attempt="a1"),
+            version=None,
         )
         with pytest.raises(
             (
--- a/tests/topazlug_platform/crash_fleet.py
+++ b/tests/topazlug_platform/crash_fleet.py
@@ -7,6 +7,7 @@
 from gevent import socket
 import msgspec
 from topazlug_platform import headers
+from topazlug_platform import reports
 
 from bench.fleets import processes
 from tests.topazlug import routing_fixtures
@@ -135,8 +136,12 @@
     ----------
     runs : list of (str, bytes)
         Replica and body of each request that started to run.
+    options : dict
+        Further options of the daemons.
     """
 
+    options: dict = {}
+
     def __init__(self, *routes, daemons=3, replicas=4):
         self.store = store_fakes.FakeTables()
         self._routes = routes
@@ -162,11 +167,13 @@
                     host="127.0.0.1", port=self._peers[number]
                 ),
                 delegation_port=self._delegation[number],
+                **self.options,
             ),
             caller_decoder=headers.ClientHeaders(),
             replica_codec=headers.ReplicaHeaders(),
             new_store=lambda: self.store_views[number],
             clock=_clock.SystemClock(),
+            process_codec=reports.ProcessReports(),
         )
         daemon.start()
         daemon.update_table(fixtures.table(*self._routes))
--- a/tests/topazlug_platform/version_fleet.py
+++ b/tests/topazlug_platform/version_fleet.py
@@ -3,10 +3,12 @@
 Each event of a stream names the version that made it.
 """
 
+import contextlib
 import re
 from typing import NamedTuple
 
 import gevent
+from gevent import pool
 import msgspec
 
 from tests.topazlug.forwarding import forwarding_fixtures as fixtures
@@ -21,6 +23,8 @@
 _EVENT = re.compile(rb"id: (\d+)\ndata: (\S+) ")
 _LAST_EVENT = re.compile(rb"\r\nlast-event-id: (\d+)\r\n", re.IGNORECASE)
 _EVENT_SECONDS = 0.003
+_AT_A_TIME = 6
+_REPLACEMENT_SECONDS = 0.3
 
 
 class Stream(NamedTuple):
@@ -40,7 +44,7 @@
     @property
     def versions(self):
         """Return the versions that events are from."""
-        return {version for _, version in self.events}
+        return frozenset(version for _, version in self.events)
 
     @property
     def is_mixed(self):
@@ -59,45 +63,149 @@
 
     Attributes
     ----------
-    breaks_after : int or None
-        Events after which it closes the connection of each new stream.
+    breaks_after, breaks_resumed_after : int or None
+        Events after which it closes the connection of each new stream, and of
+        each stream that goes on.
     hangs_after : int or None
         Events after which it falls silent.
+    first_event_seconds : float
+        Time from the head of an answer to its first event.
+    running_version : str
+        Version of the software that runs. The entry, which is `target`, may
+        show it later.
+    born : int
+        Start of the process that runs, as it reports it.
     """
 
     def __init__(self, name, runs, *, version, start=1):
         super().__init__(name, runs, start=start)
         self.breaks_after = None
+        self.breaks_resumed_after = None
         self.hangs_after = None
         self.first_event_seconds = 0.0
         self.target = msgspec.structs.replace(
             self.target, version=_ids.SoftwareVersion(version)
         )
+        self.running_version = version
+        self.born = start
 
     @property
     def version(self):
         """Return the version of its software."""
         return self.target.version
 
+    def replace(self, version, *, start):
+        """Have another process take the place of this one.
+
+        It has the same id and address; the entry is still that of the old one.
+        """
+        self.close_connections()
+        self.running_version = version
+        self.born = start
+
+    def register(self):
+        """Update the entry to the process that runs."""
+        self.target = msgspec.structs.replace(
+            self.target,
+            version=_ids.SoftwareVersion(self.running_version),
+            incarnation=self.born,
+        )
+
     def _answer(self, sock, data):
         head, _, body = data.partition(b"\r\n\r\n")
+        if head.startswith(b"GET /v1/report "):
+            report = b'{"phase":"decode","born":%d}' % self.born
+            sock.sendall(platform_rig.answer(report, attempt="process"))
+            return
         self.last_head = head
         self.runs.append((self.name, body))
         found = _LAST_EVENT.search(head + b"\r\n")
         first = int(found[1]) + 1 if found else 1
         sock.sendall(platform_rig.stream_head(crash_fleet.attempt_of(data)))
         gevent.sleep(self.first_event_seconds)
+        is_new = first == 1
+        breaks_after = (
+            self.breaks_after if is_new else self.breaks_resumed_after
+        )
         for number in range(first, EVENTS + 1):
-            if first == 1 and number - 1 == self.breaks_after:
+            if number - first == breaks_after:
                 raise OSError("breaks off")
-            if first == 1 and number - 1 == self.hangs_after:
+            if is_new and number - first == self.hangs_after:
                 gevent.sleep(60)
-            text = f"id: {number}\ndata: {self.version} {number}\n\n"
+            text = f"id: {number}\ndata: {self.running_version} {number}\n\n"
             sock.sendall(platform_rig.chunk(text.encode()))
             gevent.sleep(_EVENT_SECONDS)
         sock.sendall(platform_rig.END)
 
 
+class Caller:
+    """A caller of one stream.
+
+    Attributes
+    ----------
+    stream : Stream
+        What it has received.
+    attempts : list of str
+        The ids of its tries.
+    """
+
+    def __init__(self, fleet, *, path="/a/x", patience=20.0):
+        self.stream = Stream([], [])
+        self.attempts = []
+        self._fleet = fleet
+        self._path = path
+        self._patience = patience
+        self._first = ""
+        self._sock = None
+
+    def try_at(self, daemon, *, events=None):
+        """Make one try, until its end or until it has brought some events.
+
+        The connection stays open until the next try.
+        """
+        self.hang_up()
+        name = f"stream-{next(self._fleet._sent)}"
+        self.attempts.append(name)
+        fields = [f"X-Prompt-Prefix: a{name}:400,b{name}:100"]
+        count = len(self.stream.events)
+        if count:
+            fields.append(f"Resumes: {self._first}")
+            fields.append(f"Last-Event-Id: {self.stream.events[-1][0]}")
+        self._sock = self._fleet._send(
+            daemon, name.encode(), self._path, *fields
+        )
+        status = self._receive(None if events is None else count + events)
+        self.stream.statuses.append(status)
+        if not count:
+            self._first = name
+
+    def _receive(self, until):
+        """Receive events; return the status of the answer."""
+        received = b""
+        count = len(self.stream.events)
+        with gevent.Timeout(self._patience, False):
+            while until is None or len(self.stream.events) < until:
+                try:
+                    data = self._sock.recv(65536)
+                except OSError:
+                    break
+                if not data:
+                    break
+                received += data
+                del self.stream.events[count:]
+                self.stream.events.extend(
+                    (int(number), version.decode())
+                    for number, version in _EVENT.findall(received)
+                )
+        status = received.split(b" ", 2)[1:2]
+        return int(status[0]) if status else 0
+
+    def hang_up(self):
+        """Close the connection of the last try."""
+        if self._sock is not None:
+            self._sock.close()
+
+
 class VersionFleet(cut_fleet.CutFleet):
     """Daemons with replicas of the given versions.
 
@@ -105,10 +213,24 @@
     ----------
     versions : sequence of str
         Version of each replica.
+    start : int
+        Start of the processes of the replicas; 1 if they don't report it.
+    first_start : bool
+        Whether the whole system starts for the first time.
     """
 
-    def __init__(self, *, versions=("v1", "v2") * 2, daemons=3, **changes):
+    def __init__(
+        self,
+        *,
+        versions=("v1", "v2") * 2,
+        daemons=3,
+        start=1,
+        first_start=False,
+        **changes,
+    ):
         self._versions = iter(versions)
+        self._start = start
+        self.options = {"first_start": first_start}
         route = fixtures.route(
             **{
                 "kind": _table.RequestKind.STREAM,
@@ -124,26 +246,125 @@
     def _new_replica(self):
         number = next(self._numbers)
         return VersionReplica(
-            f"i-{number}", self.runs, version=next(self._versions)
+            f"i-{number}",
+            self.runs,
+            version=next(self._versions),
+            start=self._start,
         )
 
-    def add_replica(self, version, *, name=None, start=1):
+    def add_replica(self, version, *, start=1):
         """Start a replica, which `list_replicas` lists."""
-        name = name or f"i-{next(self._numbers)}"
+        name = f"i-{next(self._numbers)}"
         replica = VersionReplica(name, self.runs, version=version, start=start)
         self.replicas.append(replica)
-        return replica
+
+    def cut_from_peers(self, *numbers):
+        """Have these daemons reach no other daemon, nor be reached."""
+        cut = {f"d{number}" for number in numbers}
+        for number, daemon in enumerate(self.daemons):
+            links = daemon._fleet._links
+            for other in range(len(self.daemons)):
+                if number in numbers or other in numbers:
+                    links.disconnect(f"d{other}")
+            links._address_of = (
+                _nowhere
+                if number in numbers
+                else _without(cut, links._address_of)
+            )
+
+    def list_at(self, number, replicas):
+        """Pass a list of some replicas to one daemon."""
+        links = self.links_by_daemon[number]
+        self.daemons[number].replicas.update(
+            msgspec.structs.replace(one.target, port=links[one.name].port)
+            for one in replicas
+        )
+
+    def forget_versions(self, number, group=fixtures.GROUP):
+        """Have a daemon know only the versions of its present list."""
+        self.daemons[number].versions.groups._group_by_name.clear()
+        self.daemons[number]._update_replicas(
+            list(self.daemons[number].targets.target_by_replica.values())
+        )
+
+    def age_list(self, number, seconds):
+        """Have a daemon's list of replicas be this old."""
+        self.daemons[number].replicas.source_age = lambda: seconds
+
+    def remembered(self, number):
+        """Return how many streams a daemon remembers."""
+        return self.daemons[number].versions.remembered_count
+
+    def messages(self):
+        """Return how many messages about streams daemons have sent."""
+        return sum(one.versions.message_count for one in self.daemons)
 
     def of_version(self, version):
         """Return the replicas of a version."""
         return [one for one in self.replicas if one.version == version]
 
-    def break_streams(self, after):
-        """Have all replicas break each new stream after some events."""
+    def break_streams(self, after, *, resumed_after=None):
+        """Have all replicas break each answer after some events.
+
+        Parameters
+        ----------
+        after, resumed_after : int or None
+            Events of a stream from its beginning, and of one that goes on.
+        """
         for replica in self.replicas:
             replica.breaks_after = after
+            replica.breaks_resumed_after = resumed_after
+
+    def delay_first_events(self, seconds):
+        """Have all replicas be late with their first events."""
+        for replica in self.replicas:
+            replica.first_event_seconds = seconds
+
+    def remove_version(self, version):
+        """End the replicas of a version."""
+        for replica in self.of_version(version):
+            self.replicas.remove(replica)
+            replica.crash()
+        self.list_replicas()
+
+    @contextlib.contextmanager
+    def replacing(self, version):
+        """Replace one replica after the other, while the context is left."""
+        task = gevent.spawn(self._replace_all, version)
+        yield
+        task.get()
 
-    def stream(self, *daemons, leaves_after=None, attempts=None):
+    def _replace_all(self, version):
+        for old in list(self.replicas):
+            self.add_replica(version)
+            self.list_replicas()
+            gevent.sleep(_REPLACEMENT_SECONDS)
+            old.leave()
+            self.list_replicas()
+            gevent.sleep(_REPLACEMENT_SECONDS)
+            self.replicas.remove(old)
+            self.list_replicas()
+            old.crash()
+
+    def split_route(self):
+        """Have most requests of the route go to another service."""
+        (route,) = self._routes
+        shares = (
+            _table.ServiceShare(_ids.GroupName("other"), 999.0),
+            _table.ServiceShare(fixtures.GROUP, 1.0),
+        )
+        changed = msgspec.structs.replace(route, shares=shares)
+        for daemon in self.daemons:
+            daemon.update_table(fixtures.table(changed, version=2))
+
+    def stream(
+        self,
+        *daemons,
+        leaves_after=None,
+        attempts=None,
+        between=lambda: None,
+        **options,
+    ):
         """Receive a stream, and take it up until it is complete.
 
         Parameters
@@ -151,55 +372,56 @@
         *daemons : int
             Daemon of each try.
         leaves_after : int or None
-            Events after which the caller gives its first try up.
+            Events after which the caller gives up each try but the last one.
         attempts : list or None
             Receives the id of each try.
+        between : callable
+            Called before each try but the first one.
         """
-        stream = Stream([], [])
-        first = ""
-        for daemon in daemons:
-            name = f"stream-{next(self._sent)}"
-            if attempts is not None:
-                attempts.append(name)
-            fields = [f"X-Prompt-Prefix: a{name}:400,b{name}:100"]
-            if stream.events:
-                fields.append(f"Resumes: {first}")
-                fields.append(f"Last-Event-Id: {stream.events[-1][0]}")
-            had_events = bool(stream.events)
-            self._receive(stream, daemon, name, fields, leaves_after)
-            if stream.events and not had_events:
-                first = name
-            if stream.is_complete:
+        caller = Caller(self, **options)
+        for number, daemon in enumerate(daemons):
+            if number:
+                between()
+            is_last = number == len(daemons) - 1
+            caller.try_at(daemon, events=None if is_last else leaves_after)
+            if caller.stream.is_complete:
                 break
-            leaves_after = None
-        return stream
+        caller.hang_up()
+        if attempts is not None:
+            attempts.extend(caller.attempts)
+        return caller.stream
 
-    def _receive(self, stream, daemon, name, fields, leaves_after):
-        """Make one try, and add the events that it brings."""
-        received = b""
-        count = len(stream.events)
-        with self._send(daemon, name.encode(), "/a/x", *fields) as sock:
-            with gevent.Timeout(20):
-                while True:
-                    try:
-                        data = sock.recv(65536)
-                    except OSError:
-                        break
-                    received += data
-                    del stream.events[count:]
-                    stream.events.extend(
-                        (int(number), version.decode())
-                        for number, version in _EVENT.findall(received)
-                    )
-                    if not data or len(stream.events) == leaves_after:
-                        break
-        status = received.split(b" ", 2)[1:2]
-        stream.statuses.append(int(status[0]) if status else 0)
+    def begin_streams(self, count, daemon, *, events):
+        """Return callers that have the first events of their streams."""
+        callers = [Caller(self) for _ in range(count)]
+        for caller in callers:
+            caller.try_at(daemon, events=events)
+        return [caller for caller in callers if caller.stream.events]
+
+    def take_up(self, callers, daemon):
+        """Have callers take their streams up; return these."""
+        tries = pool.Pool(_AT_A_TIME)
+        tries.map(lambda caller: caller.try_at(daemon), callers)
+        return [caller.stream for caller in callers]
 
     def streams(self, count, *daemons, **options):
-        """Receive some streams at the same time."""
+        """Receive some streams, a few at a time.
+
+        All together would be more than the replicas have room for.
+        """
+        streams = pool.Pool(_AT_A_TIME)
         tasks = [
-            gevent.spawn(self.stream, *daemons, **options)
+            streams.spawn(self.stream, *daemons, **options)
             for _ in range(count)
         ]
         return [task.get() for task in tasks]
+
+
+def _nowhere(daemon):
+    """Return no address."""
+    return None
+
+
+def _without(cut, address_of):
+    """Return a lookup that knows no address of some daemons."""
+    return lambda daemon: None if daemon in cut else address_of(daemon)
