Have the soak take streams up, with replicas of two versions

In half of the seeds replicas of two versions serve side by side. Callers take up streams that break after their first event, up to twice, at any daemon. Each event names its stream and the version of its replica.

The test of run plans draws 400 seeds instead of 200, as there are twice as many combinations of properties to be met.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -23,6 +23,7 @@
 from soak import _load_guarantees
 from soak import _owner_guarantees
 from soak import _run_plan
+from soak import _stream_guarantees
 from soak import _surging_team
 from soak import _world
 
@@ -116,7 +117,9 @@
             f"seed {seed}: {len(violations)} violations; {plan.load_report.value}"
             f"{', pressure' if plan.has_pressure else ''}"
             f"{', waves' if plan.has_waves else ''}"
-            f"{', cut daemons' if plan.cuts_daemons else ''}; {summary}",
+            f"{', cut daemons' if plan.cuts_daemons else ''}"
+            f"{', versions' if plan.has_versions else ''}; {summary}; "
+            f"{_stream_guarantees.describe(outcomes)}",
             flush=True,
         )
         if surging_team.surges:
--- a/soak/_clients.py
+++ b/soak/_clients.py
@@ -25,6 +25,9 @@
 _WAVE_PART = 0.4
 _CRASH_PAUSE_SECONDS = (0.4, 1.2)
 _DISCONNECT_PROBABILITY = 0.03
+# Times that a caller takes up one stream.
+_MAX_TRIES = 2
+_READ_BYTES = 65536
 _NEW_KEY_PROBABILITY = 0.2
 # Number of chats whose requests share the greater part of their prompts, and
 # tokens of that part and of the rest.
@@ -62,6 +65,21 @@
     head_at: float | None = None
 
 
+class TakenUp(NamedTuple):
+    """A stream that a caller takes up.
+
+    Attributes
+    ----------
+    stream : str
+        Attempt that brought its first event.
+    after : int
+        Number of the last event that the caller has.
+    """
+
+    stream: str
+    after: int
+
+
 class Outcome(NamedTuple):
     """The outcome of one attempt, as its caller observed it.
 
@@ -77,6 +95,8 @@
         When its key was accepted, if it was added during the run.
     head_at : float or None
         When the head of the response had arrived, None if it did not.
+    taken_up : TakenUp or None
+        The stream that it takes up, None if it begins one.
     """
 
     attempt: str
@@ -93,6 +113,7 @@
     key_accepted_at: float | None = None
     head_at: float | None = None
     team: str = ""
+    taken_up: TakenUp | None = None
 
 
 class Caller:
@@ -134,6 +155,9 @@
         self._addresses = addresses
         self._key = key
         self._random = random.Random(seed)
+        # Of its own, so that a seed determines the same requests as before
+        # callers took streams up.
+        self._takeups = random.Random(f"take-ups {seed}")
         self._idle_connections: dict[int, http_client.HTTPConnection] = {}
         self.outcomes: list[Outcome] = []
 
@@ -149,13 +173,35 @@
                 and self._random.random() < _NEW_KEY_PROBABILITY
             ):
                 added = self._newest_key()
-            self.outcomes.append(
-                self.send(daemon, path, disconnects=disconnects, added=added)
+            outcome = self.send(
+                daemon, path, disconnects=disconnects, added=added
             )
+            self.outcomes.append(outcome)
+            if path == _expected.STREAM:
+                self._take_up(outcome, until)
             gevent.sleep(self._random.uniform(*_PAUSE_SECONDS))
             if self._has_waves:
                 gevent.sleep(until_next_wave(time.monotonic()))
 
+    def _take_up(self, first: Outcome, until: float) -> None:
+        """Take up a stream that broke after its first event, a few times."""
+        if not outcome_breaks(first):
+            return
+        events = _expected.parse_events(first.body)
+        for _ in range(_MAX_TRIES):
+            if not events or time.monotonic() >= until:
+                return
+            daemon = self._takeups.randrange(len(self._addresses))
+            outcome = self.send(
+                daemon,
+                _expected.STREAM,
+                taken_up=TakenUp(first.attempt, events[-1][0]),
+            )
+            self.outcomes.append(outcome)
+            if outcome.completion is Completion.ANSWERED:
+                return
+            events += _expected.parse_events(outcome.body)
+
     def crash(self, until: float, path: str) -> None:
         """Send the request that crashes replicas until a point in time."""
         while time.monotonic() < until:
@@ -171,9 +217,11 @@
         disconnects: bool = False,
         crashes: bool = False,
         added: AddedKey | None = None,
+        taken_up: TakenUp | None = None,
     ) -> Outcome:
         """Make one attempt, with the default key unless one was added."""
-        attempt = uuid.UUID(int=self._random.getrandbits(128)).hex
+        generator = self._takeups if taken_up else self._random
+        attempt = uuid.UUID(int=generator.getrandbits(128)).hex
         started = time.monotonic()
         connection = self._idle_connections.pop(daemon, None)
         reused = connection is not None
@@ -195,6 +243,7 @@
                 added.key if added else self._key,
                 disconnects,
                 crashes,
+                taken_up,
             )
         return Outcome(
             attempt=attempt,
@@ -206,6 +255,7 @@
             crashes=crashes,
             key_accepted_at=added.accepted_at if added else None,
             team=self._team,
+            taken_up=taken_up,
             **response._asdict(),
         )
 
@@ -218,6 +268,7 @@
         key: str,
         disconnects: bool,
         crashes: bool,
+        taken_up: TakenUp | None,
     ) -> Response:
         fields = {
             "Host": HOST,
@@ -227,7 +278,11 @@
         }
         if self._sends_context and path == _expected.STREAM:
             fields.update(_context_fields(attempt))
+        if taken_up is not None:
+            fields["Resumes"] = taken_up.stream
+            fields["Last-Event-Id"] = str(taken_up.after)
         status, signed, head_at = 0, False, None
+        received = bytearray()
         try:
             body = _expected.CRASHING if crashes else b"{}"
             name = _expected.CRASHING_NAME if crashes else "x"
@@ -240,21 +295,35 @@
             head_at = time.monotonic()
             status = response.status
             signed = bool(response.getheader("X-Response-Signature"))
-            body = response.read()
+            # On an answer that is not chunked, `read1` misses the end.
+            read = response.read1 if response.chunked else response.read
+            while data := read(_READ_BYTES):
+                received += data
         except TimeoutError:
             connection.close()
-            return Response(Completion.TIMED_OUT, status, b"", signed, head_at)
+            return Response(
+                Completion.TIMED_OUT, status, bytes(received), signed, head_at
+            )
         except (OSError, http_client.HTTPException):
             connection.close()
             completion = (
                 Completion.TRUNCATED if status else Completion.NO_RESPONSE
             )
-            return Response(completion, status, b"", signed, head_at)
+            return Response(
+                completion, status, bytes(received), signed, head_at
+            )
         if response.will_close:
             connection.close()
         else:
             self._idle_connections[daemon] = connection
-        return Response(Completion.ANSWERED, status, body, signed, head_at)
+        return Response(
+            Completion.ANSWERED, status, bytes(received), signed, head_at
+        )
+
+
+def outcome_breaks(outcome: Outcome) -> bool:
+    """Return whether an answer ended early, and not for its caller."""
+    return outcome.completion in (Completion.TRUNCATED, Completion.TIMED_OUT)
 
 
 def until_next_wave(now: float) -> float:
--- a/soak/_expected.py
+++ b/soak/_expected.py
@@ -1,6 +1,7 @@
 """Expected responses of a replica, and settings that both sides share."""
 
 import hashlib
+import re
 from typing import Final
 
 ONCE: Final = "/once/"
@@ -25,6 +26,9 @@
 LIST_REPORT: Final = "kv-list"
 # Value of Retry-After in a rejection by a replica, in whole seconds.
 BACKOFF_SECONDS: Final = 3
+# Software versions of replicas.
+VERSIONS: Final = ("v1", "v2")
+_EVENT = re.compile(rb"id: (\d+)\ndata: \S+ \d+ (\S+)\n\n")
 _MIN_EVENTS = 3
 _EVENT_COUNT_RANGE = 12
 
@@ -41,12 +45,36 @@
     return _MIN_EVENTS + digest[0] % _EVENT_COUNT_RANGE
 
 
-def format_event(attempt: str, number: int) -> bytes:
+def format_event(
+    stream: str, number: int, version: str = VERSIONS[0]
+) -> bytes:
     """Return one event of a stream; events are numbered from 1."""
-    return f"id: {number}\ndata: {attempt} {number}\n\n".encode()
+    return f"id: {number}\ndata: {stream} {number} {version}\n\n".encode()
 
 
-def stream_body(attempt: str) -> bytes:
-    """Return the complete body of a stream."""
-    numbers = range(1, event_count(attempt) + 1)
-    return b"".join(format_event(attempt, number) for number in numbers)
+def stream_body(
+    stream: str, version: str = VERSIONS[0], *, after: int = 0
+) -> bytes:
+    """Return the complete body of a stream, or the part after an event.
+
+    Parameters
+    ----------
+    stream : str
+        Attempt that brings its first event.
+    version : str
+        Version of the replicas that make it.
+    after : int
+        Number of the last event that is left out.
+    """
+    numbers = range(after + 1, event_count(stream) + 1)
+    return b"".join(
+        format_event(stream, number, version) for number in numbers
+    )
+
+
+def parse_events(body: bytes) -> list[tuple[int, str]]:
+    """Return the number and the version of each complete event."""
+    return [
+        (int(number), version.decode())
+        for number, version in _EVENT.findall(body)
+    ]
--- a/soak/_guarantees.py
+++ b/soak/_guarantees.py
@@ -10,6 +10,7 @@
 from soak import _expected
 from soak import _load_guarantees
 from soak import _owner_guarantees
+from soak import _stream_guarantees
 from soak import _world
 
 _NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
@@ -58,6 +59,12 @@
         outcomes,
         functools.partial(_exemptions.has_current_data, world),
     )
+    yield from _stream_guarantees.check_versions(outcomes)
+    yield from _stream_guarantees.check_taken_up(
+        world.replicas + world.former_replicas,
+        outcomes,
+        functools.partial(_exemptions.has_current_data, world),
+    )
     yield from _owner_guarantees.check_context_lists(world)
     yield from _owner_guarantees.check_rejections(world, outcomes)
     yield from _owner_guarantees.check_bound(world)
@@ -70,7 +77,7 @@
         return
     expected = _expected.response_body(outcome.attempt)
     if outcome.path == _expected.STREAM:
-        expected = _expected.stream_body(outcome.attempt)
+        expected = _stream_guarantees.expected_body(outcome)
     if outcome.body != expected or not outcome.signed:
         yield f"MIXED {outcome.attempt}: {outcome.body[:80]!r}"
 
--- a/soak/_replica.py
+++ b/soak/_replica.py
@@ -47,7 +47,7 @@
     Parameters
     ----------
     settings : dict
-        id, service, port, zone, address (where daemons reach it), store
+        id, service, port, zone, version, address (where daemons reach it), store
         (URL), ledger, ends and words (paths of the records of runs, of their
         ends and of reports), seed, cold (whether it starts cold), slots, load_report (value of a
         LoadReport).
@@ -209,12 +209,14 @@
         fields: tuple[tuple[str, str], ...],
     ) -> _http.Answer:
         first = int(request.header("Last-Event-Id", "0")) + 1
+        stream = request.header("Resumes") or attempt
+        version = self._settings["version"]
         truncates = self._random.random() < _TRUNCATION_PROBABILITY
 
         def events() -> Iterator[bytes]:
             with self._held(attempt):
-                for number in range(first, _expected.event_count(attempt) + 1):
-                    event = _expected.format_event(attempt, number)
+                for number in range(first, _expected.event_count(stream) + 1):
+                    event = _expected.format_event(stream, number, version)
                     if truncates and number > first:
                         yield event[: len(event) // 2]
                         raise _http.ConnectionCut()
@@ -256,6 +258,7 @@
             "service": self._settings["service"],
             "address": self._settings["address"],
             "zone": self._settings["zone"],
+            "version": self._settings["version"],
             "slots": self._settings["slots"],
             "state": self._state,
             "cold_remaining_ms": self._cold_milliseconds(),
--- a/soak/_run_plan.py
+++ b/soak/_run_plan.py
@@ -7,6 +7,7 @@
 _PRESSURE_PROBABILITY = 0.5
 _WAVES_PROBABILITY = 0.5
 _CUTS_PROBABILITY = 0.5
+_VERSIONS_PROBABILITY = 0.5
 
 
 class LoadReport(enum.Enum):
@@ -33,12 +34,15 @@
     cuts_daemons : bool
         Whether daemons are cut off from all replicas, and replicas turn
         brittle.
+    has_versions : bool
+        Whether replicas of two software versions serve side by side.
     """
 
     load_report: LoadReport = LoadReport.NONE
     has_pressure: bool = False
     has_waves: bool = False
     cuts_daemons: bool = False
+    has_versions: bool = False
 
     @property
     def sends_context(self) -> bool:
@@ -60,4 +64,5 @@
         has_pressure=generator.random() < _PRESSURE_PROBABILITY,
         has_waves=generator.random() < _WAVES_PROBABILITY,
         cuts_daemons=generator.random() < _CUTS_PROBABILITY,
+        has_versions=generator.random() < _VERSIONS_PROBABILITY,
     )
--- a/soak/_world.py
+++ b/soak/_world.py
@@ -98,12 +98,14 @@
         seed: int,
         direct: bool,
         zone: str,
+        version: str,
         cold: bool,
         plan: _run_plan.RunPlan,
     ) -> None:
         port = processes.free_port()
         self.name = name
         self.zone = zone
+        self.version = version
         self.link = Link(port)
         self.drained_at: float | None = None
         self.announces_leaving = False
@@ -125,6 +127,7 @@
             "words": str(folder / "words.txt"),
             "seed": seed,
             "zone": zone,
+            "version": version,
             "cold": cold,
             "slots": self.slots,
             "load_report": plan.load_report.value,
@@ -305,10 +308,18 @@
             seed=self._seed + self._replica_count,
             direct=self._direct,
             zone=ZONES[self._replica_count % len(ZONES)],
+            version=self._next_version(),
             cold=self._starts_cold,
             plan=self._plan,
         )
 
+    def _next_version(self) -> str:
+        """Return the version of a new replica; pairs of zones share one."""
+        if not self._plan.has_versions:
+            return _expected.VERSIONS[0]
+        number = (self._replica_count - 1) // len(ZONES)
+        return _expected.VERSIONS[number % len(_expected.VERSIONS)]
+
     def evacuate(self, number: int, seconds: float) -> None:
         """Evacuate a zone for a while, so that it gets no new requests."""
         zone = ZONES[number % len(ZONES)]
--- a/tests/soak/test_replica.py
+++ b/tests/soak/test_replica.py
@@ -21,6 +21,7 @@
                 "id": "i-1",
                 "seed": 1,
                 "cold": False,
+                "version": "v1",
                 "slots": slots,
                 "load_report": report.value,
                 "ledger": str(tmp_path / "runs.txt"),
--- a/tests/soak/test_run_plan.py
+++ b/tests/soak/test_run_plan.py
@@ -2,7 +2,7 @@
 
 from soak import _run_plan
 
-SEEDS = range(1, 201)
+SEEDS = range(1, 401)
 
 
 class TestDraw:
@@ -16,9 +16,12 @@
         """No combination may be left untested by a run of many seeds."""
         plans = {_run_plan.draw(seed) for seed in SEEDS}
         assert plans == {
-            _run_plan.RunPlan(report, has_pressure, has_waves, cuts_daemons)
+            _run_plan.RunPlan(
+                report, has_pressure, has_waves, cuts_daemons, has_versions
+            )
             for report in _run_plan.LoadReport
             for has_pressure in (False, True)
             for has_waves in (False, True)
             for cuts_daemons in (False, True)
+            for has_versions in (False, True)
         }
