Count the streams that callers take up, and show their later tries

Operators saw: nothing told how many streams were taken up, refused or remembered, and explain-request left out the requests that took a stream up, as these have ids of their own. Four metrics, and the lines of requests that name the attempt.

--- a/src/topazlug/cli/_request_logs.py
+++ b/src/topazlug/cli/_request_logs.py
@@ -96,11 +96,15 @@
 ) -> None:
     """Show the log lines of a request and related state changes.
 
+    Lines of requests that take its stream up are shown as well.
+
     FILES are logs of daemons; without any, standard input is read.
     """
     records = list(_read_records(files))
     request_records = [
-        record for record in records if record.get("request_id") == request_id
+        record
+        for record in records
+        if request_id in (record.get("request_id"), record.get("resumes"))
     ]
     if not request_records:
         raise click.ClickException(f"no log line has request {request_id}")
@@ -127,7 +131,7 @@
         for record in records
         if record.get("daemon") in daemons
         and _is_state_change(record)
-        and record.get("request_id") != request_records[0]["request_id"]
+        and record not in request_records
         and first - around <= _time_of_day(record) <= last
     ]
     return sorted([*request_records, *state_changes], key=_time_of_day)
--- a/src/topazlug/forwarding/_daemon.py
+++ b/src/topazlug/forwarding/_daemon.py
@@ -280,6 +280,7 @@
             delegator=self._delegation.delegator,
             fleet=self._fleet,
             guard=self._crash_assembly.guard,
+            versions=self.versions,
             read_placements=self._admission.read_placements,
             over_bound_reads=self._admission.over_bound_reads,
             fairness_rejections=self._fairness_rejections,
--- a/src/topazlug/forwarding/_gauges.py
+++ b/src/topazlug/forwarding/_gauges.py
@@ -14,6 +14,7 @@
 from topazlug.targets import _target_gauges
 from topazlug.targets import _targets
 from topazlug.telemetry import _metrics
+from topazlug.versions import _stream_versions
 
 
 def watch(
@@ -27,6 +28,7 @@
     delegator: _delegator.Delegator,
     fleet: _fleet.Fleet,
     guard: _crash_guard.CrashGuard,
+    versions: _stream_versions.StreamVersions,
     read_placements: _read_search.ReadPlacements,
     over_bound_reads: _over_bound_reads.OverBoundReads,
     fairness_rejections: Callable[[], int],
@@ -47,6 +49,10 @@
     metrics.watch(total.DELEGATED, lambda: delegator.sent_count)
     metrics.watch(total.NOT_DELEGATED, lambda: delegator.refused_count)
     metrics.watch(total.SERVED_FOR_OTHERS, lambda: app.delegated_count)
+    metrics.watch(gauge.STREAMS_REMEMBERED, lambda: versions.remembered_count)
+    metrics.watch(total.STREAMS_TAKEN_UP, lambda: versions.taken_up_count)
+    metrics.watch(total.STREAMS_NOT_TAKEN_UP, lambda: versions.refused_count)
+    metrics.watch(total.STREAM_MESSAGES, lambda: versions.message_count)
     metrics.watch(total.FAIRNESS_REJECTIONS, fairness_rejections)
     metrics.watch(total.LATE_REQUESTS, late_requests)
     metrics.watch(total.CONTROL_SENT, lambda: fleet.bytes_sent)
--- a/src/topazlug/telemetry/_metrics.py
+++ b/src/topazlug/telemetry/_metrics.py
@@ -84,6 +84,7 @@
     EJECTED_REPLICAS = "topazlug.replicas.ejected"
     TABLE_AGE = "topazlug.tables.age"
     BRITTLE_GROUPS = "topazlug.replicas.brittle_groups"
+    STREAMS_REMEMBERED = "topazlug.streams.remembered"
     CUT_OFF = "topazlug.replicas.cut_off"
 
 
@@ -107,6 +108,9 @@
     DELEGATED = "topazlug.requests.delegated"
     NOT_DELEGATED = "topazlug.requests.not_delegated"
     SERVED_FOR_OTHERS = "topazlug.requests.served_for_others"
+    STREAMS_TAKEN_UP = "topazlug.streams.taken_up"
+    STREAMS_NOT_TAKEN_UP = "topazlug.streams.not_taken_up"
+    STREAM_MESSAGES = "topazlug.streams.origin_messages"
 
 
 _UNITS: dict[Gauge | Total, str] = {
@@ -152,6 +156,14 @@
     Total.NOT_DELEGATED: "Requests that no other daemon could serve either.",
     Total.SERVED_FOR_OTHERS: "Requests served for daemons that reach no "
     "replica.",
+    Gauge.STREAMS_REMEMBERED: "Streams of which this daemon knows the "
+    "software version that began them.",
+    Total.STREAMS_TAKEN_UP: "Streams taken up by callers whose version was "
+    "found out.",
+    Total.STREAMS_NOT_TAKEN_UP: "Streams taken up by callers whose version is "
+    "not known.",
+    Total.STREAM_MESSAGES: "Messages to other daemons about where streams "
+    "began.",
     Gauge.TABLE_AGE: "Age of the oldest word of the store on a table.",
     Total.CONTROL_SENT: "Bytes sent to peers.",
     Total.CONTROL_RECEIVED: "Bytes received from peers.",
--- a/tests/topazlug/cli/test_request_logs.py
+++ b/tests/topazlug/cli/test_request_logs.py
@@ -69,6 +69,25 @@
         assert "of another daemon" not in shown
         assert "is tried" not in shown
 
+    def test_requests_that_take_its_stream_up(self, tmp_path):
+        """A stream's later tries have ids of their own."""
+        later = {
+            "time": "2026-03-23T14:00:03.000Z",
+            "daemon": "d2",
+            "logger": "versions",
+            "message": "the stream began at version v1 of g: another daemon",
+            "request_id": "a2",
+            "resumes": "a1",
+        }
+        path = tmp_path / "log"
+        path.write_text(
+            "\n".join(json.dumps(line) for line in [*LINES, later])
+        )
+        result = testing.CliRunner().invoke(
+            _main.main, ["explain-request", "a1", str(path)]
+        )
+        assert "the stream began at version v1" in result.output
+
     def test_unknown_request(self, run_command):
         result = run_command("explain-request", "a2")
         assert result.exit_code == 1
