Let a broken stream go on at the last replica of its version

Cause: the replica at which a stream broke was always left out. It is now tried again if it is the last one, unless it fell silent and may still run the request. Replicas are asked for the start of their process only where their group has several versions.

--- a/src/topazlug/forwarding/_daemon.py
+++ b/src/topazlug/forwarding/_daemon.py
@@ -250,6 +250,7 @@
                 connections=self._connections,
                 listed=lambda: self.targets.target_by_replica,
                 codec=process_codec,
+                is_mixed=self.versions.groups.is_mixed,
                 clock=clock,
             ),
             codec=replica_codec,
--- a/src/topazlug/forwarding/_event_relay.py
+++ b/src/topazlug/forwarding/_event_relay.py
@@ -5,11 +5,13 @@
 relayed, so that no event is missing, duplicated or truncated.
 """
 
+from collections.abc import Callable
 from collections.abc import Iterator
 from typing import final
 
 from topazlug import _clock
 from topazlug import _errors
+from topazlug import _ids
 from topazlug import _logs
 from topazlug.callers import _caller_watch
 from topazlug.calls import _sse
@@ -40,6 +42,8 @@
 _MAX_RESUME_REPLICAS = 4
 _SERVER_ERROR = 500
 
+CountUsable = Callable[[_ids.GroupName, _ids.SoftwareVersion], int]
+
 
 @final
 class StreamResumer:
@@ -57,6 +61,8 @@
         Receives the outcomes of requests.
     guard : CrashGuard
         Rejects requests that crash replicas.
+    count_usable : callable
+        Returns the number of usable replicas of a group and a version.
     clock : Clock
         Clock of the daemon.
     disabled : frozenset of Mechanism
@@ -76,10 +82,12 @@
         budget: _retry_share.RetryShare,
         views: _replica_view.ReplicaViews,
         guard: _crash_guard.CrashGuard,
+        count_usable: CountUsable,
         clock: _clock.Clock,
         disabled: _mechanisms.DisabledMechanisms = _mechanisms.NONE_DISABLED,
     ) -> None:
         self._guard = guard
+        self._count_usable = count_usable
         self.is_disabled = _mechanisms.Mechanism.RESUMPTION in disabled
         self._admission = admission
         self._exchange = exchange
@@ -100,9 +108,22 @@
         call: _call.ForwardedCall,
         broken: _placement.Placement,
         last_id: int | None,
+        *,
+        is_silent: bool = False,
     ) -> tuple[_placement.Placement, _target_answer.TargetAnswer] | None:
         """Send a request to another replica, to continue after an event.
 
+        Parameters
+        ----------
+        call : ForwardedCall
+            The request.
+        broken : Placement
+            Placement at which its stream broke.
+        last_id : int or None
+            Number of the last event that was relayed.
+        is_silent : bool
+            Whether the replica fell silent, and may still run the request.
+
         Returns
         -------
         tuple or None
@@ -115,7 +136,10 @@
         if not self._budget.spend(call.group):
             _log.info("stream not resumed: retry budget exhausted")
             return None
-        sent = self._send_elsewhere(call, broken, last_id)
+        excluded = frozenset({broken.target.replica})
+        if not is_silent and self._is_last(call, broken):
+            excluded = frozenset()
+        sent = self._send(call, last_id, excluded=excluded)
         if sent is None:
             return None
         placement, answer = sent
@@ -137,19 +161,29 @@
         )
         return placement, answer
 
-    def _send_elsewhere(
+    def _is_last(
+        self, call: _call.ForwardedCall, broken: _placement.Placement
+    ) -> bool:
+        """Return whether no other replica may continue a stream.
+
+        The replica at which it broke may have broken only this stream.
+        """
+        version = broken.target.version
+        return self._count_usable(call.group, version) <= 1
+
+    def _send(
         self,
         call: _call.ForwardedCall,
-        broken: _placement.Placement,
         last_id: int | None,
+        *,
+        excluded: frozenset[_ids.ReplicaId],
     ) -> tuple[_placement.Placement, _target_answer.TargetAnswer] | None:
-        """Send the request to the first other replica that accepts it.
+        """Send the request to the first replica that accepts it.
 
         Several replicas are often lost together, with their zone. If only
         one other replica were tried, the stream would end although the rest
         of the group could continue it.
         """
-        excluded = frozenset({broken.target.replica})
         for _ in range(_MAX_RESUME_REPLICAS):
             placement = None
             try:
@@ -389,7 +423,10 @@
         # The body is read after the request's own log context has ended.
         with _logs.request_fields(request_id=self._call.head.attempt):
             resumed = self._resumer.resume(
-                self._call, self._placement, self._reader.last_id
+                self._call,
+                self._placement,
+                self._reader.last_id,
+                is_silent=isinstance(error, _errors.TargetSilent),
             )
         if resumed is None:
             return False
--- a/src/topazlug/forwarding/_forwarder.py
+++ b/src/topazlug/forwarding/_forwarder.py
@@ -103,7 +103,7 @@
         budget: _retry_share.RetryShare,
         call_metrics: _call_metrics.CallMetrics,
         is_brittle: Callable[[_ids.GroupName], bool],
-        count_usable: Callable[[_ids.GroupName, _ids.SoftwareVersion], int],
+        count_usable: _event_relay.CountUsable,
         clock: _clock.Clock,
         disabled: _mechanisms.DisabledMechanisms = _mechanisms.NONE_DISABLED,
     ) -> None:
--- a/src/topazlug/forwarding/_forwarder_assembly.py
+++ b/src/topazlug/forwarding/_forwarder_assembly.py
@@ -154,6 +154,7 @@
             budget=self.budget,
             views=self.views,
             guard=self.guard,
+            count_usable=self._count_usable,
             disabled=self.disabled,
             clock=self.clock,
         )
--- a/src/topazlug/targets/_process_check.py
+++ b/src/topazlug/targets/_process_check.py
@@ -46,6 +46,9 @@
         Returns the list of replicas.
     codec : ProcessReportCodec or None
         The platform's form of the report; None if there is none.
+    is_mixed : callable
+        Returns whether a group has several versions. If not, replicas are
+        not asked.
     clock : Clock
         Time.
     """
@@ -56,11 +59,13 @@
         connections: _target_client.TargetConnections,
         listed: Callable[[], Mapping[_ids.ReplicaId, _target.Target]],
         codec: ProcessReportCodec | None,
+        is_mixed: Callable[[_ids.GroupName], bool],
         clock: _clock.Clock,
     ) -> None:
         self._connections = connections
         self._listed = listed
         self._codec = codec
+        self._is_mixed = is_mixed
         self._clock = clock
 
     def was_replaced(self, target: _target.Target) -> bool:
@@ -84,6 +89,8 @@
             raise _errors.TargetRefused(f"{target.replica} was replaced")
         if self._codec is None or not self._codec.states_start(target):
             return
+        if not self._is_mixed(target.group):
+            return
         try:
             incarnation = self._codec.incarnation(self._report(target))
         except _errors.RequestError as error:
--- a/tests/topazlug_platform/test_streams_of_two_versions.py
+++ b/tests/topazlug_platform/test_streams_of_two_versions.py
@@ -221,6 +221,25 @@
             assert {one.statuses[-1] for one in taken_up} == {503}
 
 
+class TestLastReplica:
+    """The last replica of a version serves what it has begun."""
+
+    def test_stream_goes_on_there_under_load(self):
+        """New streams had taken all room."""
+        with running_fleet(versions=("v1", "v2", "v2", "v2")) as fleet:
+            callers = fleet.begin_streams(40, 0, events=2)
+            began = [one for one in callers if one.stream.versions == {"v1"}]
+            assert began
+            with fleet.loaded():
+                check(fleet.take_up(began, 1))
+
+    def test_broken_stream_goes_on_at_the_same_replica(self):
+        """A stream ended although its replica still accepted requests."""
+        with running_fleet(versions=("v1", "v2", "v2")) as fleet:
+            fleet.break_streams(4)
+            check(fleet.streams(STREAMS, 0))
+
+
 class TestMovedRoute:
     def test_stream_goes_on_at_the_service_that_began_it(self):
         """A new split of a route sent streams to another service."""
--- a/tests/topazlug_platform/version_fleet.py
+++ b/tests/topazlug_platform/version_fleet.py
@@ -8,6 +8,7 @@
 from typing import NamedTuple
 
 import gevent
+from gevent import event
 from gevent import pool
 import msgspec
 
@@ -24,6 +25,7 @@
 _LAST_EVENT = re.compile(rb"\r\nlast-event-id: (\d+)\r\n", re.IGNORECASE)
 _EVENT_SECONDS = 0.003
 _AT_A_TIME = 6
+_LOADING_CALLERS = 48
 _REPLACEMENT_SECONDS = 0.3
 
 
@@ -258,6 +260,26 @@
         replica = VersionReplica(name, self.runs, version=version, start=start)
         self.replicas.append(replica)
 
+    @contextlib.contextmanager
+    def loaded(self):
+        """Have more new streams than the replicas have room for."""
+        self.delay_first_events(0.3)
+        ends = event.Event()
+        tasks = [
+            gevent.spawn(self._load, number % len(self.daemons), ends)
+            for number in range(_LOADING_CALLERS)
+        ]
+        gevent.sleep(0.5)
+        yield
+        ends.set()
+        gevent.joinall(tasks)
+
+    def _load(self, daemon, ends):
+        while not ends.is_set():
+            status = self.stream(daemon).statuses[0]
+            if status != 200:
+                ends.wait(0.05)
+
     def cut_from_peers(self, *numbers):
         """Have these daemons reach no other daemon, nor be reached."""
         cut = {f"d{number}" for number in numbers}
