--- a/bench/capacity/capacity_slopes.py
+++ b/bench/capacity/capacity_slopes.py
@@ -10,6 +10,7 @@
 from bench.capacity import capacity_routing
 from bench.capacity import capacity_sizes as sizes
 from bench.capacity import capacity_state
+from bench.capacity import capacity_streams
 
 _PARTS = {
     "ranking": capacity_routing.ranking,
@@ -30,6 +31,7 @@
     "probes": capacity_messages.target_polls,
     "idle-connections": capacity_messages.idle_connections,
     "relay": capacity_relay.relay,
+    "streams": capacity_streams.streams,
 }
 
 
