Do not trust the version of a replica that the list has replaced

A stream whose request was placed before the list showed another version under the replica's id, and whose first event came after, was remembered with the version of the old process. Its origin now counts as uncertain, so it goes on nowhere. Found by reading; the test failed before.

--- a/src/topazlug/versions/_stream_versions.py
+++ b/src/topazlug/versions/_stream_versions.py
@@ -65,6 +65,7 @@
         self._holders = _stream_holders.StreamHolders(
             daemon=daemon, daemons=daemons
         )
+        self._target_by_replica: dict[_ids.ReplicaId, _target.Target] = {}
         self._exchange: _origin_exchange.OriginExchange | None = None
         self.taken_up_count = 0
         self.refused_count = 0
@@ -97,6 +98,7 @@
     ) -> None:
         """Apply a list of replicas."""
         targets = list(targets)
+        self._target_by_replica = {one.replica: one for one in targets}
         for target in targets:
             former = before.get(target.replica)
             if former is not None:
@@ -113,8 +115,7 @@
         The list shows that some time after it happened. Streams that began
         there in the meantime may be from either process.
         """
-        is_same = _target.process_of(former) == _target.process_of(target)
-        if is_same or former.version == target.version:
+        if not _is_replaced(former, target):
             return
         seconds = self.groups.max_list_age + _REGISTRATION_SECONDS
         uncertain = self._origins.make_uncertain(
@@ -159,7 +160,12 @@
             Replica that sent the event.
         """
         key = _stream_origins.stream_key(attempt)
-        origin = _stream_origins.Origin(target.group, target.version)
+        listed = self._target_by_replica.get(target.replica, target)
+        origin = _stream_origins.Origin(
+            target.group,
+            target.version,
+            is_certain=not _is_replaced(target, listed),
+        )
         process = _stream_origins.process_key(target)
         self._origins.begin(key, origin, process)
         if self.groups.is_mixed(target.group):
@@ -240,6 +246,12 @@
         )
 
 
+def _is_replaced(former: _target.Target, target: _target.Target) -> bool:
+    """Return whether another version has taken the place of a replica."""
+    is_same = _target.process_of(former) == _target.process_of(target)
+    return not is_same and former.version != target.version
+
+
 def _certain(origin: _stream_origins.Origin) -> _stream_origins.Origin:
     if origin.is_certain:
         return origin
--- a/tests/topazlug/versions/test_stream_versions.py
+++ b/tests/topazlug/versions/test_stream_versions.py
@@ -186,6 +186,15 @@
             assert fleet.find(daemon, "elsewhere") == "v1"
         assert not fleet.versions[0].is_certain(_ids.RequestId("lately"))
 
+    def test_stream_that_begins_after_the_list_showed_it(self):
+        """It was placed before, and its first event came after."""
+        fleet = fakes.Fleet(2)
+        old = fakes.target("i-0", "v1", incarnation=100)
+        new = fakes.target("i-0", "v2", incarnation=200)
+        fleet.list([new, fakes.target("i-1", "v1")])
+        fleet.begin(0, "a", old)
+        assert fleet.find(1, "a") is None
+
 
 class TestLargeFleet:
     def test_daemons_that_hold_streams_are_spread(self):
