Do not refuse streams of one version after a loss of power

Callers would see: after all daemons have restarted, one of which does not come back, each stream that is taken up is refused for a minute, though its group has one version only.

Cause: without a daemon that has followed the list for a minute, all daemons that were asked had to answer. An up-to-date list and the view of one other daemon are enough now; without an up-to-date list all must still answer.

Evidence: test_one_daemon_has_not_come_back_after_a_loss_of_power failed before.

--- a/src/topazlug/versions/_stream_versions.py
+++ b/src/topazlug/versions/_stream_versions.py
@@ -231,9 +231,7 @@
             answers = self._exchange.ask(key, group)
         if answers.origin is not None:
             return _certain(answers.origin), "another daemon"
-        version = _sole_version(
-            [own_view, *answers.views], has_gaps=answers.has_gaps
-        )
+        version = _sole_version(own_view, answers)
         if version is not None:
             return _stream_origins.Origin(group, version), "the only version"
         version = self.groups.presumed(group)
@@ -262,19 +260,23 @@
 
 
 def _sole_version(
-    views: Iterable[_group_versions.VersionsView], *, has_gaps: bool
+    own_view: _group_versions.VersionsView, answers: _origin_exchange.Answers
 ) -> _ids.SoftwareVersion | None:
     """Return the only version that a group can have had lately.
 
-    One daemon that has followed an up-to-date list for long enough is proof.
-    Without one, as the store is down for all, or all daemons have just
-    started, it takes the answers of all that were asked: one that does not
-    answer may know of another version.
+    An up-to-date list shows all versions there are, and a daemon that has
+    followed it for long enough those that have left. After a loss of power no
+    daemon has, so another one's view is enough for that. If no list is up to
+    date, as the store is down for all, it takes the answers of all daemons
+    that were asked: one that does not answer may know of another version.
     """
-    views = list(views)
+    views = [own_view, *answers.views]
     versions = frozenset().union(*(view.versions for view in views))
     if len(versions) != 1:
         return None
-    is_proven = any(view.is_current and view.knows_past for view in views)
+    is_current = any(view.is_current for view in views)
+    knows_past = bool(answers.views) or own_view.knows_past
     (version,) = versions
-    return version if is_proven or not has_gaps else None
+    if (is_current and knows_past) or not answers.has_gaps:
+        return version
+    return None
--- a/tests/topazlug/versions/test_stream_versions.py
+++ b/tests/topazlug/versions/test_stream_versions.py
@@ -86,6 +86,14 @@
         assert fleet.find(0, "a") == "v1"
         assert len(fleet.sent) == 2
 
+    def test_one_daemon_has_not_come_back_after_a_loss_of_power(self):
+        """All others refused streams for a minute."""
+        fleet = fakes.Fleet(9, knows_past=False)
+        fleet.list(fakes.targets("v1", "v1"))
+        fleet.unreachable = {"d8"}
+        assert [fleet.find(number, "a") for number in range(8)] == ["v1"] * 8
+        assert fleet.find(8, "a") is None
+
     def test_daemon_that_knows_of_another_version_is_asked(self):
         fleet = fakes.Fleet(3, knows_past=False)
         fleet.list(TWO, 1)
