--- a/src/topazlug/forwarding/_forwarder.py
+++ b/src/topazlug/forwarding/_forwarder.py
@@ -23,6 +23,7 @@
 from topazlug.forwarding import _event_relay
 from topazlug.forwarding import _exchange
 from topazlug.forwarding import _failures
+from topazlug.forwarding import _stream_resumer
 from topazlug.limits import _retry_share
 from topazlug.placement import _mechanisms
 from topazlug.placement import _replica_view
@@ -94,7 +95,7 @@
         attempts: _attempts.Attempts,
         admission: _placement.Admission,
         exchange: _exchange.Exchange,
-        resumer: _event_relay.StreamResumer,
+        resumer: _stream_resumer.StreamResumer,
         guard: _crash_guard.CrashGuard,
         path_check: _path_check.PathCheck,
         delegator: _delegator.Delegator | None,
@@ -103,7 +104,7 @@
         budget: _retry_share.RetryShare,
         call_metrics: _call_metrics.CallMetrics,
         is_brittle: Callable[[_ids.GroupName], bool],
-        count_usable: _event_relay.CountUsable,
+        count_usable: _stream_resumer.CountUsable,
         clock: _clock.Clock,
         disabled: _mechanisms.DisabledMechanisms = _mechanisms.NONE_DISABLED,
     ) -> None:
--- a/src/topazlug/forwarding/_forwarder_assembly.py
+++ b/src/topazlug/forwarding/_forwarder_assembly.py
@@ -12,9 +12,9 @@
 from topazlug.delegation import _delegator
 from topazlug.forwarding import _awaited_heads
 from topazlug.forwarding import _call_metrics
-from topazlug.forwarding import _event_relay
 from topazlug.forwarding import _exchange
 from topazlug.forwarding import _forwarder
+from topazlug.forwarding import _stream_resumer
 from topazlug.forwarding import _wire
 from topazlug.limits import _retry_share
 from topazlug.placement import _context_locator
@@ -147,8 +147,8 @@
 
     def _new_resumer(
         self, exchange: _exchange.Exchange
-    ) -> _event_relay.StreamResumer:
-        return _event_relay.StreamResumer(
+    ) -> _stream_resumer.StreamResumer:
+        return _stream_resumer.StreamResumer(
             admission=self.admission,
             exchange=exchange,
             budget=self.budget,
--- a/tests/topazlug/forwarding/test_event_relay.py
+++ b/tests/topazlug/forwarding/test_event_relay.py
@@ -8,6 +8,7 @@
 from tests.topazlug.forwarding import forwarding_fixtures as fixtures
 from topazlug import _errors
 from topazlug.forwarding import _event_relay
+from topazlug.forwarding import _stream_resumer
 from topazlug.targets import _target_client
 
 UNREACHABLE = _target_client.ConnectFailed("no connection")
@@ -83,7 +84,7 @@
     """Resume a stream that broke at i-0; return where it was sent."""
     admission = Admission(replicas)
     exchange = Exchange(error_by_replica)
-    resumer = _event_relay.StreamResumer(
+    resumer = _stream_resumer.StreamResumer(
         admission=admission,
         exchange=exchange,
         budget=Budget(retries),
