Log the prompt parts of requests that ran at a crash

The line of a crash now has each request's id, the fingerprints of its parts and whether it had output. Runs remember their parts, and when the first bytes of their answer's body arrived. No decision changes.

--- a/src/topazlug/crashes/_crash_detector.py
+++ b/src/topazlug/crashes/_crash_detector.py
@@ -46,6 +46,8 @@
 _MAX_SIMULTANEOUS_FRACTION = 0.125
 _SIMULTANEOUS_SECONDS = 0.5
 _MAX_REPORTED = 4096
+# Bounds the line that is logged at a crash.
+_MAX_LOGGED = 16
 
 OnCrash = Callable[[_targets.Target, list[_target_runs.Run]], None]
 
@@ -259,10 +261,18 @@
             group=target.group,
             n=len(runs),
             fingerprints=" ".join(sorted({run.fingerprint for run in runs})),
+            requests=" ".join(_describe(run) for run in runs[:_MAX_LOGGED]),
         )
         self._on_crash(target, runs)
 
 
+def _describe(run: _target_runs.Run) -> str:
+    """Return a run's request, its prompt parts, and whether it had output."""
+    request, _, _ = run.attempt.partition(" ")
+    output = "none" if run.wrote_at == math.inf else "some"
+    return f"{request}:{','.join(run.parts)}:{output}"
+
+
 def _was_interrupted(run: _target_runs.Run) -> bool:
     ends = _target_runs.RunEnd
     return run.end in (ends.LOST, ends.TIMED_OUT)
--- a/src/topazlug/forwarding/_call.py
+++ b/src/topazlug/forwarding/_call.py
@@ -9,6 +9,7 @@
 from topazlug import _errors
 from topazlug import _ids
 from topazlug._generated import messages
+from topazlug.crashes import _fingerprint
 from topazlug.forwarding import _table
 from topazlug.forwarding import _wire
 from topazlug.routing import _placement
@@ -107,6 +108,13 @@
         """Return the attempt that brings the first event of the stream."""
         return self.head.resumes or self.head.attempt
 
+    @property
+    def part_fingerprints(self) -> tuple[_ids.Fingerprint, ...]:
+        """Return the prompt parts that it may share with other requests."""
+        return _fingerprint.part_fingerprints(
+            self.group, [part.id for part in self.head.parts]
+        )
+
     @property
     def max_replicas(self) -> int:
         """Return the maximum number of replicas it may be sent to."""
--- a/src/topazlug/forwarding/_exchange.py
+++ b/src/topazlug/forwarding/_exchange.py
@@ -234,6 +234,7 @@
             request_id=call.head.attempt,
             fingerprint=call.fingerprint,
             attempt=f"{call.head.attempt} {call.started_at}",
+            parts=call.part_fingerprints,
             # The replica may close an idle connection at the moment a request
             # is sent on it. Whether the request ran is then unknown, and one
             # that may run only once is lost, so it gets a new connection.
--- a/src/topazlug/targets/_target_answer.py
+++ b/src/topazlug/targets/_target_answer.py
@@ -88,9 +88,11 @@
         sender: gevent.Greenlet | None = None,
         on_receive: Callable[[], None] | None = None,
         on_end: Callable[[_target_runs.RunEnd, int], None] | None = None,
+        on_body: Callable[[], None] | None = None,
     ) -> None:
         self._sender = sender
         self._on_end = on_end
+        self._on_body = on_body
         self._on_receive = on_receive
         self.idle_seconds: float | None = None
         self._connection = connection
@@ -138,6 +140,8 @@
         while True:
             body = self._parser.take_body()
             if body:
+                if self._on_body is not None:
+                    self._on_body()
                 yield body
             if self._parser.message_complete:
                 self._finish()
--- a/src/topazlug/targets/_target_client.py
+++ b/src/topazlug/targets/_target_client.py
@@ -71,6 +71,8 @@
     attempt : str
         Identifies the caller's attempt, as a caller may use one request id
         for several attempts.
+    parts : tuple of Fingerprint
+        Parts of its prompt that it may share with other requests.
     """
 
     method: str
@@ -82,6 +84,7 @@
     is_probe: bool = False
     fingerprint: _ids.Fingerprint | None = None
     attempt: str = ""
+    parts: tuple[_ids.Fingerprint, ...] = ()
 
 
 @final
@@ -244,6 +247,7 @@
                 target,
                 fingerprint=request.fingerprint,
                 attempt=request.attempt or request.request_id,
+                parts=request.parts,
             )
         return _Use(connection, target, run)
 
@@ -374,6 +378,11 @@
             sender=sender,
             on_receive=functools.partial(self.record_received, target),
             on_end=functools.partial(self._end_use, use),
+            on_body=(
+                functools.partial(self.runs.record_body, use.run)
+                if use.run is not None
+                else None
+            ),
         )
 
     def _send(
--- a/src/topazlug/targets/_target_runs.py
+++ b/src/topazlug/targets/_target_runs.py
@@ -8,6 +8,7 @@
 import collections
 from collections.abc import Callable
 import enum
+import math
 from typing import final
 
 import msgspec
@@ -64,6 +65,11 @@
         it to.
     began_at : float
         Monotonic seconds.
+    parts : tuple of Fingerprint
+        Parts of its prompt that it may share with other requests.
+    wrote_at : float
+        Monotonic seconds at which the first bytes of its answer's body
+        arrived; infinite before.
     end : RunEnd or None
         How it ended; None while it runs.
     ended_at : float
@@ -76,6 +82,8 @@
     fingerprint: _ids.Fingerprint
     attempt: str
     began_at: float
+    parts: tuple[_ids.Fingerprint, ...] = ()
+    wrote_at: float = math.inf
     end: RunEnd | None = None
     ended_at: float = 0.0
     status: int = 0
@@ -124,6 +132,7 @@
         *,
         fingerprint: _ids.Fingerprint,
         attempt: str,
+        parts: tuple[_ids.Fingerprint, ...] = (),
     ) -> Run:
         """Record that a request is about to be sent to a target."""
         run = Run(
@@ -131,12 +140,18 @@
             fingerprint=fingerprint,
             attempt=attempt,
             began_at=self._clock.monotonic(),
+            parts=parts,
         )
         self._running_by_process.setdefault(
             _target.process_of(target), set()
         ).add(run)
         return run
 
+    def record_body(self, run: Run) -> None:
+        """Record that bytes of the answer's body have arrived."""
+        if run.wrote_at == math.inf:
+            run.wrote_at = self._clock.monotonic()
+
     def finish(self, run: Run, end: RunEnd, *, status: int = 0) -> None:
         """Record how a run ended; only the first call has an effect."""
         if run.end is not None:
