Treat undelimited streams that end early as broken

What callers saw: a stream with neither a length nor chunks whose replica closed the connection before its first event was answered with 500, or ended as if it were complete; it was not sent elsewhere.

Cause: the end of the connection counted as the end of the answer. A partial event was noticed after the run had been recorded as one that only this daemon ended, so the replica was not checked for a crash; a stream without any event was not noticed at all.

Such a stream is broken if it ends within an event, or before its first one.

Tests: tests/topazlug_platform/test_forwarding.py::TestUndelimitedStreams; two of five (end before the first event) failed before with 500. The ends within an event were cut and resumed before, too.

--- a/src/topazlug/crashes/_crash_detector.py
+++ b/src/topazlug/crashes/_crash_detector.py
@@ -132,7 +132,8 @@
                 self._check_by_process[process].wait(_CONNECT_TIMEOUT_SECONDS)
 
     def _on_run_end(self, run: _target_runs.Run) -> None:
-        if run.end is not _target_runs.RunEnd.LOST:
+        ends = _target_runs.RunEnd
+        if run.end not in (ends.LOST, ends.UNDELIMITED):
             return
         process = _target.process_of(run.target)
         if process in self._reported or process in self._check_by_process:
--- a/src/topazlug/forwarding/_event_relay.py
+++ b/src/topazlug/forwarding/_event_relay.py
@@ -70,13 +70,31 @@
         self._versions = versions
         self._call = call
         self._placement = placement
-        self._answer = answer
         self._tried = tried
         self._resumer = resumer
         self._call_metrics = call_metrics
         self._clock = clock
         self._reader = _sse.EventReader(last_id=call.head.resume_after)
         self._has_caller_left = False
+        self._set_answer(answer)
+
+    def _set_answer(self, answer: _target_answer.TargetAnswer) -> None:
+        self._answer = answer
+        answer.is_between_events = self._may_be_complete
+
+    def _may_be_complete(self) -> bool:
+        """Return whether the stream may end here without being truncated.
+
+        If only its connection ends it, it has one event at least.
+        """
+        reader = self._reader
+        has_begun = (
+            self._answer.is_delimited
+            or self._call.head.resume_after is not None
+            or bool(reader.count)
+            or reader.done
+        )
+        return has_begun and reader.is_between_events
 
     def read_first_events(self, *, receive_timeout: float) -> bytes:
         """Return the first complete events.
@@ -99,6 +117,8 @@
             if events:
                 self._begin()
                 return events
+        if not self._may_be_complete():
+            raise _truncated("it ended before its first event was complete")
         return b""
 
     def _begin(self) -> None:
@@ -183,7 +203,7 @@
                 )
                 last_event_at = now
                 yield events
-        if not self._reader.is_between_events:
+        if not self._may_be_complete():
             raise _truncated("it ended within an event")
 
     def _complete_events(self, data: bytes) -> bytes:
@@ -237,7 +257,8 @@
             return False
         self._resumer.release(self._placement, failed=True)
         self._tried += 1
-        self._placement, self._answer = resumed
+        self._placement, answer = resumed
+        self._set_answer(answer)
         return True
 
 
--- a/src/topazlug/targets/_target_answer.py
+++ b/src/topazlug/targets/_target_answer.py
@@ -75,6 +75,10 @@
         Header fields in order.
     idle_seconds : float or None
         Seconds for which the target keeps an idle connection, if known.
+    is_between_events : callable or None
+        Returns whether a stream has ended after a complete event; None if the
+        answer is no stream. A stream without chunks that ends within an event
+        was lost.
     """
 
     def __init__(
@@ -95,6 +99,7 @@
         self._on_body = on_body
         self._on_receive = on_receive
         self.idle_seconds: float | None = None
+        self.is_between_events: Callable[[], bool] | None = None
         self._connection = connection
         self._clock = clock
         self._parser = parser
@@ -183,7 +188,7 @@
         if self._closed:
             return
         ends = _target_runs.RunEnd
-        self._record_end(ends.COMPLETE if self._is_framed else ends.ABANDONED)
+        self._record_end(self._complete_end)
         if self._parser.should_close() or not self._all_sent():
             self._close_connection()
         else:
@@ -194,7 +199,17 @@
             )
 
     @property
-    def _is_framed(self) -> bool:
+    def _complete_end(self) -> _target_runs.RunEnd:
+        """Return how the run ended whose answer's body has ended."""
+        ends = _target_runs.RunEnd
+        if self.is_delimited:
+            return ends.COMPLETE
+        if self.is_between_events is None or self.is_between_events():
+            return ends.UNDELIMITED
+        return ends.LOST
+
+    @property
+    def is_delimited(self) -> bool:
         """Return whether the answer's headers delimit its body.
 
         Without them, the answer ends with its connection, and looks complete
--- a/src/topazlug/targets/_target_runs.py
+++ b/src/topazlug/targets/_target_runs.py
@@ -7,6 +7,7 @@
 
 import collections
 from collections.abc import Callable
+from collections.abc import Iterator
 import enum
 import math
 from typing import final
@@ -39,8 +40,10 @@
     TIMED_OUT
         The target sent nothing until the timeout.
     ABANDONED
-        The daemon stopped waiting, or can't tell whether the answer is
-        complete.
+        The daemon stopped waiting.
+    UNDELIMITED
+        The target closed the connection, which ends an answer that has
+        neither a length nor chunks. It may have crashed.
     """
 
     COMPLETE = "whole"
@@ -48,6 +51,7 @@
     LOST = "lost"
     TIMED_OUT = "silent"
     ABANDONED = "left"
+    UNDELIMITED = "undelimited"
 
 
 @final
@@ -189,6 +193,11 @@
         """Return the runs in progress on a replica process."""
         return list(self._running_by_process.get(process, ()))
 
+    def all_running(self) -> Iterator[Run]:
+        """Yield the runs in progress on all replica processes."""
+        for runs in self._running_by_process.values():
+            yield from runs
+
     def broken(
         self, process: _target.ReplicaProcess, *, seconds: float
     ) -> list[Run]:
--- a/tests/topazlug/forwarding/test_event_relay.py
+++ b/tests/topazlug/forwarding/test_event_relay.py
@@ -66,6 +66,7 @@
 
     return types.SimpleNamespace(
         fingerprint=0,
+        part_fingerprints=(),
         group=fixtures.GROUP,
         deadline=10.0,
         placement_request=placement_request,
@@ -89,7 +90,9 @@
         exchange=exchange,
         budget=Budget(retries),
         views=None,
-        guard=types.SimpleNamespace(may_repeat=lambda *_: True),
+        guard=types.SimpleNamespace(
+            may_repeat=lambda *_: True, check=lambda *_: None
+        ),
         count_usable=lambda group, version: usable,
         clock=claim_fakes.FakeClock(),
     )
@@ -182,7 +185,10 @@
             ),
             placement=placement,
             answer=types.SimpleNamespace(
-                status=200, close=lambda: None, chunks=lambda **_: iter(())
+                status=200,
+                is_delimited=True,
+                close=lambda: None,
+                chunks=lambda **_: iter(()),
             ),
             tried=1,
             resumer=types.SimpleNamespace(
--- a/tests/topazlug_platform/test_forwarding.py
+++ b/tests/topazlug_platform/test_forwarding.py
@@ -326,6 +326,48 @@
         assert not body.endswith(platform_rig.END)
 
 
+class TestUndelimitedStreams:
+    """Streams with neither a length nor chunks end with their connection."""
+
+    HEAD = platform_rig.stream_head().replace(
+        b"Transfer-Encoding: chunked", b"Connection: close"
+    )
+
+    def send(self, *streams, **changes):
+        """Send a request to replicas; return its answer and their number."""
+        route = fixtures.route(kind=STREAM, **changes)
+        scripts = [cutting(self.HEAD + stream) for stream in streams]
+        with running(route, scripts=scripts) as rig:
+            answer = rig.send()
+            return answer, len(rig.requests)
+
+    def test_whole(self):
+        (status, _, body), _ = self.send(platform_rig.event(1))
+        assert status == 200
+        assert platform_rig.event(1) in body
+        assert body.endswith(platform_rig.END)
+
+    def test_end_within_an_event_is_not_passed_on_as_complete(self):
+        """A stream that broke off looked complete to its caller."""
+        torn = platform_rig.event(1) + platform_rig.event(2)[:9]
+        (_, _, body), _ = self.send(torn)
+        assert platform_rig.event(1) in body
+        assert not body.endswith(platform_rig.END)
+
+    @pytest.mark.parametrize("begun", [b"", platform_rig.event(1)[:9]])
+    def test_end_before_the_first_event_is_a_failure(self, begun):
+        """A stream without any event was passed on as complete."""
+        (status, fields, _), _ = self.send(begun)
+        assert status == 502
+        assert fields["topazlug-outcome"] == "unknown"
+
+    def test_end_within_an_event_is_resumed_elsewhere(self):
+        torn = platform_rig.event(1) + platform_rig.event(2)[:9]
+        (_, _, body), count = self.send(torn, torn, resumable=True)
+        assert count == 2
+        assert body.count(platform_rig.event(1)) == 1
+
+
 class TestStopping:
     def test_requests_in_progress_are_completed(self, monkeypatch):
         """Callers lost answers when a daemon was replaced."""
