--- a/src/topazlug/_daemon.py
+++ b/src/topazlug/_daemon.py
@@ -92,6 +92,7 @@
             daemons=self.fleet.membership.usable,
             on_records=self.guard.add_peer_records,
             on_holds=self.guard.add_peer_holds,
+            unshared=self.guard.unshared_records,
         )
         self.guard.announce_hold = distributor.send_hold
         self._crash_record_sync = _record_sync.RecordSync(
--- a/src/topazlug/_generated/messages.py
+++ b/src/topazlug/_generated/messages.py
@@ -998,3 +998,11 @@
             ),
         ]
     ) = field(default_factory=list)
+    asks: (
+        Annotated[
+            bool,
+            Meta(
+                description="Whether the sender has just started, and asks for the records that are not in the table."
+            ),
+        ]
+    ) = False
--- a/src/topazlug/calls/_attempts.py
+++ b/src/topazlug/calls/_attempts.py
@@ -125,6 +125,11 @@
                 failure = self._connect_failed(placement, error)
             except _errors.TargetRefused as error:
                 failure = self._rejected(placement, error)
+            except _errors.RequestBlocked as error:
+                # It crashes replicas, whichever one is tried next.
+                self._admission.release(placement)
+                error.outcome = outcome
+                raise
             except _errors.NoReplicaPath as error:
                 # No other replica can be reached from this daemon either.
                 self._admission.release(placement)
--- a/src/topazlug/crashes/_cause_analysis.py
+++ b/src/topazlug/crashes/_cause_analysis.py
@@ -1,37 +1,39 @@
-"""Finds the requests that crash replicas, from what ran during crashes.
+"""Finds what crashes replicas, from what ran during crashes.
 
 A request that crashes each replica that runs it is repeated by its caller and
-may arrive at any daemon. Each time a dozen other requests run on the same
-replica, and replicas also crash for other reasons. So a request is regarded
-as the cause only if
-
-- three of its attempts ran on replicas that crashed, and three incarnations
-  crashed in all: one attempt may be hit by two crashes, as it is sent to a
-  second replica;
-- none of its attempts was answered since, because the cause would crash each
+may arrive at any daemon. A part of a prompt may crash each replica that begins
+to answer it, in requests that are otherwise different. Each time a dozen other
+requests run on the same replica, and replicas also crash for other reasons. So
+a request or a part is regarded as the cause only if
+
+- three attempts ran on replicas that crashed, and three incarnations crashed
+  in all: one attempt may be hit by two crashes, as it is sent to a second
+  replica;
+- nothing with it was answered since, because the cause would crash each
   replica that runs it;
 - so many crashes are improbable by chance, given the time that it ran and the
-  rate of crashes without it;
-- no other request ran during all of the same crashes and during others too.
-  An innocent request runs during only some of the crashes of the cause, which
+  rate of crashes;
+- nothing else ran during all of the same crashes and during others too. What
+  is innocent runs during only some of the crashes of the cause, which
   therefore explains them.
 
-A blocked request explains the crashes during which it ran; they count against
-no other request.
+What is blocked explains the crashes during which it ran; they count against
+nothing else, except the parts of a blocked request.
 
 This module does no I/O and does not block.
 """
 
 from collections.abc import Iterable
 from collections.abc import Mapping
-import datetime
 import math
 from typing import final
 
 import msgspec
 
 from topazlug import _ids
+from topazlug.crashes import _crash_index
 from topazlug.crashes import _crash_records
+from topazlug.crashes import _fingerprint
 
 # Fewer prove nothing: if its caller repeats it once, an innocent request that
 # may be repeated can be hit by two crashes, one at each attempt.
@@ -46,71 +48,36 @@
 # without this rule, and 1 with it (means of five replays; the cause crashes 4
 # replicas in both).
 _MAX_CHANCE_PROBABILITY = 1e-6
-# The rate of other crashes is measured from this long before a request's first
-# crash.
-_LEAD_TIME = datetime.timedelta(seconds=5)
-
-# A request that ran on an incarnation of a replica when it crashed.
-_SuspectRun = tuple[_crash_records.IncarnationName, _crash_records.Suspect]
+# Many requests share a part, so each crash hits many parts, and there is no
+# repeat by which an innocent one would stand out. After this many crashes
+# without an answer, chance is a weaker objection than before.
+_MANY_CRASHES_OF_PART = 5
+_MAX_CHANCE_AFTER_MANY = 1e-3
+# The part of a request that is repeated runs at the same crashes as the
+# request, and other requests with it may be harmless.
+_MIN_REQUESTS_OF_PART = 2
 
 
 @final
-class _CrashedIncarnation(msgspec.Struct):
-    """An incarnation of a replica that crashed.
+class Cause(msgspec.Struct, frozen=True):
+    """What crashes replicas.
 
     Attributes
     ----------
-    at : datetime
-        When the first daemon recorded the crash.
+    members : frozenset of Fingerprint
+        A request, or prompt parts that only ran together so far.
     group : GroupName
-        Pool or service of the replica.
-    replicas : int
-        Number of replicas in the group.
+        Group whose replicas crashed.
     """
 
-    at: datetime.datetime
+    members: frozenset[_ids.Fingerprint]
     group: _ids.GroupName
-    replicas: int
-
-
-@final
-class _RequestCrashes(msgspec.Struct):
-    """The crashes that count against one request.
-
-    Attributes
-    ----------
-    seconds_by_incarnation : dict
-        How long it had run on each incarnation that crashed under it.
-    attempts : set of AttemptTag
-        Its attempts that were running then.
-    """
-
-    seconds_by_incarnation: dict[_crash_records.IncarnationName, float] = (
-        msgspec.field(default_factory=dict)
-    )
-    attempts: set[_crash_records.AttemptTag] = msgspec.field(
-        default_factory=set
-    )
-
-    @property
-    def incarnations(self) -> frozenset[_crash_records.IncarnationName]:
-        """Return the incarnations that crashed under the request."""
-        return frozenset(self.seconds_by_incarnation)
-
-    @property
-    def count(self) -> int:
-        """Return the number of crashes, each at an attempt of its own."""
-        return min(len(self.seconds_by_incarnation), len(self.attempts))
 
 
 @final
 class CauseAnalysis:
     """The causes of crashes that follow from the records of all daemons.
 
-    An analysis is rebuilt whenever records change, from some thousand
-    suspects most of which occur once. So crashes are collected only for the
-    requests that are looked up.
-
     Parameters
     ----------
     records : iterable of CrashRecord
@@ -120,114 +87,94 @@
     def __init__(
         self, records: Iterable[_crash_records.CrashRecord] = ()
     ) -> None:
-        crashes: list[_crash_records.Crash] = []
-        self._block_by_fingerprint: dict[
-            _ids.Fingerprint, _crash_records.Block
-        ] = {}
-        self._answered: dict[
-            _ids.Fingerprint, set[_crash_records.IncarnationName]
-        ] = {}
-        for record in records:
-            if isinstance(record, _crash_records.Crash):
-                crashes.append(record)
-            elif isinstance(record, _crash_records.Answered):
-                cleared = self._answered.setdefault(record.fingerprint, set())
-                cleared.update(record.starts)
-            else:
-                self._block_by_fingerprint[record.fingerprint] = record
-        self._crash_by_incarnation: dict[
-            _crash_records.IncarnationName, _CrashedIncarnation
-        ] = {}
-        self._runs_by_fingerprint: dict[
-            _ids.Fingerprint, list[_SuspectRun]
-        ] = {}
-        explained = self._explained_incarnations(crashes)
-        for crash in crashes:
-            if crash.start not in explained:
-                self._add(crash)
-        self._likely_causes = self._find_likely_causes()
-
-    def _explained_incarnations(
-        self, crashes: Iterable[_crash_records.Crash]
-    ) -> set[_crash_records.IncarnationName]:
-        """Return the incarnations whose crash is explained by a block."""
-        blocks = self._block_by_fingerprint.values()
-        explained = {
-            incarnation for block in blocks for incarnation in block.starts
-        }
-        blocked = {block.fingerprint for block in blocks if not block.released}
-        for crash in crashes if blocked else ():
-            if any(
-                suspect.fingerprint in blocked for suspect in crash.suspects
-            ):
-                explained.add(crash.start)
-        return explained
-
-    def _add(self, crash: _crash_records.Crash) -> None:
-        crashed = self._crash_by_incarnation.get(crash.start)
-        if crashed is None:
-            crashed = _CrashedIncarnation(
-                crash.at, crash.group, crash.replicas
-            )
-            self._crash_by_incarnation[crash.start] = crashed
-        crashed.at = min(crashed.at, crash.at)
-        for suspect in crash.suspects:
-            suspect_runs = self._runs_by_fingerprint.setdefault(
-                suspect.fingerprint, []
-            )
-            suspect_runs.append((crash.start, suspect))
-
-    def _crashes_of(self, fingerprint: _ids.Fingerprint) -> _RequestCrashes:
-        crashes = _RequestCrashes()
-        cleared = self._answered.get(fingerprint, ())
-        for incarnation, suspect in self._runs_by_fingerprint.get(
-            fingerprint, ()
-        ):
-            if incarnation in cleared:
-                continue
-            previous = crashes.seconds_by_incarnation.get(incarnation, 0.0)
-            crashes.seconds_by_incarnation[incarnation] = max(
-                previous, suspect.seconds
+        self._index = _crash_index.CrashIndex(records)
+        self._likely_causes = {
+            fingerprint: crashes
+            for fingerprint, crashes in self._index.suspects(
+                least_runs=MIN_CRASHES
             )
-            crashes.attempts.add(suspect.attempt)
-        return crashes
-
-    def _find_likely_causes(self) -> dict[_ids.Fingerprint, _RequestCrashes]:
-        found = {}
-        for fingerprint, suspect_runs in self._runs_by_fingerprint.items():
-            if len(suspect_runs) < MIN_CRASHES:
-                continue
-            crashes = self._crashes_of(fingerprint)
-            if (
-                crashes.count >= MIN_CRASHES
-                and self._chance_probability(crashes) < _MAX_CHANCE_PROBABILITY
-            ):
-                found[fingerprint] = crashes
-        return found
+            if crashes.count >= MIN_CRASHES
+            and len(crashes.requests) >= _min_requests(fingerprint)
+            and self._chance_probability(fingerprint, crashes)
+            < _max_hold_probability(fingerprint)
+        }
 
     @property
     def blocks(self) -> Mapping[_ids.Fingerprint, _crash_records.Block]:
         """Return all blocks, including released ones."""
-        return self._block_by_fingerprint
+        return self._index.block_by_fingerprint
+
+    def crashes_of(
+        self, fingerprint: _ids.Fingerprint
+    ) -> _crash_index.SuspectCrashes | None:
+        """Return the crashes that count, None if it ran at none."""
+        if not self._index.has_run(fingerprint):
+            return None
+        return self._index.crashes_of(fingerprint)
 
     def incarnations_of(
         self, fingerprint: _ids.Fingerprint
     ) -> frozenset[_crash_records.IncarnationName]:
-        """Return the incarnations that a request may have crashed."""
-        if fingerprint not in self._runs_by_fingerprint:
-            return frozenset()
-        return self._crashes_of(fingerprint).incarnations
+        """Return the incarnations that a request or part may have crashed."""
+        crashes = self.crashes_of(fingerprint)
+        return frozenset() if crashes is None else crashes.incarnations
 
     def crash_count_of(self, fingerprint: _ids.Fingerprint) -> int:
-        """Return how many crashes count against a request."""
-        if fingerprint not in self._runs_by_fingerprint:
-            return 0
-        return self._crashes_of(fingerprint).count
+        """Return how many crashes count against a request or part."""
+        crashes = self.crashes_of(fingerprint)
+        return 0 if crashes is None else crashes.count
+
+    def block_of(
+        self,
+        fingerprint: _ids.Fingerprint,
+        members: Iterable[_ids.Fingerprint] = (),
+    ) -> _crash_records.Block | None:
+        """Return the block in force that a fingerprint names, or None.
+
+        Parameters
+        ----------
+        fingerprint : Fingerprint
+            A request or prompt part.
+        members : iterable of Fingerprint
+            What else is in the same request. What was blocked together is
+            rejected only together, unless it was answered since.
+        """
+        block = self._index.block_by_fingerprint.get(fingerprint)
+        if block is None or block.released:
+            return None
+        if block.together:
+            present = {fingerprint, *members}
+            required = {
+                member
+                for member in block.members
+                if not self._index.is_cleared(block, member)
+            }
+            if not required <= present:
+                return None
+        return block
+
+    def block_with(
+        self, member: _ids.Fingerprint
+    ) -> _crash_records.Block | None:
+        """Return a block in force that a request or part belongs to."""
+        for block in self._index.block_by_fingerprint.values():
+            if member in block.members and not block.released:
+                return block
+        return None
+
+    def is_decided(self, fingerprint: _ids.Fingerprint) -> bool:
+        """Return whether a block of several parts explains its crashes.
+
+        Requests with only some of the parts may run, and show which of them
+        is the cause.
+        """
+        return self._index.is_decided(
+            fingerprint, self._index.crashes_of(fingerprint)
+        )
 
     def is_blocked(self, fingerprint: _ids.Fingerprint) -> bool:
-        """Return whether a request is blocked."""
-        block = self._block_by_fingerprint.get(fingerprint)
-        return block is not None and not block.released
+        """Return whether a request or part is blocked by itself."""
+        return self.block_of(fingerprint) is not None
 
     def likely_causes(self) -> dict[_ids.Fingerprint, int]:
         """Return the likely causes and how many crashes count against each."""
@@ -236,71 +183,109 @@
             for fingerprint, crashes in self._likely_causes.items()
         }
 
-    def causes(self) -> dict[_ids.Fingerprint, _ids.GroupName]:
+    def causes(self) -> list[Cause]:
         """Return the cause with the most crashes.
 
-        Once it is blocked, its crashes count against no other request, and
-        a further call may return another cause. More than one request is
-        returned only if they ran during the same crashes.
-
-        Returns
-        -------
-        dict
-            The group of the crashed replicas, by fingerprint.
+        Once it is blocked, its crashes count against nothing else, and a
+        further call may return another cause. More than one is returned only
+        if they ran during the same crashes, but not in the same requests.
         """
         found = {
             fingerprint: crashes
             for fingerprint, crashes in self._likely_causes.items()
-            if not self._is_explained(fingerprint, crashes)
+            if self._is_improbable(fingerprint, crashes)
+            and not self._index.is_decided(fingerprint, crashes)
+            and not self._is_explained(fingerprint, crashes)
         }
         if not found:
-            return {}
+            return []
         first = max(
             found.values(), key=lambda crashes: len(crashes.incarnations)
         )
-        group = self._crash_by_incarnation[min(first.incarnations)].group
-        return {
-            fingerprint: group
+        group = self._index.group_of(first)
+        same = [
+            fingerprint
             for fingerprint, crashes in found.items()
             if crashes.incarnations == first.incarnations
-        }
-
-    def _chance_probability(self, crashes: _RequestCrashes) -> float:
+        ]
+        requests = [one for one in same if not _fingerprint.is_part(one)]
+        if requests:
+            return [Cause(frozenset((one,)), group) for one in requests]
+        parts = frozenset(same)
+        if self._index.ran_together(parts, first.incarnations):
+            return [Cause(parts, group)]
+        return [Cause(frozenset((one,)), group) for one in same]
+
+    def _is_improbable(
+        self,
+        fingerprint: _ids.Fingerprint,
+        crashes: _crash_index.SuspectCrashes,
+    ) -> bool:
+        """Return whether chance does not explain the crashes."""
+        limit = _MAX_CHANCE_PROBABILITY
+        if (
+            _fingerprint.is_part(fingerprint)
+            and crashes.count >= _MANY_CRASHES_OF_PART
+        ):
+            limit = _MAX_CHANCE_AFTER_MANY
+        return self._chance_probability(fingerprint, crashes) < limit
+
+    def _chance_probability(
+        self,
+        fingerprint: _ids.Fingerprint,
+        crashes: _crash_index.SuspectCrashes,
+    ) -> float:
         """Return the probability that so many crashes hit it by chance.
 
-        The expected number follows from the time that the request ran and
-        the rate of crashes without it, spread over the replicas of the group.
+        Crashes without a request measure the rate of those that come anyway.
+        A part in use all the time runs at each of these too, so for parts all
+        crashes count for the rate.
         """
-        own = [
-            self._crash_by_incarnation[incarnation]
-            for incarnation in crashes.incarnations
-        ]
-        first = min(crashed.at for crashed in own) - _LEAD_TIME
-        last = max(crashed.at for crashed in own)
-        others = sum(
-            first <= crashed.at <= last and crashed.group == own[0].group
-            for crashed in self._crash_by_incarnation.values()
-        ) - len(own)
-        rate = others / (last - first).total_seconds()
-        replicas = max(1, max(crashed.replicas for crashed in own))
-        expected = (
-            rate * sum(crashes.seconds_by_incarnation.values()) / replicas
+        expected = self._index.expected_crashes(
+            crashes, with_own=_fingerprint.is_part(fingerprint)
         )
         return expected**crashes.count / math.factorial(crashes.count)
 
     def _is_explained(
-        self, fingerprint: _ids.Fingerprint, own: _RequestCrashes
+        self,
+        fingerprint: _ids.Fingerprint,
+        own: _crash_index.SuspectCrashes,
     ) -> bool:
-        """Return whether another request is at least as likely the cause."""
+        """Return whether something else is at least as likely the cause."""
         return any(
-            _explains(self._crashes_of(other), own)
-            for other, suspect_runs in self._runs_by_fingerprint.items()
-            if other != fingerprint and len(suspect_runs) >= own.count
+            self._explains(other, crashes, fingerprint, own)
+            for other, crashes in self._index.suspects(least_runs=own.count)
+            if other != fingerprint
         )
 
+    def _explains(
+        self,
+        other: _ids.Fingerprint,
+        crashes: _crash_index.SuspectCrashes,
+        fingerprint: _ids.Fingerprint,
+        own: _crash_index.SuspectCrashes,
+    ) -> bool:
+        if crashes.count < own.count:
+            return False
+        if not crashes.incarnations >= own.incarnations:
+            return False
+        if len(crashes.incarnations) > len(own.incarnations):
+            return True
+        if own.count >= MIN_CRASHES_TOGETHER:
+            return False
+        # Parts of one request, and a request and its parts, are no rivals:
+        # what contains them all is blocked.
+        return not self._index.ran_together(
+            frozenset((other, fingerprint)), own.incarnations
+        )
+
+
+def _min_requests(fingerprint: _ids.Fingerprint) -> int:
+    return _MIN_REQUESTS_OF_PART if _fingerprint.is_part(fingerprint) else 1
+
 
-def _explains(other: _RequestCrashes, own: _RequestCrashes) -> bool:
-    if other.count < own.count or not other.incarnations >= own.incarnations:
-        return False
-    has_more = len(other.incarnations) > len(own.incarnations)
-    return has_more or own.count < MIN_CRASHES_TOGETHER
+def _max_hold_probability(fingerprint: _ids.Fingerprint) -> float:
+    """Return below which chance a likely cause is held back."""
+    if _fingerprint.is_part(fingerprint):
+        return _MAX_CHANCE_AFTER_MANY
+    return _MAX_CHANCE_PROBABILITY
--- a/src/topazlug/crashes/_crash_guard.py
+++ b/src/topazlug/crashes/_crash_guard.py
@@ -1,4 +1,4 @@
-"""Rejects requests that crash replicas, to protect further replicas."""
+"""Rejects what crashes replicas, to protect further replicas."""
 
 from collections.abc import Callable
 from collections.abc import Iterable
@@ -21,6 +21,7 @@
 from topazlug.crashes import _crash_history
 from topazlug.crashes import _crash_records
 from topazlug.crashes import _decision_log
+from topazlug.crashes import _fingerprint
 from topazlug.crashes import _likely_causes
 from topazlug.targets import _target
 from topazlug.targets import _target_runs
@@ -35,6 +36,16 @@
 _FALLBACK_WRITE_SECONDS = (1.5, 3.0)
 # A caller's attempt is not sent to another replica after this many crashes.
 _MAX_CRASHES_PER_ATTEMPT = 2
+# A daemon that ran no request with a part at its crashes leaves the decision
+# on it to those that did, which may have answered other requests with it.
+_OTHERS_SETTLE_SECONDS = 2.5
+# A part with which a request was answered this recently is not blocked.
+_SOUND_SECONDS = 3.0
+# Many daemons answer requests with a common part, and each could clear it of a
+# crash. Besides those that reported the crash, about so many of them do.
+_MAX_CLEARING_DAEMONS = 16
+# Bounds the crashes that are listed in a log line.
+_MAX_LOGGED = 8
 
 
 AnnounceHold = Callable[[_ids.Fingerprint, int], None]
@@ -66,6 +77,8 @@
         Known targets.
     rejects : bool
         Whether requests that crash replicas are rejected.
+    fleet_size : callable
+        Returns the number of daemons in the fleet.
     clock : Clock
         Source of time.
 
@@ -87,9 +100,12 @@
         runs: _target_runs.RunTracker,
         targets: _targets.TargetDirectory,
         rejects: bool = True,
+        fleet_size: Callable[[], int] = lambda: 1,
         clock: _clock.Clock,
     ) -> None:
         self._rejects = rejects
+        self._fleet_size = fleet_size
+        self._runs = runs
         self._targets = targets
         self._clock = clock
         self.publisher: RecordPublisher | None = None
@@ -128,14 +144,25 @@
         block = self._history.release(fingerprint)
         if block is not None:
             _log.info(
-                "requests of {fingerprint} may run again",
+                "{fingerprint} may run again",
                 fingerprint=fingerprint,
             )
             self._publish([block])
         return block
 
-    def check(self, fingerprint: _ids.Fingerprint) -> None:
-        """Raise if a request is blocked or held back.
+    def check(
+        self,
+        fingerprint: _ids.Fingerprint,
+        parts: Sequence[_ids.Fingerprint] = (),
+    ) -> None:
+        """Raise if a request, or a part of its prompt, must not run now.
+
+        Parameters
+        ----------
+        fingerprint : Fingerprint
+            The request.
+        parts : sequence of Fingerprint
+            Parts of its prompt that it may share with other requests.
 
         Raises
         ------
@@ -144,46 +171,66 @@
         """
         if not self._rejects:
             return
+        if not (self._history.has_records or self._likely_causes.has_holds):
+            return
+        for suspect in (fingerprint, *parts):
+            self._check_suspect(suspect, parts)
+
+    def _check_suspect(
+        self, suspect: _ids.Fingerprint, parts: Sequence[_ids.Fingerprint]
+    ) -> None:
         analysis = self._history.analysis
-        count = analysis.crash_count_of(fingerprint)
-        # The count is lower if this daemon has answered the request since.
-        is_held = (
-            count >= _cause_analysis.MIN_CRASHES
-            and self._likely_causes.is_held(fingerprint)
-        )
-        if not is_held and self._is_held_for_peers(fingerprint):
-            is_held = True
-            count = self._likely_causes.peer_crash_count(fingerprint)
-        self._log_decision(fingerprint, is_held=is_held)
-        if is_held:
+        what = _describe(suspect)
+        count = self._held_crash_count(suspect)
+        block = analysis.block_of(suspect, parts)
+        self._log_decision(suspect, is_held=count > 0, is_blocked=bool(block))
+        if count:
+            self._log_rejection(suspect, _decision_log.Decision.HOLD)
             raise _errors.RequestBlocked(
-                f"{count} replicas crashed while running this request; it is"
-                " held back until the cause is determined",
+                f"{count} replicas crashed while running {what}; it is held"
+                " back until the cause is determined",
                 retry_after=_likely_causes.HOLD_SECONDS,
             )
-        if not analysis.is_blocked(fingerprint):
+        if block is None:
             return
-        block = analysis.blocks[fingerprint]
         remaining = block.at + _crash_records.RETENTION - self._clock.now()
         if remaining > datetime.timedelta():
+            self._log_rejection(suspect, _decision_log.Decision.BLOCK)
             raise _errors.RequestBlocked(
                 f"{len(block.starts)} replicas of {block.group} crashed while"
-                " running this request; it is blocked",
+                f" running {what}; it is blocked",
                 retry_after=remaining.total_seconds(),
             )
 
-    def _is_held_for_peers(self, fingerprint: _ids.Fingerprint) -> bool:
-        """Return whether peers hold a request that got no answer here."""
+    def _held_crash_count(self, suspect: _ids.Fingerprint) -> int:
+        """Return the crashes for which something is held back, 0 if not."""
+        is_part = _fingerprint.is_part(suspect)
+        if self._likely_causes.is_held(suspect):
+            # The count is lower if this daemon has answered it since.
+            count = self._history.analysis.crash_count_of(suspect)
+            is_answered = is_part and self._history.is_answered(suspect)
+            is_decided = self._history.analysis.is_decided(suspect)
+            if (
+                count >= _cause_analysis.MIN_CRASHES
+                and not is_answered
+                and not is_decided
+            ):
+                return count
+        if self._is_held_for_peers(suspect):
+            return self._likely_causes.peer_crash_count(suspect)
+        return 0
+
+    def _is_held_for_peers(self, suspect: _ids.Fingerprint) -> bool:
+        """Return whether peers hold what got no answer here."""
         return self._likely_causes.peer_crash_count(
-            fingerprint
-        ) > 0 and not self._history.is_answered(fingerprint)
+            suspect
+        ) > 0 and not self._history.is_answered(suspect)
 
     def _log_decision(
-        self, fingerprint: _ids.Fingerprint, *, is_held: bool
+        self, suspect: _ids.Fingerprint, *, is_held: bool, is_blocked: bool
     ) -> None:
         analysis = self._history.analysis
-        incarnations = analysis.incarnations_of(fingerprint)
-        is_blocked = analysis.is_blocked(fingerprint)
+        incarnations = analysis.incarnations_of(suspect)
         if not (incarnations or is_held or is_blocked):
             return
         decision = _decision_log.Decision.RUN
@@ -191,12 +238,17 @@
             decision = _decision_log.Decision.HOLD
         elif is_blocked:
             decision = _decision_log.Decision.BLOCK
+        elif _fingerprint.is_part(suspect) and (
+            analysis.crash_count_of(suspect) < _cause_analysis.MIN_CRASHES - 1
+        ):
+            # Each crash hits many parts, nearly all of them by chance.
+            return
         counts = self._history.record_counts()
         self._decision_log.add(
-            fingerprint,
+            suspect,
             decision,
             _decision_log.Basis(
-                crashes=analysis.crash_count_of(fingerprint),
+                crashes=analysis.crash_count_of(suspect),
                 incarnations=len(incarnations),
                 own=counts.own,
                 received=counts.received,
@@ -204,30 +256,59 @@
             ),
         )
 
+    def _log_rejection(
+        self, suspect: _ids.Fingerprint, decision: _decision_log.Decision
+    ) -> None:
+        evidence = self._history.evidence_of(suspect)
+        _log.info(
+            "request not run: {suspect} ran at {n} crashes: {decision}",
+            suspect=suspect,
+            n=len(evidence),
+            decision=decision.value,
+            crashes=" ".join(
+                f"{start}:{','.join(sorted(daemons))}"
+                for start, daemons in sorted(evidence.items())[:_MAX_LOGGED]
+            ),
+        )
+
     def may_repeat(
-        self, fingerprint: _ids.Fingerprint, target: _targets.Target
+        self,
+        fingerprint: _ids.Fingerprint,
+        target: _targets.Target,
+        parts: Sequence[_ids.Fingerprint] = (),
     ) -> bool:
         """Return whether a request may be sent on after its target failed.
 
-        A request that hit a crash at an earlier attempt is not repeated after
-        another crash, as it would crash two replicas at each attempt.
+        What hit a crash at an earlier attempt is not repeated after another
+        crash, as it would crash two replicas at each attempt.
         """
         if not self._rejects:
             return True
-        if self._history.analysis.is_blocked(fingerprint):
+        suspects = (fingerprint, *parts)
+        analysis = self._history.analysis
+        if any(analysis.block_of(one, parts) for one in suspects):
             return False
-        if self._is_held_for_peers(fingerprint):
+        if any(map(self._is_held_for_peers, suspects)):
             return False
         # Replicas may crash so fast that the second target of an attempt fails
         # while the first one is still being checked.
         self._detector.wait_for_other_checks(fingerprint, target)
-        if not self._history.analysis.incarnations_of(fingerprint):
+        if not any(map(self._crashes_without_answer, suspects)):
             # One crash does not prevent a repeat, so there is no need to wait
             # for the check of this target.
             return True
         self._detector.wait_for_check(target)
-        crashes = self._history.analysis.incarnations_of(fingerprint)
-        return len(crashes) < _MAX_CRASHES_PER_ATTEMPT
+        return all(
+            self._crashes_without_answer(one) < _MAX_CRASHES_PER_ATTEMPT
+            for one in suspects
+        )
+
+    def _crashes_without_answer(self, suspect: _ids.Fingerprint) -> int:
+        if _fingerprint.is_part(suspect) and self._history.is_answered(
+            suspect
+        ):
+            return 0
+        return len(self._history.analysis.incarnations_of(suspect))
 
     def handle_list_change(
         self,
@@ -263,6 +344,10 @@
             self._set_due(record, random.uniform(*_FALLBACK_WRITE_SECONDS))
         self._update_likely_causes()
 
+    def unshared_records(self) -> list[_crash_records.CrashRecord]:
+        """Return the records that are not in the table, blocks last."""
+        return self._history.unshared_records()
+
     def add_peer_holds(self, holds: Iterable[messages.RequestHold]) -> None:
         """Hold back requests that are likely causes at other daemons.
 
@@ -280,6 +365,9 @@
 
     def _refresh_likely_causes(self) -> None:
         causes = self._history.analysis.likely_causes()
+        if any(map(_fingerprint.is_part, causes)):
+            self._history.confirm_survivors(self._runs.all_running())
+            causes = self._history.analysis.likely_causes()
         for fingerprint in self._likely_causes.update(causes):
             # Crashes that are in the table are known to all daemons.
             if (
@@ -289,8 +377,7 @@
                 self.announce_hold(fingerprint, causes[fingerprint])
 
     def _on_run_end(self, run: _target_runs.Run) -> None:
-        if run.is_success:
-            self._history.add_answered(run.fingerprint)
+        self._history.handle_end(run)
 
     def _on_crash(
         self, target: _targets.Target, runs: list[_target_runs.Run]
@@ -316,28 +403,54 @@
     def _seconds_to_due(self) -> float | None:
         """Return the time until the next timed action, or None."""
         times = [*self._due_by_key.values()]
-        times += self._likely_causes.settle_times()
+        times += self._likely_causes.settle_times(
+            _OTHERS_SETTLE_SECONDS, _SOUND_SECONDS
+        )
         if not times:
             return None
         return max(0.0, min(times) - self._clock.monotonic())
 
     def decide(self) -> None:
         """Clear answered requests, and block requests that crash replicas."""
-        cleared = self._history.add_clearances()
+        cleared = self._history.add_clearances(publishes=self._publishes)
         if cleared:
             self._publish(cleared)
         self._refresh_likely_causes()
         while causes := self._history.analysis.causes():
-            if not all(map(self._likely_causes.is_settled, causes)):
+            if not all(map(self._is_settled, causes)):
                 break
             for block in self._history.block(causes):
                 self._announce_block(block)
         self._publish_due()
 
+    def _publishes(self, suspect: _ids.Fingerprint) -> bool:
+        """Return whether this daemon publishes a clearance."""
+        if not _fingerprint.is_part(suspect):
+            return True
+        if self._history.has_own_crash(suspect):
+            return True
+        share = _MAX_CLEARING_DAEMONS / max(1, self._fleet_size())
+        return random.random() < share
+
+    def _is_settled(self, cause: _cause_analysis.Cause) -> bool:
+        return all(map(self._is_member_settled, cause.members))
+
+    def _is_member_settled(self, member: _ids.Fingerprint) -> bool:
+        if not _fingerprint.is_part(member):
+            return self._likely_causes.is_settled(member)
+        if self._history.is_sound(member, seconds=_SOUND_SECONDS):
+            return False
+        if self._history.has_own_crash(member):
+            return self._likely_causes.is_settled(member)
+        return self._likely_causes.is_settled(
+            member, seconds=_OTHERS_SETTLE_SECONDS
+        )
+
     def _announce_block(self, block: _crash_records.Block) -> None:
         _log.warning(
-            "requests of {fingerprint} are blocked: {n} replicas crashed",
+            "{fingerprint} is blocked: {n} replicas crashed",
             fingerprint=block.fingerprint,
+            together=" ".join(block.together),
             n=len(block.starts),
             group=block.group,
             starts=" ".join(block.starts),
@@ -368,3 +481,9 @@
             self.publisher.publish(
                 records, remove=self._history.obsolete_keys()
             )
+
+
+def _describe(suspect: _ids.Fingerprint) -> str:
+    if _fingerprint.is_part(suspect):
+        return "requests with a part of this prompt"
+    return "this request"
--- a/src/topazlug/crashes/_crash_history.py
+++ b/src/topazlug/crashes/_crash_history.py
@@ -1,10 +1,9 @@
 """The crash records that a daemon has, its own and those of others."""
 
 import collections
+from collections.abc import Callable
 from collections.abc import Iterable
-from collections.abc import Mapping
-import datetime
-import functools
+import itertools
 import math
 from typing import NamedTuple
 from typing import final
@@ -15,17 +14,14 @@
 from topazlug import _ids
 from topazlug.crashes import _cause_analysis
 from topazlug.crashes import _crash_records
+from topazlug.crashes import _fingerprint
+from topazlug.crashes import _record_retention
+from topazlug.crashes import _sound_parts
 from topazlug.targets import _target
 from topazlug.targets import _target_runs
 
-# Only the newest records are retained, which bounds rows and memory. A replica
-# that runs 64 requests adds as many suspects when it crashes.
-MAX_CRASHES = 512
-MAX_SUSPECTS = 2048
-# Bounds the blocked requests, and separately the suspected requests that were
-# answered.
-MAX_BLOCKS = 256
 _MAX_SUSPECTS_PER_RECORD = 64
+_MAX_PARTS_PER_RECORD = 128
 # Requests answered by this daemon although a crash counts against them.
 _MAX_ANSWERED = 1024
 # A request that was answered this recently is no cause, whichever crashes are
@@ -33,14 +29,8 @@
 # requests a second fills them in two minutes.
 _RECENT_ANSWER_SECONDS = 60.0
 _MAX_RECENT_ANSWERS = 4096
-
-_MAX_BY_KIND = {
-    _crash_records.Crash: MAX_CRASHES,
-    _crash_records.Answered: MAX_BLOCKS,
-    _crash_records.Block: MAX_BLOCKS,
-}
-
-RecordByKey = dict[str, _crash_records.CrashRecord]
+# Fewer crashes of a part need no clearance, as they do not count yet.
+_MIN_CRASHES_TO_CLEAR = _cause_analysis.MIN_CRASHES - 1
 
 
 class RecordCounts(NamedTuple):
@@ -69,9 +59,9 @@
         # Rows of the table; records of this daemon that are not in the table
         # yet; records that other daemons sent because they could not write
         # them.
-        self._shared_by_key: RecordByKey = {}
-        self._own_by_key: RecordByKey = {}
-        self._received_by_key: RecordByKey = {}
+        self._shared_by_key: _record_retention.RecordByKey = {}
+        self._own_by_key: _record_retention.RecordByKey = {}
+        self._received_by_key: _record_retention.RecordByKey = {}
         self._answered_at: collections.OrderedDict[_ids.Fingerprint, float] = (
             collections.OrderedDict()
         )
@@ -81,6 +71,10 @@
             _ids.Fingerprint, _crash_records.Answered
         ] = collections.OrderedDict()
         self._analysis: _cause_analysis.CauseAnalysis | None = None
+        self._sound_parts = _sound_parts.SoundParts(clock=clock)
+        # Monotonic seconds at which this daemon got the first record of the
+        # crash of an incarnation.
+        self._learned_at: dict[_crash_records.IncarnationName, float] = {}
 
     @property
     def analysis(self) -> _cause_analysis.CauseAnalysis:
@@ -94,18 +88,32 @@
         return self._analysis
 
     def _analyze(self) -> _cause_analysis.CauseAnalysis:
-        retained = _retained(self._merged_records(), self._clock.now())
+        retained = _record_retention.retained(
+            self._merged_records(), self._clock.now()
+        )
         self._own_by_key = {
             k: v for k, v in self._own_by_key.items() if k in retained
         }
         self._received_by_key = {
             k: v for k, v in self._received_by_key.items() if k in retained
         }
+        self._note_crashes(retained.values())
         self._clear_answered(retained.values())
+        self._clear_parts(retained.values())
         return _cause_analysis.CauseAnalysis(
             [*retained.values(), *self._answered.values()]
         )
 
+    def _note_crashes(
+        self, records: Iterable[_crash_records.CrashRecord]
+    ) -> None:
+        now = self._clock.monotonic()
+        self._learned_at = {
+            record.start: self._learned_at.get(record.start, now)
+            for record in records
+            if isinstance(record, _crash_records.Crash)
+        }
+
     def set_shared_records(
         self, records: Iterable[_crash_records.CrashRecord]
     ) -> None:
@@ -134,7 +142,7 @@
         added = []
         for record in records:
             key = _crash_records.record_key(record)
-            if key in known and _covers(known[key], record):
+            if key in known and _record_retention.covers(known[key], record):
                 continue
             self._received_by_key[key] = record
             added.append(record)
@@ -161,13 +169,15 @@
             Number of replicas in the group.
         """
         now = self._clock.monotonic()
+        number_by_part: dict[_ids.Fingerprint, int] = {}
         suspects = [
             _crash_records.Suspect(
                 run.fingerprint,
                 _crash_records.attempt_tag(run.attempt),
                 round(run.seconds(now), 3),
+                _number_parts(run, number_by_part, now),
             )
-            for run in runs
+            for run in itertools.islice(runs, _MAX_SUSPECTS_PER_RECORD)
         ]
         crash = _crash_records.Crash(
             start=_crash_records.incarnation_name(process),
@@ -175,40 +185,69 @@
             at=self._clock.now(),
             group=group,
             replicas=replicas,
-            suspects=suspects[:_MAX_SUSPECTS_PER_RECORD],
+            suspects=suspects,
+            parts=list(number_by_part),
         )
         self._add_own_records(crash)
         return crash
 
     def block(
-        self, causes: Mapping[_ids.Fingerprint, _ids.GroupName]
+        self, causes: Iterable[_cause_analysis.Cause]
     ) -> list[_crash_records.Block]:
-        """Block requests that crash replicas; see `CauseAnalysis.causes`."""
-        blocks = [
-            _crash_records.Block(
-                fingerprint=fingerprint,
-                starts=sorted(self.analysis.incarnations_of(fingerprint)),
-                at=self._clock.now(),
-                group=group,
+        """Block what crashes replicas; see `CauseAnalysis.causes`."""
+        blocks = []
+        for cause in causes:
+            first, *together = sorted(cause.members)
+            blocks.append(
+                _crash_records.Block(
+                    fingerprint=first,
+                    starts=sorted(self.analysis.incarnations_of(first)),
+                    at=self._clock.now(),
+                    group=cause.group,
+                    together=together,
+                )
             )
-            for fingerprint, group in causes.items()
-        ]
         self._add_own_records(*blocks)
         return blocks
 
     def release(
         self, fingerprint: _ids.Fingerprint
     ) -> _crash_records.Block | None:
-        """Release a blocked request; return None if it is not blocked."""
-        if not self.analysis.is_blocked(fingerprint):
+        """Release what is blocked; return None if it is not."""
+        block = self.analysis.block_with(fingerprint)
+        if block is None:
             return None
-        released = _crash_records.released_block(
-            self.analysis.blocks[fingerprint], now=self._clock.now()
-        )
+        released = _crash_records.released_block(block, now=self._clock.now())
         self._add_own_records(released)
         return released
 
-    def add_answered(self, fingerprint: _ids.Fingerprint) -> None:
+    def handle_end(self, run: _target_runs.Run) -> None:
+        """Record how a run has ended."""
+        self._sound_parts.handle_end(run)
+        if not run.is_success:
+            return
+        self._add_answered(run.fingerprint)
+        if any(self._clears_part(part, run.began_at) for part in run.parts):
+            self._analysis = None
+
+    def _clears_part(self, part: _ids.Fingerprint, sent_at: float) -> bool:
+        """Return whether an answer clears a part of crashes that matter."""
+        starts = self.analysis.incarnations_of(part)
+        return len(starts) >= _MIN_CRASHES_TO_CLEAR and any(
+            self._learned_at.get(start, math.inf) < sent_at for start in starts
+        )
+
+    def confirm_survivors(self, running: Iterable[_target_runs.Run]) -> None:
+        """Clear the parts of runs that their replicas have survived."""
+        self._sound_parts.confirm(
+            running,
+            has_crashed=lambda process: (
+                _crash_records.incarnation_name(process) in self._learned_at
+            ),
+        )
+        self._analysis = None
+
+    def _add_answered(self, fingerprint: _ids.Fingerprint) -> None:
         """Record that a request got a complete answer.
 
         It takes effect at this daemon at once. Otherwise a request that a
@@ -223,7 +262,9 @@
             self._analysis = None
 
     def is_answered(self, fingerprint: _ids.Fingerprint) -> bool:
-        """Return whether this daemon has answered a request lately."""
+        """Return whether this daemon has answered it lately."""
+        if _fingerprint.is_part(fingerprint):
+            return self._sound_parts.is_recent(fingerprint)
         at = self._answered_at.get(fingerprint, -math.inf)
         return at > self._clock.monotonic() - _RECENT_ANSWER_SECONDS
 
@@ -237,9 +278,36 @@
             for suspect in record.suspects:
                 if self.is_answered(suspect.fingerprint):
                     self._clear(suspect.fingerprint, record.start)
+        self._limit_answered()
+
+    def _clear_parts(
+        self, records: Iterable[_crash_records.CrashRecord]
+    ) -> None:
+        """Discount crashes before requests with a part that were answered."""
+        starts_by_part: dict[
+            _ids.Fingerprint, set[_crash_records.IncarnationName]
+        ] = {}
+        for record in records:
+            if isinstance(record, _crash_records.Crash):
+                for part in record.parts:
+                    starts_by_part.setdefault(part, set()).add(record.start)
+        for part, starts in starts_by_part.items():
+            if len(starts) < _MIN_CRASHES_TO_CLEAR:
+                continue
+            sent_at = self._sound_parts.sent_at(part)
+            for start in starts:
+                if self._learned_at[start] < sent_at:
+                    self._clear(part, start)
+        self._limit_answered()
+
+    def _limit_answered(self) -> None:
         while len(self._answered) > _MAX_ANSWERED:
             self._answered.popitem(last=False)
 
+    def is_sound(self, part: _ids.Fingerprint, *, seconds: float) -> bool:
+        """Return whether a request with a part was answered here lately."""
+        return self._sound_parts.is_recent(part, seconds=seconds)
+
     def _clear(
         self,
         fingerprint: _ids.Fingerprint,
@@ -254,13 +322,20 @@
                 at=self._clock.now(),
             )
 
-    def add_clearances(self) -> list[_crash_records.Answered]:
-        """Add and return clearances of requests that others may block.
+    def add_clearances(
+        self, *, publishes: Callable[[_ids.Fingerprint], bool]
+    ) -> list[_crash_records.Answered]:
+        """Add and return clearances of what others may block.
 
         These are the requests that one more crash would block at a daemon
         that has not answered them. Other clearances are not published, because
         most requests that ran during a crash are never repeated, and each
         row costs a call.
+
+        Parameters
+        ----------
+        publishes : callable
+            Returns whether this daemon publishes a clearance.
         """
         self._current_analysis()
         if not self._answered:
@@ -271,6 +346,7 @@
             for fingerprint, record in self._answered.items()
             if known.crash_count_of(fingerprint) + 1
             >= _cause_analysis.MIN_CRASHES
+            and publishes(fingerprint)
         ]
         for record in found:
             del self._answered[record.fingerprint]
@@ -292,19 +368,34 @@
     def has_own_crash(self, fingerprint: _ids.Fingerprint) -> bool:
         """Return whether this daemon recorded a crash under a request."""
         return any(
-            record.daemon == self._daemon
-            and any(
-                suspect.fingerprint == fingerprint
-                for suspect in record.suspects
-            )
+            record.daemon == self._daemon and _has_suspect(record, fingerprint)
             for record in self._merged_records().values()
             if isinstance(record, _crash_records.Crash)
         )
 
+    @property
+    def has_records(self) -> bool:
+        """Return whether there is any record."""
+        return bool(
+            self._shared_by_key or self._own_by_key or self._received_by_key
+        )
+
+    def evidence_of(
+        self, fingerprint: _ids.Fingerprint
+    ) -> dict[_crash_records.IncarnationName, set[_ids.DaemonId]]:
+        """Return which daemons reported it at which crashes."""
+        found: dict[_crash_records.IncarnationName, set[_ids.DaemonId]] = {}
+        for record in self._merged_records().values():
+            if isinstance(record, _crash_records.Crash) and _has_suspect(
+                record, fingerprint
+            ):
+                found.setdefault(record.start, set()).add(record.daemon)
+        return found
+
     def is_in_table(self, record: _crash_records.CrashRecord) -> bool:
         """Return whether the table contains the information of a record."""
         shared = self._shared_by_key.get(_crash_records.record_key(record))
-        return shared is not None and _covers(shared, record)
+        return shared is not None and _record_retention.covers(shared, record)
 
     def record_counts(self) -> RecordCounts:
         """Return how many records this daemon has, by their source."""
@@ -314,19 +405,28 @@
             shared=len(self._shared_by_key),
         )
 
+    def unshared_records(self) -> list[_crash_records.CrashRecord]:
+        """Return the records that are not in the table, blocks last."""
+        found = {**self._received_by_key, **self._own_by_key}
+        return sorted(
+            found.values(),
+            key=lambda record: isinstance(record, _crash_records.Block),
+        )
+
     def has_unshared_crash(self, fingerprint: _ids.Fingerprint) -> bool:
         """Return whether a crash under a request is not in the table yet."""
         return any(
-            suspect.fingerprint == fingerprint
+            isinstance(record, _crash_records.Crash)
+            and _has_suspect(record, fingerprint)
             for source in (self._own_by_key, self._received_by_key)
             for record in source.values()
-            if isinstance(record, _crash_records.Crash)
-            for suspect in record.suspects
         )
 
     def obsolete_keys(self) -> list[str]:
         """Return the keys of rows that are expired or over the limits."""
-        retained = _retained(self._shared_by_key, self._clock.now())
+        retained = _record_retention.retained(
+            self._shared_by_key, self._clock.now()
+        )
         return [key for key in self._shared_by_key if key not in retained]
 
     def _add_own_records(self, *records: _crash_records.CrashRecord) -> None:
@@ -334,65 +434,43 @@
             self._own_by_key[_crash_records.record_key(record)] = record
         self._analysis = None
 
-    def _merged_records(self) -> RecordByKey:
+    def _merged_records(self) -> _record_retention.RecordByKey:
         found = dict(self._shared_by_key)
         for source in (self._received_by_key, self._own_by_key):
             for key, record in source.items():
-                if key not in found or not _covers(found[key], record):
+                if key not in found or not _record_retention.covers(
+                    found[key], record
+                ):
                     found[key] = record
         return found
 
 
-@functools.singledispatch
-def _covers(
-    shared: _crash_records.CrashRecord, record: _crash_records.CrashRecord
-) -> bool:
-    """Return whether a row covers a record with the same key."""
-    return True
-
-
-@_covers.register
-def _block_covers(
-    shared: _crash_records.Block, record: _crash_records.Block
-) -> bool:
-    # Two daemons may block the same request; one row is enough. A record is
-    # not covered if an operator has released the request since, or if the
-    # request has crashed replicas again.
-    is_same = shared.released == record.released
-    return is_same or shared.at >= record.at
-
+def _number_parts(
+    run: _target_runs.Run,
+    number_by_part: dict[_ids.Fingerprint, int],
+    now: float,
+) -> list[int]:
+    """Return the numbers of a run's parts, and number those that are new.
 
-@_covers.register
-def _answered_covers(
-    shared: _crash_records.Answered, record: _crash_records.Answered
+    A run whose output began long before the crash has not caused it.
+    """
+    ended_at = now if run.end is None else run.ended_at
+    if ended_at - run.wrote_at > _sound_parts.SURVIVAL_SECONDS:
+        return []
+    numbers = []
+    for part in run.parts:
+        if len(number_by_part) < _MAX_PARTS_PER_RECORD:
+            number_by_part.setdefault(part, len(number_by_part))
+        if part in number_by_part:
+            numbers.append(number_by_part[part])
+    return numbers
+
+
+def _has_suspect(
+    record: _crash_records.Crash, fingerprint: _ids.Fingerprint
 ) -> bool:
-    return set(record.starts) <= set(shared.starts)
-
-
-def _retained(
-    record_by_key: Mapping[str, _crash_records.CrashRecord],
-    now: datetime.datetime,
-) -> RecordByKey:
-    """Return the newest records that are not expired, within the limits."""
-    newest = sorted(
-        record_by_key.items(), key=lambda item: item[1].at, reverse=True
+    if _fingerprint.is_part(fingerprint):
+        return fingerprint in record.parts
+    return any(
+        suspect.fingerprint == fingerprint for suspect in record.suspects
     )
-    retained: RecordByKey = {}
-    count_by_kind: collections.Counter[type] = collections.Counter()
-    suspects = 0
-    for key, record in newest:
-        if now - record.at >= _crash_records.RETENTION:
-            continue
-        kind = type(record)
-        count_by_kind[kind] += 1
-        if isinstance(record, _crash_records.Crash):
-            suspects += len(record.suspects)
-        if count_by_kind[kind] > _MAX_BY_KIND[kind]:
-            continue
-        if (
-            isinstance(record, _crash_records.Crash)
-            and suspects > MAX_SUSPECTS
-        ):
-            continue
-        retained[key] = record
-    return retained
--- /dev/null
+++ b/src/topazlug/crashes/_crash_index.py
@@ -0,0 +1,316 @@
+"""The crashes that count against each request and each prompt part.
+
+This module does no I/O and does not block.
+"""
+
+from collections.abc import Iterable
+from collections.abc import Iterator
+import datetime
+from typing import NamedTuple
+from typing import final
+
+import msgspec
+
+from topazlug import _ids
+from topazlug.crashes import _crash_records
+from topazlug.crashes import _fingerprint
+
+# The rate of crashes is measured from this long before the first one that
+# counts.
+_LEAD_TIME = datetime.timedelta(seconds=5)
+# Crashes longer ago than this don't count against a prompt part. Parts stay in
+# use for a long time, and over a day one may run at several crashes.
+PART_WINDOW = datetime.timedelta(minutes=10)
+
+
+@final
+class CrashedIncarnation(msgspec.Struct):
+    """An incarnation of a replica that crashed.
+
+    Attributes
+    ----------
+    at : datetime
+        When the first daemon recorded the crash.
+    group : GroupName
+        Pool or service of the replica.
+    replicas : int
+        Number of replicas in the group.
+    """
+
+    at: datetime.datetime
+    group: _ids.GroupName
+    replicas: int
+
+
+class _SuspectRun(NamedTuple):
+    """A run on an incarnation of a replica when it crashed.
+
+    Attributes
+    ----------
+    members : frozenset of Fingerprint
+        Fingerprints of the request and of its prompt parts.
+    """
+
+    start: _crash_records.IncarnationName
+    suspect: _crash_records.Suspect
+    members: frozenset[_ids.Fingerprint]
+
+
+@final
+class SuspectCrashes(msgspec.Struct):
+    """The crashes that count against one request or prompt part.
+
+    Attributes
+    ----------
+    seconds_by_incarnation : dict
+        How long it had run on each incarnation that crashed under it.
+    attempts : set of AttemptTag
+        Attempts of callers that were running then.
+    requests : set of Fingerprint
+        Requests that were running then; one, if this is about a request.
+    """
+
+    seconds_by_incarnation: dict[_crash_records.IncarnationName, float] = (
+        msgspec.field(default_factory=dict)
+    )
+    attempts: set[_crash_records.AttemptTag] = msgspec.field(
+        default_factory=set
+    )
+    requests: set[_ids.Fingerprint] = msgspec.field(default_factory=set)
+
+    @property
+    def incarnations(self) -> frozenset[_crash_records.IncarnationName]:
+        """Return the incarnations that crashed under it."""
+        return frozenset(self.seconds_by_incarnation)
+
+    @property
+    def count(self) -> int:
+        """Return the number of crashes, each at an attempt of its own."""
+        return min(len(self.seconds_by_incarnation), len(self.attempts))
+
+    def add(self, run: _SuspectRun) -> None:
+        """Add a run that a crash ended."""
+        seconds = self.seconds_by_incarnation
+        seconds[run.start] = max(
+            seconds.get(run.start, 0.0), run.suspect.seconds
+        )
+        self.attempts.add(run.suspect.attempt)
+        self.requests.add(run.suspect.fingerprint)
+
+
+@final
+class CrashIndex:
+    """Runs that crashes ended, by request and by prompt part.
+
+    An index is built anew whenever records change, from some thousand
+    suspects most of which occur once. So crashes are collected only for those
+    that are looked up.
+
+    Parameters
+    ----------
+    records : iterable of CrashRecord
+        Records of all daemons.
+
+    Attributes
+    ----------
+    block_by_fingerprint : dict
+        All blocks, including released ones.
+    """
+
+    def __init__(self, records: Iterable[_crash_records.CrashRecord]) -> None:
+        crashes: list[_crash_records.Crash] = []
+        self.block_by_fingerprint: dict[
+            _ids.Fingerprint, _crash_records.Block
+        ] = {}
+        self._cleared_by_fingerprint: dict[
+            _ids.Fingerprint, set[_crash_records.IncarnationName]
+        ] = {}
+        for record in records:
+            if isinstance(record, _crash_records.Crash):
+                crashes.append(record)
+            elif isinstance(record, _crash_records.Answered):
+                cleared = self._cleared_by_fingerprint.setdefault(
+                    record.fingerprint, set()
+                )
+                cleared.update(record.starts)
+            else:
+                self.block_by_fingerprint[record.fingerprint] = record
+        self._crash_by_incarnation: dict[
+            _crash_records.IncarnationName, CrashedIncarnation
+        ] = {}
+        self._runs_by_fingerprint: dict[
+            _ids.Fingerprint, list[_SuspectRun]
+        ] = {}
+        self._crashes_by_fingerprint: dict[
+            _ids.Fingerprint, SuspectCrashes
+        ] = {}
+        self._blocks_in_force = [
+            block
+            for block in self.block_by_fingerprint.values()
+            if not block.released
+        ]
+        self._explaining = self._explaining_blocks(crashes)
+        newest = max((crash.at for crash in crashes), default=None)
+        for crash in crashes:
+            is_recent = newest is not None and newest - crash.at < PART_WINDOW
+            self._add(crash, with_parts=is_recent)
+
+    def _explaining_blocks(
+        self, crashes: Iterable[_crash_records.Crash]
+    ) -> dict[_crash_records.IncarnationName, set[_ids.Fingerprint]]:
+        """Return the blocks that explain the crash of an incarnation."""
+        explaining: dict[
+            _crash_records.IncarnationName, set[_ids.Fingerprint]
+        ] = {}
+        for block in self.block_by_fingerprint.values():
+            for start in block.starts:
+                explaining.setdefault(start, set()).add(block.fingerprint)
+        for crash in crashes if self._blocks_in_force else ():
+            for suspect in crash.suspects:
+                members = _members(crash, suspect)
+                for block in self._blocks_in_force:
+                    if block.members <= members:
+                        explaining.setdefault(crash.start, set()).add(
+                            block.fingerprint
+                        )
+        return explaining
+
+    def _add(self, crash: _crash_records.Crash, *, with_parts: bool) -> None:
+        crashed = self._crash_by_incarnation.get(crash.start)
+        if crashed is None:
+            crashed = CrashedIncarnation(crash.at, crash.group, crash.replicas)
+            self._crash_by_incarnation[crash.start] = crashed
+        crashed.at = min(crashed.at, crash.at)
+        for suspect in crash.suspects:
+            members = frozenset((suspect.fingerprint,))
+            if with_parts:
+                members = _members(crash, suspect)
+            run = _SuspectRun(crash.start, suspect, members)
+            for member in members:
+                self._runs_by_fingerprint.setdefault(member, []).append(run)
+
+    def _is_explained(
+        self, run: _SuspectRun, fingerprint: _ids.Fingerprint
+    ) -> bool:
+        """Return whether a block explains a crash, so that it doesn't count.
+
+        What is blocked only together with something else remains suspect by
+        itself, and so do the prompt parts of a request that is blocked.
+        """
+        for name in self._explaining.get(run.start, ()):
+            block = self.block_by_fingerprint[name]
+            if block.released:
+                return True
+            if block.together and fingerprint in block.members:
+                continue
+            is_own_part = (
+                _fingerprint.is_part(fingerprint)
+                and not _fingerprint.is_part(name)
+                and name in run.members
+            )
+            if not is_own_part:
+                return True
+        return False
+
+    def crashes_of(self, fingerprint: _ids.Fingerprint) -> SuspectCrashes:
+        """Return the crashes that count against a request or part."""
+        found = self._crashes_by_fingerprint.get(fingerprint)
+        if found is None:
+            found = self._count_crashes(fingerprint)
+            self._crashes_by_fingerprint[fingerprint] = found
+        return found
+
+    def _count_crashes(self, fingerprint: _ids.Fingerprint) -> SuspectCrashes:
+        crashes = SuspectCrashes()
+        cleared = self._cleared_by_fingerprint.get(fingerprint, ())
+        for run in self._runs_by_fingerprint.get(fingerprint, ()):
+            if run.start in cleared or self._is_explained(run, fingerprint):
+                continue
+            crashes.add(run)
+        return crashes
+
+    def is_decided(
+        self, fingerprint: _ids.Fingerprint, crashes: SuspectCrashes
+    ) -> bool:
+        """Return whether one block of several parts explains all crashes."""
+        return any(
+            block.together
+            and fingerprint in block.members
+            and all(
+                block.fingerprint in self._explaining.get(incarnation, ())
+                for incarnation in crashes.incarnations
+            )
+            for block in self._blocks_in_force
+        )
+
+    def suspects(
+        self, *, least_runs: int
+    ) -> Iterator[tuple[_ids.Fingerprint, SuspectCrashes]]:
+        """Yield what ran at as many crashes or more, and its crashes."""
+        for fingerprint, runs in self._runs_by_fingerprint.items():
+            if len(runs) >= least_runs:
+                yield fingerprint, self.crashes_of(fingerprint)
+
+    def has_run(self, fingerprint: _ids.Fingerprint) -> bool:
+        """Return whether a request or part ran at any crash."""
+        return fingerprint in self._runs_by_fingerprint
+
+    def is_cleared(self, block: _crash_records.Block, member: str) -> bool:
+        """Return whether a member of a block was answered after a crash."""
+        cleared = self._cleared_by_fingerprint.get(
+            _ids.Fingerprint(member), set()
+        )
+        return not cleared.isdisjoint(block.starts)
+
+    def ran_together(
+        self,
+        fingerprints: frozenset[_ids.Fingerprint],
+        incarnations: frozenset[_crash_records.IncarnationName],
+    ) -> bool:
+        """Return whether one run had all of these, at each of the crashes."""
+        runs = self._runs_by_fingerprint.get(min(fingerprints), ())
+        starts = {run.start for run in runs if fingerprints <= run.members}
+        return incarnations <= starts
+
+    def group_of(self, crashes: SuspectCrashes) -> _ids.GroupName:
+        """Return the group whose replicas crashed."""
+        return self._crash_by_incarnation[min(crashes.incarnations)].group
+
+    def expected_crashes(
+        self, crashes: SuspectCrashes, *, with_own: bool
+    ) -> float:
+        """Return how many crashes something would have met by chance.
+
+        That follows from the time that it ran, and the rate of crashes in its
+        group, spread over the replicas.
+
+        Parameters
+        ----------
+        crashes : SuspectCrashes
+            The crashes that it met.
+        with_own : bool
+            Whether these count for the rate.
+        """
+        own = [
+            self._crash_by_incarnation[incarnation]
+            for incarnation in crashes.incarnations
+        ]
+        first = min(crashed.at for crashed in own) - _LEAD_TIME
+        last = max(crashed.at for crashed in own)
+        others = sum(
+            first <= crashed.at <= last and crashed.group == own[0].group
+            for incarnation, crashed in self._crash_by_incarnation.items()
+            if incarnation not in crashes.seconds_by_incarnation
+            and incarnation not in self._explaining
+        )
+        count = others + len(own) if with_own else others
+        rate = count / (last - first).total_seconds()
+        replicas = max(1, max(crashed.replicas for crashed in own))
+        return rate * sum(crashes.seconds_by_incarnation.values()) / replicas
+
+
+def _members(
+    crash: _crash_records.Crash, suspect: _crash_records.Suspect
+) -> frozenset[_ids.Fingerprint]:
+    parts = (crash.parts[number] for number in suspect.parts)
+    return frozenset((suspect.fingerprint, *parts))
--- a/src/topazlug/crashes/_crash_records.py
+++ b/src/topazlug/crashes/_crash_records.py
@@ -52,11 +52,16 @@
         The caller's attempt.
     seconds : float
         How long it had been running on the replica.
+    parts : list of int
+        Positions in `Crash.parts` of the prompt parts that it may share with
+        others. Empty if its output had begun long before the crash, so that
+        none of them was the cause.
     """
 
     fingerprint: _ids.Fingerprint
     attempt: AttemptTag
     seconds: float
+    parts: list[int] = []
 
 
 @final
@@ -77,6 +82,8 @@
         Number of replicas in the group.
     suspects : list of Suspect
         The daemon's requests on the replica.
+    parts : list of Fingerprint
+        Prompt parts of these requests.
     """
 
     start: IncarnationName
@@ -85,6 +92,7 @@
     group: _ids.GroupName
     replicas: int
     suspects: list[Suspect]
+    parts: list[_ids.Fingerprint] = []
 
 
 @final
@@ -94,7 +102,7 @@
     Attributes
     ----------
     fingerprint : Fingerprint
-        The request.
+        The request, or a prompt part with which a request was answered.
     starts : list of IncarnationName
         Incarnations that crashed before the answer. These crashes no longer
         count against the request.
@@ -109,12 +117,12 @@
 
 @final
 class Block(msgspec.Struct, frozen=True, kw_only=True, tag="block"):
-    """A request that crashes the replicas that run it.
+    """A request or prompt part that crashes the replicas that run it.
 
     Attributes
     ----------
     fingerprint : Fingerprint
-        The request.
+        The request or part.
     starts : list of IncarnationName
         Incarnations that the request crashed.
     at : datetime
@@ -124,6 +132,9 @@
     released : bool
         Whether an operator has unblocked the request. Its earlier crashes
         remain explained, so blocking it again takes as many new ones.
+    together : list of Fingerprint
+        Parts that were in the same prompt at each of the crashes. Only
+        prompts with all of them are rejected.
     """
 
     fingerprint: _ids.Fingerprint
@@ -131,6 +142,12 @@
     at: datetime.datetime
     group: _ids.GroupName
     released: bool = False
+    together: list[_ids.Fingerprint] = []
+
+    @property
+    def members(self) -> frozenset[_ids.Fingerprint]:
+        """Return everything that a rejected request contains."""
+        return frozenset((self.fingerprint, *self.together))
 
 
 CrashRecord = Crash | Answered | Block
@@ -194,4 +211,10 @@
         )
     if record.at.tzinfo is None:
         raise ValueError(f"timestamp {record.at} has no time zone")
+    if isinstance(record, Crash) and any(
+        not 0 <= number < len(record.parts)
+        for suspect in record.suspects
+        for number in suspect.parts
+    ):
+        raise ValueError("a suspect names a part that is not listed")
     return record
--- a/src/topazlug/crashes/_likely_causes.py
+++ b/src/topazlug/crashes/_likely_causes.py
@@ -120,13 +120,33 @@
         until = self._held_until.get(fingerprint, -math.inf)
         return self._clock.monotonic() < until
 
-    def is_settled(self, fingerprint: _ids.Fingerprint) -> bool:
-        """Return whether a request has been a likely cause for long enough."""
+    @property
+    def has_holds(self) -> bool:
+        """Return whether peers may hold anything back."""
+        return bool(self._peer_hold_by_fingerprint)
+
+    def is_settled(
+        self,
+        fingerprint: _ids.Fingerprint,
+        *,
+        seconds: float = _SETTLE_SECONDS,
+    ) -> bool:
+        """Return whether something has been a likely cause for long enough."""
         likely_since = self._likely_since.get(fingerprint, math.inf)
-        return self._clock.monotonic() >= likely_since + _SETTLE_SECONDS
+        return self._clock.monotonic() >= likely_since + seconds
 
-    def settle_times(self) -> list[float]:
-        """Return the monotonic times at which requests will be settled."""
+    def settle_times(self, *others: float) -> list[float]:
+        """Return the monotonic times at which likely causes will be settled.
+
+        Parameters
+        ----------
+        *others : float
+            Seconds after which some of them are settled.
+        """
         now = self._clock.monotonic()
-        times = [at + _SETTLE_SECONDS for at in self._likely_since.values()]
+        times = [
+            at + seconds
+            for at in self._likely_since.values()
+            for seconds in (_SETTLE_SECONDS, *others)
+        ]
         return [at for at in times if at > now]
--- a/src/topazlug/crashes/_record_distributor.py
+++ b/src/topazlug/crashes/_record_distributor.py
@@ -16,6 +16,7 @@
 import random
 from typing import Any
 from typing import Protocol
+from typing import TypeGuard
 from typing import final
 
 import msgspec
@@ -25,6 +26,7 @@
 from topazlug import _logs
 from topazlug._generated import messages
 from topazlug.crashes import _crash_records
+from topazlug.crashes import _fingerprint
 from topazlug.peers import _peers
 from topazlug.routing import _ranking
 
@@ -41,6 +43,8 @@
 # so some recipients write the decision as well. If the store rejects a third
 # of the daemons, it rejects all four of these with a probability of 1/80.
 _STAND_INS = 4
+# Daemons that a new daemon asks, as one may have failed.
+_ASKED = 3
 # Records in one message. The record of a crash with 64 requests takes 4 KB.
 _MAX_RECORDS = 64
 
@@ -77,6 +81,8 @@
         Called with records that a peer has sent.
     on_holds : ReceiveHolds
         Called with holds that a peer has sent.
+    unshared : callable
+        Returns the records of this daemon that are not in the table.
     """
 
     def __init__(
@@ -87,7 +93,9 @@
         daemons: Callable[[], Mapping[_ids.DaemonId, Any]],
         on_records: ReceiveRecords,
         on_holds: ReceiveHolds,
+        unshared: Callable[[], list[_crash_records.CrashRecord]],
     ) -> None:
+        self._unshared = unshared
         self._daemon = daemon
         self._links = links
         self._daemons = daemons
@@ -102,11 +110,17 @@
             _ids.DaemonId, list[_crash_records.CrashRecord]
         ] = {}
         for record in records:
+            if _is_clearance_of_part(record):
+                # Only the collectors decide on it, and most daemons answer
+                # requests with a common part.
+                for daemon in self.collectors_of(record.fingerprint):
+                    records_by_daemon.setdefault(daemon, []).append(record)
+                continue
             if not isinstance(record, _crash_records.Crash):
                 decisions.append(record)
                 continue
             suspects = [suspect.fingerprint for suspect in record.suspects]
-            for daemon in self.collectors_of(*suspects):
+            for daemon in self.collectors_of(*suspects, *record.parts):
                 records_by_daemon.setdefault(daemon, []).append(record)
         for daemon, batch in records_by_daemon.items():
             if daemon != self._daemon:
@@ -116,6 +130,18 @@
         if decisions:
             self._broadcast(messages.CrashNotes(rows=_encode_rows(decisions)))
 
+    def ask(self) -> None:
+        """Ask some daemons for records that are not in the table.
+
+        A daemon that has just started would otherwise run what is blocked
+        until the daemons that blocked it have written that.
+        """
+        others = [
+            daemon for daemon in self._daemons() if daemon != self._daemon
+        ]
+        for daemon in random.sample(others, min(_ASKED, len(others))):
+            self._send(daemon, messages.CrashNotes(rows=[], asks=True))
+
     def send_hold(self, fingerprint: _ids.Fingerprint, crashes: int) -> None:
         """Have all daemons hold back a request, if this is a collector of it.
 
@@ -190,6 +216,11 @@
                 )
         if records:
             self._on_records(records, stand_in=message.stand_in)
+        unshared = self._unshared() if message.asks else []
+        if unshared:
+            self._send(
+                sender, messages.CrashNotes(rows=_encode_rows(unshared))
+            )
         holds = message.holds[:_MAX_RECORDS]
         if holds:
             self._on_holds(holds)
@@ -200,6 +231,14 @@
             )
 
 
+def _is_clearance_of_part(
+    record: _crash_records.CrashRecord,
+) -> TypeGuard[_crash_records.Answered]:
+    return isinstance(
+        record, _crash_records.Answered
+    ) and _fingerprint.is_part(record.fingerprint)
+
+
 def _relay_plan(
     daemons: Sequence[_ids.DaemonId],
 ) -> Iterator[tuple[_ids.DaemonId, list[_ids.DaemonId]]]:
--- a/src/topazlug/forwarding/_blocked_requests.py
+++ b/src/topazlug/forwarding/_blocked_requests.py
@@ -48,7 +48,7 @@
         The table could not be read or written.
     """
     for block in blocks_in_force(store, clock=clock):
-        if block.fingerprint == fingerprint:
+        if fingerprint in block.members:
             record = _crash_records.released_block(block, now=clock.now())
             row = _table_source.Row(
                 _crash_records.record_key(record),
--- a/src/topazlug/forwarding/_crash_assembly.py
+++ b/src/topazlug/forwarding/_crash_assembly.py
@@ -75,6 +75,7 @@
             runs=runs,
             targets=targets,
             rejects=rejects,
+            fleet_size=lambda: len(daemons()),
             clock=clock,
         )
         self._distributor: _record_distributor.RecordDistributor | None = None
@@ -120,7 +121,9 @@
             daemons=self._daemons,
             on_records=self.guard.add_peer_records,
             on_holds=self.guard.add_peer_holds,
+            unshared=self.guard.unshared_records,
         )
+        self._distributor.ask()
         self.guard.announce_hold = self._distributor.send_hold
 
     def tasks(self) -> list[Callable[[], None]]:
--- a/src/topazlug/forwarding/_forwarder.py
+++ b/src/topazlug/forwarding/_forwarder.py
@@ -138,7 +138,7 @@
         # Callers repeat a failed request at any daemon, under a new id. One
         # request that crashes every replica it runs on crashed eleven of them
         # in eleven seconds, each with two to twelve other requests.
-        self._guard.check(call.fingerprint)
+        self._guard.check(call.fingerprint, call.part_fingerprints)
         progress = _call.Progress(
             is_counted=call.delegation is not None and call.delegation.counted
         )
@@ -188,7 +188,9 @@
             functools.partial(self._attempt, call, progress),
             repeatable=call.route.repeatable,
             may_repeat=functools.partial(
-                self._guard.may_repeat, call.fingerprint
+                self._guard.may_repeat,
+                call.fingerprint,
+                parts=call.part_fingerprints,
             ),
             max_replicas=call.max_replicas,
             free_connects=True,
@@ -225,6 +227,8 @@
         progress: _call.Progress,
         placement: _placement.Placement,
     ) -> _caller_answer.CallerAnswer:
+        # It may have waited for a slot while the cause of crashes was found.
+        self._guard.check(call.fingerprint, call.part_fingerprints)
         if not progress.placed:
             self._call_metrics.record_sent(call)
         progress.replica = placement.target.replica
--- a/src/topazlug/forwarding/_stream_resumer.py
+++ b/src/topazlug/forwarding/_stream_resumer.py
@@ -113,7 +113,9 @@
             The new placement and answer; None if the stream could not be
             resumed.
         """
-        if not self._guard.may_repeat(call.fingerprint, broken.target):
+        if not self._guard.may_repeat(
+            call.fingerprint, broken.target, call.part_fingerprints
+        ):
             _log.info("stream not resumed: the request crashes replicas")
             return None
         if not self._budget.spend(call.group):
@@ -173,6 +175,7 @@
                 placement = self._admission.admit(
                     call.placement_request(excluded=excluded, is_resumed=True)
                 )
+                self._guard.check(call.fingerprint, call.part_fingerprints)
                 answer = self._exchange.send(
                     call,
                     placement,
--- a/tests/topazlug/crashes/test_cause_analysis.py
+++ b/tests/topazlug/crashes/test_cause_analysis.py
@@ -12,7 +12,8 @@
 
 
 def causes(*records):
-    return set(_cause_analysis.CauseAnalysis(records).causes())
+    found = _cause_analysis.CauseAnalysis(records).causes()
+    return {member for cause in found for member in cause.members}
 
 
 def crashes_of(name, *numbers, at=fixtures.NOW):
--- a/tests/topazlug/crashes/test_crash_history.py
+++ b/tests/topazlug/crashes/test_crash_history.py
@@ -9,6 +9,7 @@
 from topazlug import _ids
 from topazlug.crashes import _crash_history
 from topazlug.crashes import _crash_records
+from topazlug.crashes import _record_retention
 from topazlug.targets import _target
 from topazlug.targets import _target_runs
 
@@ -45,13 +46,27 @@
     return history.add_crash(process, fixtures.GROUP, runs, replicas=5)
 
 
+def answer(history, name="f"):
+    """Let a request get a complete answer."""
+    run = _target_runs.Run(
+        target=None,
+        fingerprint=_ids.Fingerprint(name),
+        attempt="answered",
+        began_at=0.0,
+        end=_target_runs.RunEnd.COMPLETE,
+        status=200,
+    )
+    history.handle_end(run)
+
+
 class TestSources:
     def test_own_shared_and_peer_records_are_combined(self, history, clock):
         add_own_crash(history, 1)
         history.set_shared_records(crashes(clock, 2))
         history.add_peer_records(crashes(clock, 3))
         assert history.analysis.crash_count_of("f") == 3
-        assert set(history.analysis.causes()) == {"f"}
+        (cause,) = history.analysis.causes()
+        assert cause.members == {"f"}
 
     def test_record_from_several_sources_counts_once(self, history, clock):
         crash = add_own_crash(history, 1)
@@ -119,8 +134,8 @@
 
 class TestAnswered:
     def test_answer_of_unsuspected_request_is_not_recorded(self, history):
-        history.add_answered(_ids.Fingerprint("f"))
-        assert history.add_clearances() == []
+        answer(history)
+        assert history.add_clearances(publishes=lambda fingerprint: True) == []
 
     def test_answer_is_published_before_one_more_crash_would_block(
         self, history, clock
@@ -132,21 +147,21 @@
         own answers.
         """
         history.set_shared_records(crashes(clock, 1))
-        history.add_answered(_ids.Fingerprint("f"))
-        assert history.add_clearances() == []
+        answer(history)
+        assert history.add_clearances(publishes=lambda fingerprint: True) == []
         history.set_shared_records(crashes(clock, 1, 2))
-        (record,) = history.add_clearances()
+        (record,) = history.add_clearances(publishes=lambda fingerprint: True)
         assert record.starts == ["i-1@1", "i-2@1"]
         assert history.analysis.crash_count_of("f") == 0
-        assert history.add_clearances() == []
+        assert history.add_clearances(publishes=lambda fingerprint: True) == []
 
     def test_old_answer_does_not_clear_later_crashes(self, history, clock):
         before = crashes(clock, 1)
         history.set_shared_records(before)
-        history.add_answered(_ids.Fingerprint("f"))
+        answer(history)
         clock.advance(61.0)
         history.set_shared_records([*before, *crashes(clock, 2)])
-        (record,) = history.add_clearances()
+        (record,) = history.add_clearances(publishes=lambda fingerprint: True)
         assert record.starts == ["i-1@1"]
         assert history.analysis.crash_count_of("f") == 1
 
@@ -154,8 +169,8 @@
         history.set_shared_records(
             [*crashes(clock, 1, 2, 3), fixtures.answered("f", "i-1@1")]
         )
-        history.add_answered(_ids.Fingerprint("f"))
-        (record,) = history.add_clearances()
+        answer(history)
+        (record,) = history.add_clearances(publishes=lambda fingerprint: True)
         assert record.starts == ["i-1@1", "i-2@1", "i-3@1"]
 
 
@@ -175,7 +190,7 @@
 
     def test_oldest_records_are_discarded_first(self, history, clock):
         records = []
-        for number in range(_crash_history.MAX_CRASHES + 50):
+        for number in range(_record_retention.MAX_CRASHES + 50):
             clock.advance(1.0)
             records += crashes(clock, number, name=f"f{number}")
         history.set_shared_records(records)
@@ -195,13 +210,13 @@
         retained = [
             n for n in range(200) if history.analysis.crash_count_of(f"f{n}-0")
         ]
-        assert len(retained) * 64 == _crash_history.MAX_SUSPECTS
+        assert len(retained) * 64 == _record_retention.MAX_SUSPECTS
         assert retained[-1] == 199
 
     def test_own_records_are_bounded_during_a_store_outage(
         self, history, clock
     ):
-        for number in range(_crash_history.MAX_CRASHES + 50):
+        for number in range(_record_retention.MAX_CRASHES + 50):
             clock.advance(1.0)
             add_own_crash(history, number, name=f"f{number}")
         assert history.analysis.crash_count_of("f10") == 0
@@ -212,7 +227,7 @@
         clock.advance(1.0)
         answers = [
             fixtures.answered(f"f{n}", "i-1@1", at=clock.now())
-            for n in range(_crash_history.MAX_BLOCKS + 50)
+            for n in range(_record_retention.MAX_BLOCKS + 50)
         ]
         history.set_shared_records([block, *answers])
         assert history.analysis.is_blocked("f")
--- a/tests/topazlug/crashes/test_record_distributor.py
+++ b/tests/topazlug/crashes/test_record_distributor.py
@@ -42,6 +42,7 @@
         self.holds = {name: [] for name in names}
         self.distributors = {}
         self.stand_ins = set()
+        self.unshared = []
         for name in names:
             self.links[name] = Links(name, self.links)
             self.distributors[name] = _record_distributor.RecordDistributor(
@@ -50,6 +51,7 @@
                 daemons=lambda: dict.fromkeys(names),
                 on_records=functools.partial(self._on_records, name),
                 on_holds=functools.partial(self._on_holds, name),
+                unshared=lambda: self.unshared,
             )
 
     def _on_records(self, name, records, *, stand_in):
--- a/tests/topazlug/crashes/test_shared_holds.py
+++ b/tests/topazlug/crashes/test_shared_holds.py
@@ -53,6 +53,7 @@
             daemons=lambda: dict.fromkeys(names),
             on_records=self.guard.add_peer_records,
             on_holds=self.guard.add_peer_holds,
+            unshared=self.guard.unshared_records,
         )
         self.guard.publisher = self
         self.guard.announce_hold = self.distributor.send_hold
--- a/tests/topazlug_platform/part_fleet.py
+++ b/tests/topazlug_platform/part_fleet.py
@@ -5,12 +5,17 @@
 import re
 
 import gevent
+from gevent import event
 from gevent import socket
 import msgspec
 
+from tests.topazlug.crashes import crash_fixtures
 from tests.topazlug.forwarding import forwarding_fixtures as fixtures
 from tests.topazlug_platform import crash_fleet
 from tests.topazlug_platform import platform_rig
+from topazlug import _clock
+from topazlug.crashes import _crash_records
+from topazlug.fleet import _table_source
 from topazlug.forwarding import _table
 
 wait_until = crash_fleet.wait_until
@@ -30,18 +35,19 @@
 
     Attributes
     ----------
-    bad_parts : set of str
-        The parts; the last part of a prompt never counts.
-    is_framed : bool
-        Whether its streams come in chunks; otherwise they end with their
-        connection.
+    fleet : PartFleet
+        Determines the bad parts and the streams. The last part of a prompt
+        never counts.
     """
 
-    def __init__(self, name, runs, bad_parts, *, start=1):
+    def __init__(self, name, runs, fleet, *, start=1):
         super().__init__(name, runs, start=start)
-        self.bad_parts = bad_parts
-        self.is_framed = True
-        self.target = msgspec.structs.replace(self.target, slots=64)
+        self.fleet = fleet
+        self.limit_slots(64)
+
+    def limit_slots(self, slots):
+        """Set the number of requests that it runs concurrently."""
+        self.target = msgspec.structs.replace(self.target, slots=slots)
 
     def _answer(self, sock, data):
         head, _, body = data.partition(b"\r\n\r\n")
@@ -50,18 +56,22 @@
             entry.partition(":")[0]
             for entry in (found[1].decode() if found else "").split(",")
         ]
-        is_bad = bool(self.bad_parts.intersection(parts[:-1]))
+        is_bad = bool(self.fleet.bad_parts.intersection(parts[:-1]))
         self.runs.append((self.name, "bad" if is_bad else "sound"))
         gevent.sleep(_EVENT_SECONDS)
         sock.sendall(self._head(crash_fleet.attempt_of(data)))
-        if is_bad:
-            self.crash()
-            raise OSError("crashed")
-        self._write_events(sock)
+        if not is_bad:
+            self._write_events(sock)
+            return
+        if self.fleet.crashes_within_event:
+            sock.sendall(platform_rig.event(1)[:-1])
+            gevent.sleep(0.01)
+        self.crash()
+        raise OSError("crashed")
 
     def _head(self, attempt):
         head = platform_rig.stream_head(attempt)
-        if not self.is_framed:
+        if not self.fleet.is_framed:
             head = head.replace(
                 b"Transfer-Encoding: chunked", b"Connection: close"
             )
@@ -70,12 +80,12 @@
     def _write_events(self, sock):
         for number in range(1, _EVENTS + 1):
             data = platform_rig.event(number)
-            sock.sendall(platform_rig.chunk(data) if self.is_framed else data)
-            gevent.sleep(_EVENT_SECONDS)
-        if self.is_framed:
-            sock.sendall(platform_rig.END)
-        else:
+            is_framed = self.fleet.is_framed
+            sock.sendall(platform_rig.chunk(data) if is_framed else data)
+            gevent.sleep(self.fleet.event_seconds)
+        if not is_framed:
             raise OSError("the connection ends the answer")
+        sock.sendall(platform_rig.END)
 
 
 class PartFleet(crash_fleet.CrashFleet):
@@ -85,17 +95,25 @@
     ----------
     bad_parts : set of str
         Parts that crash replicas.
+    is_framed : bool
+        Whether streams come in chunks; otherwise they end with their
+        connection.
+    crashes_within_event : bool
+        Whether replicas crash in the middle of an event.
+    event_seconds : float
+        Time between two events of a stream.
     """
 
     def __init__(self, *routes, daemons=3, replicas=6):
         self.bad_parts = {BAD}
+        self.is_framed = True
+        self.crashes_within_event = False
+        self.event_seconds = _EVENT_SECONDS
         self._own_parts = itertools.count()
         super().__init__(*routes, daemons=daemons, replicas=replicas)
 
     def _new_replica(self):
-        return PartReplica(
-            f"i-{next(self._numbers)}", self.runs, self.bad_parts
-        )
+        return PartReplica(f"i-{next(self._numbers)}", self.runs, self)
 
     def ask(self, number, *parts, path="/a/x", body=b""):
         """Send a prompt with these parts and one of its own.
@@ -141,6 +159,30 @@
         guard = self.daemons[number]._crash_assembly.guard
         return {block.fingerprint for block in guard.blocks()}
 
+    def delay_slots(self, number):
+        """Have a daemon wait for the returned event after each admission."""
+        gate = event.Event()
+        admission = self.daemons[number]._admission
+        admit = admission.admit
+
+        def admit_late(request):
+            placement = admit(request)
+            gate.wait()
+            return placement
+
+        admission.admit = admit_late
+        return gate
+
+    def write_block(self, fingerprint):
+        """Write a record that blocks a part to the store."""
+        record = crash_fixtures.block(
+            fingerprint, "i-9@1", at=_clock.SystemClock().now()
+        )
+        key = _crash_records.record_key(record)
+        data = _crash_records.encode(record)
+        row = _table_source.Row(key, data)
+        self.store.write(_crash_records.TABLE, [row])
+
     @contextlib.contextmanager
     def replacing(self):
         """Replace crashed replicas shortly after their crash."""
@@ -208,10 +250,10 @@
 
 
 @contextlib.contextmanager
-def running_fleet(*, daemons=3, replicas=6, **changes):
+def running_fleet(*, daemons=3, replicas=6, routes=(), **changes):
     """Return a fleet whose daemons know each other."""
     fleet = PartFleet(
-        fixtures.route(**{**STREAM, **changes}),
+        *(routes or (fixtures.route(**{**STREAM, **changes}),)),
         daemons=daemons,
         replicas=replicas,
     )
