--- a/src/topazlug/targets/_target_answer.py
+++ b/src/topazlug/targets/_target_answer.py
@@ -187,7 +187,6 @@
     def _finish(self) -> None:
         if self._closed:
             return
-        ends = _target_runs.RunEnd
         self._record_end(self._complete_end)
         if self._parser.should_close() or not self._all_sent():
             self._close_connection()
