Close new connections that can't be read soon

Cause: at its maximum number of connections a daemon stopped accepting, so callers waited in the listener's queue; idle connections were kept for 75 s however many callers waited. Short of processor time it accepted all.

A daemon now accepts at any time. With less than a tenth of its connections left it closes the one that has been idle for longest; if none is left, or if its own timers are over 0.15 s late, it closes new connections unread, so that their callers try another daemon at once, also with requests that may run once. Two totals count both.

--- a/src/topazlug/callers/_caller_connection.py
+++ b/src/topazlug/callers/_caller_connection.py
@@ -35,7 +35,7 @@
     """Handler of one connection, with bounds on the time for each step."""
 
     _rejection: _errors.RequestError | None = None
-    _has_ended_reading = False
+    has_ended_reading = False
 
     def handle(self) -> None:
         """Serve one connection."""
@@ -50,17 +50,17 @@
 
     def read_requestline(self) -> str:
         """Read the request line; close a connection that stays idle."""
-        self.server.idle_handlers.add(self)
+        self.server.idle_handlers[self] = None
         try:
             with gevent.Timeout(self.server.idle_seconds, False):
                 return super().read_requestline()
         finally:
-            self.server.idle_handlers.discard(self)
+            self.server.idle_handlers.pop(self, None)
         return ""
 
     def end_reading(self) -> None:
         """Accept no further request, except one that has already arrived."""
-        self._has_ended_reading = True
+        self.has_ended_reading = True
         try:
             # The library's own shutdown interrupts a waiting read and so
             # discards bytes that have just arrived.
@@ -113,7 +113,7 @@
         # After `end_reading` the socket looks as if the caller had
         # disconnected, so a watch would cancel a request that had just
         # arrived.
-        is_watched = not self._has_ended_reading
+        is_watched = not self.has_ended_reading
         environ[_caller_request.SOCKET] = self.socket if is_watched else None
         environ[_caller_request.RAW_PATH] = self.path.partition("?")[0]
         environ[_caller_request.FIELDS] = self.headers.items()
--- /dev/null
+++ b/src/topazlug/callers/_listener_load.py
@@ -0,0 +1,45 @@
+"""Whether a daemon is too late to read the requests of new callers."""
+
+import time
+from typing import final
+
+import gevent
+
+from topazlug import _logs
+
+_log = _logs.logger("callers")
+_INTERVAL_SECONDS = 0.1
+# Callers with a deadline of one second try another daemon if a request is not
+# read within a third of it. A processor quota that is used up delays a daemon
+# by up to 0.1 s in ordinary operation.
+_MAX_DELAY_SECONDS = 0.15
+
+
+@final
+class ListenerLoad:
+    """Measures by how much the daemon's own timers are late.
+
+    A daemon that gets most new connections accepts more of them than it has
+    processor time for. Their requests, and all others, then wait longer than
+    their callers do. What is not accepted reaches another daemon at once.
+    """
+
+    def __init__(self) -> None:
+        self.is_late = False
+
+    def measure_forever(self) -> None:
+        """Measure the delay of a timer again and again."""
+        while True:
+            began = time.monotonic()
+            gevent.sleep(_INTERVAL_SECONDS)
+            elapsed = time.monotonic() - began
+            self.record_delay(elapsed - _INTERVAL_SECONDS)
+
+    def record_delay(self, seconds: float) -> None:
+        """Record by how much a timer was late."""
+        was_late, self.is_late = self.is_late, seconds > _MAX_DELAY_SECONDS
+        if self.is_late and not was_late:
+            _log.warning(
+                "closing new connections: timers are {delay:.3f} s late",
+                delay=round(seconds, 3),
+            )
--- a/src/topazlug/delegation/_delegation_server.py
+++ b/src/topazlug/delegation/_delegation_server.py
@@ -52,6 +52,8 @@
         use and the daemon at its other end. Raises TopazlugError or OSError.
     """
 
+    measures_load = False
+
     def __init__(
         self,
         *,
--- a/src/topazlug/forwarding/_gauges.py
+++ b/src/topazlug/forwarding/_gauges.py
@@ -53,6 +53,8 @@
     metrics.watch(total.STREAMS_TAKEN_UP, lambda: versions.taken_up_count)
     metrics.watch(total.STREAMS_NOT_TAKEN_UP, lambda: versions.refused_count)
     metrics.watch(total.STREAM_MESSAGES, lambda: versions.message_count)
+    metrics.watch(total.CONNECTIONS_CLOSED_UNREAD, lambda: callers.refused)
+    metrics.watch(total.IDLE_CONNECTIONS_CLOSED, lambda: callers.evicted)
     metrics.watch(total.FAIRNESS_REJECTIONS, fairness_rejections)
     metrics.watch(total.LATE_REQUESTS, late_requests)
     metrics.watch(total.CONTROL_SENT, lambda: fleet.bytes_sent)
--- a/src/topazlug/telemetry/_metrics.py
+++ b/src/topazlug/telemetry/_metrics.py
@@ -111,6 +111,8 @@
     STREAMS_TAKEN_UP = "topazlug.streams.taken_up"
     STREAMS_NOT_TAKEN_UP = "topazlug.streams.not_taken_up"
     STREAM_MESSAGES = "topazlug.streams.origin_messages"
+    CONNECTIONS_CLOSED_UNREAD = "topazlug.callers.closed_unread"
+    IDLE_CONNECTIONS_CLOSED = "topazlug.callers.idle_closed"
 
 
 _UNITS: dict[Gauge | Total, str] = {
@@ -164,6 +166,10 @@
     "not known.",
     Total.STREAM_MESSAGES: "Messages to other daemons about where streams "
     "began.",
+    Total.CONNECTIONS_CLOSED_UNREAD: "New connections of callers that were "
+    "closed at once, as their requests could not be read soon.",
+    Total.IDLE_CONNECTIONS_CLOSED: "Idle connections of callers that were "
+    "closed to make room for new ones.",
     Gauge.TABLE_AGE: "Age of the oldest word of the store on a table.",
     Total.CONTROL_SENT: "Bytes sent to peers.",
     Total.CONTROL_RECEIVED: "Bytes received from peers.",
--- a/tests/topazlug/callers/test_caller_server.py
+++ b/tests/topazlug/callers/test_caller_server.py
@@ -4,10 +4,13 @@
 import select
 import socket
 
+from gevent import event
+from gevent import socket as gevent_socket
 import pytest
 
 from tests.topazlug import routing_fixtures as fixtures
 from tests.topazlug import wire_fixtures
+from topazlug._generated import settings
 from topazlug.callers import _caller_server
 from topazlug.callers import _listener_filter
 
@@ -125,3 +128,124 @@
         with rig.connect():
             fixtures.wait_until(lambda: rig.server.connections == 1)
             assert rig.server.awaiting_first_request == 0
+
+
+class Herd:
+    """A listener whose callers take all of its connections.
+
+    Each request waits until `answer` is set.
+    """
+
+    def __init__(self, *, max_connections):
+        self.answer = event.Event()
+        self.answer.set()
+        self.started = 0
+        self.server = _caller_server.CallersServer(
+            address=settings.AddressSettings(host=fixtures.HOST, port=0),
+            app=self._serve,
+            max_connections=max_connections,
+        )
+        self.server.start()
+        self.sockets = []
+
+    def _serve(self, environ, start_response):
+        self.started += 1
+        self.answer.wait()
+        start_response("200 OK", [("Content-Length", "2")])
+        return [b"ok"]
+
+    def connect(self, request=REQUEST):
+        """Open a connection and send a request."""
+        sock = gevent_socket.create_connection(
+            (fixtures.HOST, self.server.server_port)
+        )
+        sock.settimeout(5)
+        sock.sendall(request)
+        self.sockets.append(sock)
+        return sock
+
+    def is_answered(self, sock):
+        """Return whether an answer arrives, False if it is closed instead."""
+        try:
+            return sock.recv(12) == b"HTTP/1.1 200"
+        except ConnectionResetError:
+            return False
+
+    def stop(self):
+        self.answer.set()
+        for sock in self.sockets:
+            sock.close()
+        self.server.stop(timeout=0)
+
+
+@pytest.fixture
+def herd():
+    made = Herd(max_connections=20)
+    yield made
+    made.stop()
+
+
+class TestConnectionHerd:
+    """Most new connections of an availability zone go to one daemon."""
+
+    def test_idle_connections_give_way_to_new_ones(self, herd):
+        """New callers waited unread while idle connections were kept."""
+        for _ in range(20):
+            assert herd.is_answered(herd.connect())
+        for _ in range(20):
+            assert herd.is_answered(herd.connect())
+
+    def test_longest_idle_connection_is_closed_first(self, herd):
+        first = herd.connect()
+        assert herd.is_answered(first)
+        others = [herd.connect() for _ in range(19)]
+        assert all(map(herd.is_answered, others))
+        herd.connect()
+        fixtures.wait_until(lambda: is_closed(first))
+        assert not any(map(is_closed, others[5:]))
+
+    def test_connection_that_cannot_be_read_is_closed_at_once(self, herd):
+        """Callers waited unread until they gave up, and tried no other."""
+        herd.answer.clear()
+        for _ in range(20):
+            herd.connect()
+        fixtures.wait_until(lambda: herd.started >= 16)
+        assert not herd.is_answered(herd.connect())
+        herd.answer.set()
+        fixtures.wait_until(lambda: herd.is_answered(herd.connect()))
+
+    def test_request_in_progress_is_not_cut_off(self, herd):
+        herd.answer.clear()
+        served = [herd.connect() for _ in range(10)]
+        fixtures.wait_until(lambda: herd.started == 10)
+        for _ in range(30):
+            herd.connect()
+        herd.answer.set()
+        assert all(map(herd.is_answered, served))
+
+    def test_connections_are_closed_while_the_daemon_is_late(self, herd):
+        """A daemon without processor time accepted more and more callers."""
+        herd.server.load.record_delay(1.0)
+        assert not herd.is_answered(herd.connect())
+        assert herd.server.refused == 1
+        herd.server.load.record_delay(0.0)
+        assert herd.is_answered(herd.connect())
+
+    def test_open_connections_are_served_while_the_daemon_is_late(self, herd):
+        sock = herd.connect()
+        assert herd.is_answered(sock)
+        sock.recv(4096)
+        herd.server.load.record_delay(1.0)
+        sock.sendall(REQUEST)
+        assert herd.is_answered(sock)
+
+
+def is_closed(sock):
+    """Return whether the listener has closed a connection."""
+    sock.settimeout(0.05)
+    try:
+        while data := sock.recv(4096):
+            assert data
+        return True
+    except TimeoutError:
+        return False
