--- a/src/topazlug/crashes/_cause_analysis.py
+++ b/src/topazlug/crashes/_cause_analysis.py
@@ -88,13 +88,11 @@
         self, records: Iterable[_crash_records.CrashRecord] = ()
     ) -> None:
         self._index = _crash_index.CrashIndex(records)
+        self._suspects = dict(self._index.suspects(least=MIN_CRASHES))
         self._likely_causes = {
             fingerprint: crashes
-            for fingerprint, crashes in self._index.suspects(
-                least_runs=MIN_CRASHES
-            )
-            if crashes.count >= MIN_CRASHES
-            and len(crashes.requests) >= _min_requests(fingerprint)
+            for fingerprint, crashes in self._suspects.items()
+            if crashes.requests >= _min_requests(fingerprint)
             and self._chance_probability(fingerprint, crashes)
             < _max_hold_probability(fingerprint)
         }
@@ -254,7 +252,7 @@
         """Return whether something else is at least as likely the cause."""
         return any(
             self._explains(other, crashes, fingerprint, own)
-            for other, crashes in self._index.suspects(least_runs=own.count)
+            for other, crashes in self._suspects.items()
             if other != fingerprint
         )
 
--- a/src/topazlug/crashes/_crash_index.py
+++ b/src/topazlug/crashes/_crash_index.py
@@ -3,6 +3,8 @@
 This module does no I/O and does not block.
 """
 
+import bisect
+import collections
 from collections.abc import Iterable
 from collections.abc import Iterator
 import datetime
@@ -43,59 +45,43 @@
 
 
 class _SuspectRun(NamedTuple):
-    """A run on an incarnation of a replica when it crashed.
+    """A run on an incarnation of a replica when it crashed."""
 
-    Attributes
-    ----------
-    members : frozenset of Fingerprint
-        Fingerprints of the request and of its prompt parts.
-    """
-
-    start: _crash_records.IncarnationName
+    crash: _crash_records.Crash
     suspect: _crash_records.Suspect
-    members: frozenset[_ids.Fingerprint]
+
+    @property
+    def members(self) -> frozenset[_ids.Fingerprint]:
+        """Return the fingerprints of the request and its prompt parts."""
+        return _members(self.crash, self.suspect)
 
 
 @final
-class SuspectCrashes(msgspec.Struct):
+class SuspectCrashes(msgspec.Struct, frozen=True):
     """The crashes that count against one request or prompt part.
 
     Attributes
     ----------
-    seconds_by_incarnation : dict
-        How long it had run on each incarnation that crashed under it.
-    attempts : set of AttemptTag
-        Attempts of callers that were running then.
-    requests : set of Fingerprint
-        Requests that were running then; one, if this is about a request.
+    incarnations : frozenset of IncarnationName
+        The incarnations that crashed under it.
+    attempts : int
+        Number of callers' attempts that were running then.
+    requests : int
+        Number of requests that were running then; one, if this is about a
+        request.
+    seconds : float
+        How long it had run on these incarnations, added up.
     """
 
-    seconds_by_incarnation: dict[_crash_records.IncarnationName, float] = (
-        msgspec.field(default_factory=dict)
-    )
-    attempts: set[_crash_records.AttemptTag] = msgspec.field(
-        default_factory=set
-    )
-    requests: set[_ids.Fingerprint] = msgspec.field(default_factory=set)
-
-    @property
-    def incarnations(self) -> frozenset[_crash_records.IncarnationName]:
-        """Return the incarnations that crashed under it."""
-        return frozenset(self.seconds_by_incarnation)
+    incarnations: frozenset[_crash_records.IncarnationName]
+    attempts: int
+    requests: int
+    seconds: float
 
     @property
     def count(self) -> int:
         """Return the number of crashes, each at an attempt of its own."""
-        return min(len(self.seconds_by_incarnation), len(self.attempts))
-
-    def add(self, run: _SuspectRun) -> None:
-        """Add a run that a crash ended."""
-        seconds = self.seconds_by_incarnation
-        seconds[run.start] = max(
-            seconds.get(run.start, 0.0), run.suspect.seconds
-        )
-        self.attempts.add(run.suspect.attempt)
-        self.requests.add(run.suspect.fingerprint)
+        return min(len(self.incarnations), self.attempts)
 
 
 @final
@@ -138,9 +124,9 @@
         self._crash_by_incarnation: dict[
             _crash_records.IncarnationName, CrashedIncarnation
         ] = {}
-        self._runs_by_fingerprint: dict[
+        self._runs_by_fingerprint: collections.defaultdict[
             _ids.Fingerprint, list[_SuspectRun]
-        ] = {}
+        ] = collections.defaultdict(list)
         self._crashes_by_fingerprint: dict[
             _ids.Fingerprint, SuspectCrashes
         ] = {}
@@ -154,6 +140,15 @@
         for crash in crashes:
             is_recent = newest is not None and newest - crash.at < PART_WINDOW
             self._add(crash, with_parts=is_recent)
+        # Times of the crashes that no block explains, in order.
+        self._times_by_group: collections.defaultdict[
+            _ids.GroupName, list[datetime.datetime]
+        ] = collections.defaultdict(list)
+        for start, crashed in self._crash_by_incarnation.items():
+            if start not in self._explaining:
+                self._times_by_group[crashed.group].append(crashed.at)
+        for times in self._times_by_group.values():
+            times.sort()
 
     def _explaining_blocks(
         self, crashes: Iterable[_crash_records.Crash]
@@ -182,12 +177,10 @@
             self._crash_by_incarnation[crash.start] = crashed
         crashed.at = min(crashed.at, crash.at)
         for suspect in crash.suspects:
-            members = frozenset((suspect.fingerprint,))
-            if with_parts:
-                members = _members(crash, suspect)
-            run = _SuspectRun(crash.start, suspect, members)
-            for member in members:
-                self._runs_by_fingerprint.setdefault(member, []).append(run)
+            run = _SuspectRun(crash, suspect)
+            self._runs_by_fingerprint[suspect.fingerprint].append(run)
+            for number in suspect.parts if with_parts else ():
+                self._runs_by_fingerprint[crash.parts[number]].append(run)
 
     def _is_explained(
         self, run: _SuspectRun, fingerprint: _ids.Fingerprint
@@ -197,7 +190,7 @@
         What is blocked only together with something else remains suspect by
         itself, and so do the prompt parts of a request that is blocked.
         """
-        for name in self._explaining.get(run.start, ()):
+        for name in self._explaining.get(run.crash.start, ()):
             block = self.block_by_fingerprint[name]
             if block.released:
                 return True
@@ -221,13 +214,30 @@
         return found
 
     def _count_crashes(self, fingerprint: _ids.Fingerprint) -> SuspectCrashes:
-        crashes = SuspectCrashes()
+        seconds_by_incarnation: dict[_crash_records.IncarnationName, float]
+        seconds_by_incarnation = {}
+        attempts = set()
+        requests = set()
         cleared = self._cleared_by_fingerprint.get(fingerprint, ())
         for run in self._runs_by_fingerprint.get(fingerprint, ()):
-            if run.start in cleared or self._is_explained(run, fingerprint):
+            crash, suspect = run
+            start = crash.start
+            if start in cleared:
                 continue
-            crashes.add(run)
-        return crashes
+            if start in self._explaining and self._is_explained(
+                run, fingerprint
+            ):
+                continue
+            if suspect.seconds >= seconds_by_incarnation.get(start, 0.0):
+                seconds_by_incarnation[start] = suspect.seconds
+            attempts.add(suspect.attempt)
+            requests.add(suspect.fingerprint)
+        return SuspectCrashes(
+            incarnations=frozenset(seconds_by_incarnation),
+            attempts=len(attempts),
+            requests=len(requests),
+            seconds=sum(seconds_by_incarnation.values()),
+        )
 
     def is_decided(
         self, fingerprint: _ids.Fingerprint, crashes: SuspectCrashes
@@ -244,12 +254,15 @@
         )
 
     def suspects(
-        self, *, least_runs: int
+        self, *, least: int
     ) -> Iterator[tuple[_ids.Fingerprint, SuspectCrashes]]:
-        """Yield what ran at as many crashes or more, and its crashes."""
+        """Yield what so many crashes or more count against."""
         for fingerprint, runs in self._runs_by_fingerprint.items():
-            if len(runs) >= least_runs:
-                yield fingerprint, self.crashes_of(fingerprint)
+            if len(runs) < least:
+                continue
+            crashes = self.crashes_of(fingerprint)
+            if crashes.count >= least:
+                yield fingerprint, crashes
 
     def has_run(self, fingerprint: _ids.Fingerprint) -> bool:
         """Return whether a request or part ran at any crash."""
@@ -269,7 +282,9 @@
     ) -> bool:
         """Return whether one run had all of these, at each of the crashes."""
         runs = self._runs_by_fingerprint.get(min(fingerprints), ())
-        starts = {run.start for run in runs if fingerprints <= run.members}
+        starts = {
+            run.crash.start for run in runs if fingerprints <= run.members
+        }
         return incarnations <= starts
 
     def group_of(self, crashes: SuspectCrashes) -> _ids.GroupName:
@@ -297,16 +312,15 @@
         ]
         first = min(crashed.at for crashed in own) - _LEAD_TIME
         last = max(crashed.at for crashed in own)
-        others = sum(
-            first <= crashed.at <= last and crashed.group == own[0].group
-            for incarnation, crashed in self._crash_by_incarnation.items()
-            if incarnation not in crashes.seconds_by_incarnation
-            and incarnation not in self._explaining
+        times = self._times_by_group[own[0].group]
+        count = bisect.bisect_right(times, last) - bisect.bisect_left(
+            times, first
         )
-        count = others + len(own) if with_own else others
+        if not with_own:
+            count -= len(crashes.incarnations - self._explaining.keys())
         rate = count / (last - first).total_seconds()
         replicas = max(1, max(crashed.replicas for crashed in own))
-        return rate * sum(crashes.seconds_by_incarnation.values()) / replicas
+        return rate * crashes.seconds / replicas
 
 
 def _members(
