Do not blame common parts while replicas crash for other reasons

Causes: a hold kept the part from being answered, and it was blocked when the hold ended; clearances of two daemons overwrote each other in one row; an answer cleared crashes only if its request, not its output, came after them.

Now a part with which the daemons that report a crash have answered requests within the last minute counts only from eight crashes on; a part is blocked only if no crash was added for a second (2.5 s at daemons that ran none of it); each daemon writes its own row of clearances; answers count from the start of their output; a clearance makes a daemon decide again. Analyses of changed records take at most a fiftieth of the processor's time.

--- a/bench/experiments/crashing_requests.py
+++ b/bench/experiments/crashing_requests.py
@@ -30,7 +30,8 @@
 _GROUP = _ids.GroupName("engines")
 _EPOCH = datetime.datetime(2026, 1, 1, tzinfo=datetime.timezone.utc)
 _SETTLED_SECONDS = 1.01
-_CRASHER = "crasher"
+_DECISION_SECONDS = 0.15
+CRASHER = "crasher"
 
 
 class Load(NamedTuple):
@@ -138,7 +139,7 @@
     record: _crash_records.CrashRecord
 
 
-class _Daemon:
+class SimulatedDaemon:
     """Crash guard of one daemon, with the table rows that it has read."""
 
     def __init__(self, simulation: "Simulation", name: str) -> None:
@@ -148,6 +149,7 @@
             daemon=_ids.DaemonId(name),
             runs=self.runs,
             targets=simulation.targets,
+            fleet_size=lambda: simulation.load.daemons,
             clock=simulation.clock,
         )
         self.guard.publisher = self
@@ -161,6 +163,12 @@
             if isinstance(record, _crash_records.Block):
                 self._simulation.blocked.add(record.fingerprint)
 
+    def decide_after_change(self) -> None:
+        """Schedule a decision if the guard asks for one."""
+        if self.guard._changed.is_set():
+            self.guard._changed.clear()
+            self._simulation.schedule(_DECISION_SECONDS, self.guard.decide)
+
     def read(self) -> None:
         """Read new rows; schedule a decision for when they have settled."""
         simulation = self._simulation
@@ -204,8 +212,8 @@
         self._events: list[tuple[float, int, Callable[[], None]]] = []
         self._order = itertools.count()
         self._names = itertools.count()
-        self._daemons: dict[int, _Daemon] = {}
-        self._running: dict[str, dict[_target_runs.Run, _Daemon]] = {}
+        self._daemons: dict[int, SimulatedDaemon] = {}
+        self._running: dict[str, dict[_target_runs.Run, SimulatedDaemon]] = {}
         self._replica_by_run: dict[_target_runs.Run, str] = {}
         self._ended_at: dict[str, list[float]] = {}
         self._interrupted_runs = 0
@@ -220,7 +228,7 @@
     def simulate(self) -> Result:
         """Run the simulation and return its result."""
         for number in range(self.load.crashers):
-            self._ended_at[f"{_CRASHER}{number}"] = []
+            self._ended_at[f"{CRASHER}{number}"] = []
             handle_arrival = functools.partial(
                 self._handle_crasher_arrival, number
             )
@@ -245,7 +253,7 @@
                 for at in ended
             ],
             wrongly_blocked=sum(
-                not n.startswith(_CRASHER) for n in self.blocked
+                not n.startswith(CRASHER) for n in self.blocked
             ),
             interrupted_runs=self._interrupted_runs,
         )
@@ -253,14 +261,29 @@
     def _start_replica(self) -> None:
         self._running[f"i-{next(self._names)}"] = {}
 
-    def _daemon(self) -> _Daemon:
+    def _daemon(self) -> SimulatedDaemon:
         number = self._random.randrange(self.load.daemons)
         if number not in self._daemons:
-            self._daemons[number] = _Daemon(self, f"d{number}")
+            self._daemons[number] = SimulatedDaemon(self, f"d{number}")
         return self._daemons[number]
 
+    def parts_of(self, name: str) -> tuple[_ids.Fingerprint, ...]:
+        """Return the prompt parts of a request; here it has none."""
+        return ()
+
+    def next_crasher(self, number: int) -> str:
+        """Return the name of the next request that crashes replicas.
+
+        Here each of them is always the same request.
+        """
+        return f"{CRASHER}{number}"
+
+    def record_end(self, name: str) -> None:
+        """Record that a request has crashed a replica."""
+        self._ended_at[name].append(self.clock.seconds)
+
     def _begin(
-        self, daemon: _Daemon, name: str, attempt: str
+        self, daemon: SimulatedDaemon, name: str, attempt: str
     ) -> _target_runs.Run | None:
         """Begin a run on a random replica; return None if there is none."""
         if not self._running:
@@ -270,6 +293,7 @@
             _target(replica),
             fingerprint=_ids.Fingerprint(name),
             attempt=attempt,
+            parts=self.parts_of(name),
         )
         self._running[replica][run] = daemon
         self._replica_by_run[run] = replica
@@ -279,7 +303,7 @@
         """Crash a replica and end all its runs."""
         runs = self._running.pop(replica, {})
         self.schedule(self.load.restart_seconds, self._start_replica)
-        by_daemon: dict[_Daemon, list[_target_runs.Run]] = {}
+        by_daemon: dict[SimulatedDaemon, list[_target_runs.Run]] = {}
         for run, daemon in runs.items():
             by_daemon.setdefault(daemon, []).append(run)
             daemon.runs.finish(run, _target_runs.RunEnd.LOST)
@@ -299,14 +323,17 @@
     def _handle_crasher_arrival(self, number: int) -> None:
         for _ in range(self.load.at_once):
             attempt = f"a{next(self._names)}"
-            self._try_crasher(
-                self._daemon(), f"{_CRASHER}{number}", attempt, 1
-            )
+            name = self.next_crasher(number)
+            self._try_crasher(self._daemon(), name, attempt, 1)
         wait = self._random.uniform(0.5, 1.5) * self.load.attempt_interval
         self.schedule(wait, lambda: self._handle_crasher_arrival(number))
 
     def _try_crasher(
-        self, daemon: _Daemon, name: str, attempt: str, attempt_number: int
+        self,
+        daemon: SimulatedDaemon,
+        name: str,
+        attempt: str,
+        attempt_number: int,
     ) -> None:
         if attempt_number == 1 and self._is_refused(daemon, name):
             return
@@ -318,19 +345,24 @@
             replica = self._replica_by_run[run]
             if replica not in self._running:
                 return
-            self._ended_at[name].append(self.clock.seconds)
+            self.record_end(name)
             self._crash(replica)
             daemon.read()
-            may_repeat = daemon.guard.may_repeat(run.fingerprint, run.target)
+            may_repeat = self._may_repeat(daemon, run)
             if attempt_number < self.load.attempts and may_repeat:
                 self._try_crasher(daemon, name, attempt, attempt_number + 1)
 
         self.schedule(self._random.uniform(0.06, 0.3), crash)
 
-    def _is_refused(self, daemon: _Daemon, name: str) -> bool:
+    def _may_repeat(
+        self, daemon: SimulatedDaemon, run: _target_runs.Run
+    ) -> bool:
+        return daemon.guard.may_repeat(run.fingerprint, run.target, run.parts)
+
+    def _is_refused(self, daemon: SimulatedDaemon, name: str) -> bool:
         daemon.read()
         try:
-            daemon.guard.check(_ids.Fingerprint(name))
+            daemon.guard.check(_ids.Fingerprint(name), self.parts_of(name))
         except _errors.RequestBlocked:
             return True
         return False
@@ -351,7 +383,7 @@
 
     def _run_ordinary(
         self,
-        daemon: _Daemon,
+        daemon: SimulatedDaemon,
         name: str,
         attempt: str,
         repeats: int,
@@ -368,9 +400,10 @@
                 daemon.runs.finish(
                     run, _target_runs.RunEnd.COMPLETE, status=200
                 )
+                daemon.decide_after_change()
                 return
             daemon.read()
-            may_repeat = daemon.guard.may_repeat(run.fingerprint, run.target)
+            may_repeat = self._may_repeat(daemon, run)
             if attempts > 1 and may_repeat:
                 self._run_ordinary(
                     daemon, name, attempt, repeats, attempts - 1
--- a/src/topazlug/crashes/_cause_analysis.py
+++ b/src/topazlug/crashes/_cause_analysis.py
@@ -52,10 +52,16 @@
 # repeat by which an innocent one would stand out. After this many crashes
 # without an answer, chance is a weaker objection than before.
 _MANY_CRASHES_OF_PART = 5
-_MAX_CHANCE_AFTER_MANY = 1e-3
+_MAX_CHANCE_AFTER_MANY = 1e-4
+# Something with a larger chance is not held back either.
+_MAX_CHANCE_OF_HOLD = 1e-3
+# A part that was in use may begin to crash replicas, after a change of their
+# software. A common part also runs at each crash that comes for other reasons,
+# and its answers take a second or more.
+MANY_CRASHES_OF_SOUND_PART = 8
 # The part of a request that is repeated runs at the same crashes as the
 # request, and other requests with it may be harmless.
-_MIN_REQUESTS_OF_PART = 2
+_MIN_REQUESTS_OF_PART = 3
 
 
 @final
@@ -92,7 +98,8 @@
         self._likely_causes = {
             fingerprint: crashes
             for fingerprint, crashes in self._suspects.items()
-            if crashes.requests >= _min_requests(fingerprint)
+            if crashes.count >= self.min_crashes(fingerprint)
+            and crashes.requests >= _min_requests(fingerprint)
             and self._chance_probability(fingerprint, crashes)
             < _max_hold_probability(fingerprint)
         }
@@ -214,6 +221,12 @@
             return [Cause(parts, group)]
         return [Cause(frozenset((one,)), group) for one in same]
 
+    def min_crashes(self, fingerprint: _ids.Fingerprint) -> int:
+        """Return after how many crashes something is a likely cause."""
+        if fingerprint in self._index.sound_parts:
+            return MANY_CRASHES_OF_SOUND_PART
+        return MIN_CRASHES
+
     def _is_improbable(
         self,
         fingerprint: _ids.Fingerprint,
@@ -285,5 +298,5 @@
 def _max_hold_probability(fingerprint: _ids.Fingerprint) -> float:
     """Return below which chance a likely cause is held back."""
     if _fingerprint.is_part(fingerprint):
-        return _MAX_CHANCE_AFTER_MANY
+        return _MAX_CHANCE_OF_HOLD
     return _MAX_CHANCE_PROBABILITY
--- a/src/topazlug/crashes/_crash_guard.py
+++ b/src/topazlug/crashes/_crash_guard.py
@@ -39,8 +39,6 @@
 # A daemon that ran no request with a part at its crashes leaves the decision
 # on it to those that did, which may have answered other requests with it.
 _OTHERS_SETTLE_SECONDS = 2.5
-# A part with which a request was answered this recently is not blocked.
-_SOUND_SECONDS = 3.0
 # Many daemons answer requests with a common part, and each could clear it of a
 # crash. Besides those that reported the crash, about so many of them do.
 _MAX_CLEARING_DAEMONS = 16
@@ -208,7 +206,11 @@
         if self._likely_causes.is_held(suspect):
             # The count is lower if this daemon has answered it since.
             count = self._history.analysis.crash_count_of(suspect)
-            is_answered = is_part and self._history.is_answered(suspect)
+            is_answered = (
+                is_part
+                and count < _cause_analysis.MANY_CRASHES_OF_SOUND_PART
+                and self._history.is_answered(suspect)
+            )
             is_decided = self._history.analysis.is_decided(suspect)
             if (
                 count >= _cause_analysis.MIN_CRASHES
@@ -377,7 +379,9 @@
                 self.announce_hold(fingerprint, causes[fingerprint])
 
     def _on_run_end(self, run: _target_runs.Run) -> None:
-        self._history.handle_end(run)
+        if self._history.handle_end(run):
+            # Other daemons may be about to decide.
+            self._changed.set()
 
     def _on_crash(
         self, target: _targets.Target, runs: list[_target_runs.Run]
@@ -403,9 +407,10 @@
     def _seconds_to_due(self) -> float | None:
         """Return the time until the next timed action, or None."""
         times = [*self._due_by_key.values()]
-        times += self._likely_causes.settle_times(
-            _OTHERS_SETTLE_SECONDS, _SOUND_SECONDS
-        )
+        times += self._likely_causes.settle_times(_OTHERS_SETTLE_SECONDS)
+        outdated_until = self._history.outdated_until
+        if outdated_until is not None:
+            times.append(outdated_until)
         if not times:
             return None
         return max(0.0, min(times) - self._clock.monotonic())
@@ -438,11 +443,9 @@
     def _is_member_settled(self, member: _ids.Fingerprint) -> bool:
         if not _fingerprint.is_part(member):
             return self._likely_causes.is_settled(member)
-        if self._history.is_sound(member, seconds=_SOUND_SECONDS):
-            return False
         if self._history.has_own_crash(member):
-            return self._likely_causes.is_settled(member)
-        return self._likely_causes.is_settled(
+            return self._likely_causes.is_steady(member)
+        return self._likely_causes.is_steady(
             member, seconds=_OTHERS_SETTLE_SECONDS
         )
 
--- a/src/topazlug/crashes/_crash_history.py
+++ b/src/topazlug/crashes/_crash_history.py
@@ -29,6 +29,10 @@
 # requests a second fills them in two minutes.
 _RECENT_ANSWER_SECONDS = 60.0
 _MAX_RECENT_ANSWERS = 4096
+# Part of the processor's time that analyses of changed records may take, and
+# the maximum time that an analysis may be outdated.
+_ANALYSIS_SHARE = 0.02
+_MAX_ANALYSIS_PAUSE = 0.5
 # Fewer crashes of a part need no clearance, as they do not count yet.
 _MIN_CRASHES_TO_CLEAR = _cause_analysis.MIN_CRASHES - 1
 
@@ -72,6 +76,10 @@
         ] = collections.OrderedDict()
         self._analysis: _cause_analysis.CauseAnalysis | None = None
         self._sound_parts = _sound_parts.SoundParts(clock=clock)
+        # Whether records have changed since the analysis was built, and the
+        # monotonic seconds at which it may be built again.
+        self._has_changed = False
+        self._analyze_at = -math.inf
         # Monotonic seconds at which this daemon got the first record of the
         # crash of an incarnation.
         self._learned_at: dict[_crash_records.IncarnationName, float] = {}
@@ -82,11 +90,26 @@
         return self._current_analysis()
 
     def _current_analysis(self) -> _cause_analysis.CauseAnalysis:
-        """Return the analysis, rebuilt if records have changed."""
-        if self._analysis is None:
+        """Return the analysis, rebuilt if records have changed.
+
+        Where records change all the time, it may be older than the records,
+        so that analysing them takes a limited part of the processor's time.
+        """
+        began_at = self._clock.monotonic()
+        is_due = self._has_changed and began_at >= self._analyze_at
+        if self._analysis is None or is_due:
+            self._has_changed = False
             self._analysis = self._analyze()
+            ended_at = self._clock.monotonic()
+            pause = (ended_at - began_at) / _ANALYSIS_SHARE
+            self._analyze_at = ended_at + min(pause, _MAX_ANALYSIS_PAUSE)
         return self._analysis
 
+    @property
+    def outdated_until(self) -> float | None:
+        """Return when the analysis will be rebuilt, None if it is current."""
+        return self._analyze_at if self._has_changed else None
+
     def _analyze(self) -> _cause_analysis.CauseAnalysis:
         retained = _record_retention.retained(
             self._merged_records(), self._clock.now()
@@ -97,7 +120,11 @@
         self._received_by_key = {
             k: v for k, v in self._received_by_key.items() if k in retained
         }
-        self._note_crashes(retained.values())
+        self._learned_at = {
+            record.start: self._learned_at[record.start]
+            for record in retained.values()
+            if isinstance(record, _crash_records.Crash)
+        }
         self._clear_answered(retained.values())
         self._clear_parts(retained.values())
         return _cause_analysis.CauseAnalysis(
@@ -108,11 +135,9 @@
         self, records: Iterable[_crash_records.CrashRecord]
     ) -> None:
         now = self._clock.monotonic()
-        self._learned_at = {
-            record.start: self._learned_at.get(record.start, now)
-            for record in records
-            if isinstance(record, _crash_records.Crash)
-        }
+        for record in records:
+            if isinstance(record, _crash_records.Crash):
+                self._learned_at.setdefault(record.start, now)
 
     def set_shared_records(
         self, records: Iterable[_crash_records.CrashRecord]
@@ -121,12 +146,13 @@
         self._shared_by_key = {
             _crash_records.record_key(record): record for record in records
         }
+        self._note_crashes(self._shared_by_key.values())
         for source in (self._own_by_key, self._received_by_key):
             for key in [
                 key for key in source if self.is_in_table(source[key])
             ]:
                 del source[key]
-        self._analysis = None
+        self._has_changed = True
 
     def add_peer_records(
         self, records: Iterable[_crash_records.CrashRecord]
@@ -146,7 +172,8 @@
                 continue
             self._received_by_key[key] = record
             added.append(record)
-        self._analysis = None
+        self._note_crashes(added)
+        self._has_changed = True
         return added
 
     def get(self, key: str) -> _crash_records.CrashRecord | None:
@@ -187,6 +214,11 @@
             replicas=replicas,
             suspects=suspects,
             parts=list(number_by_part),
+            sound=[
+                number
+                for part, number in number_by_part.items()
+                if self.is_answered(part)
+            ],
         )
         self._add_own_records(crash)
         return crash
@@ -221,20 +253,30 @@
         self._add_own_records(released)
         return released
 
-    def handle_end(self, run: _target_runs.Run) -> None:
-        """Record how a run has ended."""
+    def handle_end(self, run: _target_runs.Run) -> bool:
+        """Record how a run has ended.
+
+        Returns
+        -------
+        bool
+            Whether its answer clears a part of crashes that matter.
+        """
         self._sound_parts.handle_end(run)
         if not run.is_success:
-            return
+            return False
         self._add_answered(run.fingerprint)
-        if any(self._clears_part(part, run.began_at) for part in run.parts):
-            self._analysis = None
+        began_at = _sound_parts.output_began_at(run)
+        if not any(self._clears_part(part, began_at) for part in run.parts):
+            return False
+        self._has_changed = True
+        return True
 
-    def _clears_part(self, part: _ids.Fingerprint, sent_at: float) -> bool:
+    def _clears_part(self, part: _ids.Fingerprint, began_at: float) -> bool:
         """Return whether an answer clears a part of crashes that matter."""
         starts = self.analysis.incarnations_of(part)
         return len(starts) >= _MIN_CRASHES_TO_CLEAR and any(
-            self._learned_at.get(start, math.inf) < sent_at for start in starts
+            self._learned_at.get(start, math.inf) < began_at
+            for start in starts
         )
 
     def confirm_survivors(self, running: Iterable[_target_runs.Run]) -> None:
@@ -245,7 +287,7 @@
                 _crash_records.incarnation_name(process) in self._learned_at
             ),
         )
-        self._analysis = None
+        self._has_changed = True
 
     def _add_answered(self, fingerprint: _ids.Fingerprint) -> None:
         """Record that a request got a complete answer.
@@ -283,7 +325,7 @@
     def _clear_parts(
         self, records: Iterable[_crash_records.CrashRecord]
     ) -> None:
-        """Discount crashes before requests with a part that were answered."""
+        """Discount crashes after which the output of an answer began."""
         starts_by_part: dict[
             _ids.Fingerprint, set[_crash_records.IncarnationName]
         ] = {}
@@ -294,9 +336,9 @@
         for part, starts in starts_by_part.items():
             if len(starts) < _MIN_CRASHES_TO_CLEAR:
                 continue
-            sent_at = self._sound_parts.sent_at(part)
+            began_at = self._sound_parts.began_at(part)
             for start in starts:
-                if self._learned_at[start] < sent_at:
+                if self._learned_at[start] < began_at:
                     self._clear(part, start)
         self._limit_answered()
 
@@ -304,10 +346,6 @@
         while len(self._answered) > _MAX_ANSWERED:
             self._answered.popitem(last=False)
 
-    def is_sound(self, part: _ids.Fingerprint, *, seconds: float) -> bool:
-        """Return whether a request with a part was answered here lately."""
-        return self._sound_parts.is_recent(part, seconds=seconds)
-
     def _clear(
         self,
         fingerprint: _ids.Fingerprint,
@@ -320,7 +358,9 @@
                 fingerprint=fingerprint,
                 starts=sorted({*cleared, incarnation}),
                 at=self._clock.now(),
+                daemon=self._daemon,
             )
+            self._answered.move_to_end(fingerprint)
 
     def add_clearances(
         self, *, publishes: Callable[[_ids.Fingerprint], bool]
@@ -337,15 +377,15 @@
         publishes : callable
             Returns whether this daemon publishes a clearance.
         """
-        self._current_analysis()
+        analysis = self._current_analysis()
         if not self._answered:
             return []
-        known = _cause_analysis.CauseAnalysis(self._merged_records().values())
+        count_by_fingerprint = self._published_crash_counts()
         found = [
             self._merge_shared(record)
             for fingerprint, record in self._answered.items()
-            if known.crash_count_of(fingerprint) + 1
-            >= _cause_analysis.MIN_CRASHES
+            if count_by_fingerprint.get(fingerprint, 0) + 1
+            >= analysis.min_crashes(fingerprint)
             and publishes(fingerprint)
         ]
         for record in found:
@@ -353,10 +393,35 @@
         self._add_own_records(*found)
         return found
 
+    def _published_crash_counts(self) -> dict[_ids.Fingerprint, int]:
+        """Count the crashes of what was answered here, as others know them."""
+        starts_by_fingerprint: dict[
+            _ids.Fingerprint, set[_crash_records.IncarnationName]
+        ] = {}
+        merged = self._merged_records()
+        for record in merged.values():
+            if not isinstance(record, _crash_records.Crash):
+                continue
+            present = {suspect.fingerprint for suspect in record.suspects}
+            present.update(record.parts)
+            for fingerprint in present & self._answered.keys():
+                starts_by_fingerprint.setdefault(fingerprint, set()).add(
+                    record.start
+                )
+        for record in merged.values():
+            if isinstance(record, _crash_records.Answered):
+                starts_by_fingerprint.get(
+                    record.fingerprint, set()
+                ).difference_update(record.starts)
+        return {
+            fingerprint: len(starts)
+            for fingerprint, starts in starts_by_fingerprint.items()
+        }
+
     def _merge_shared(
         self, record: _crash_records.Answered
     ) -> _crash_records.Answered:
-        """Add the crashes that others have cleared, which share the row."""
+        """Add the crashes that the daemon's row has cleared before."""
         previous = self._merged_records().get(
             _crash_records.record_key(record)
         )
@@ -432,6 +497,7 @@
     def _add_own_records(self, *records: _crash_records.CrashRecord) -> None:
         for record in records:
             self._own_by_key[_crash_records.record_key(record)] = record
+        self._note_crashes(records)
         self._analysis = None
 
     def _merged_records(self) -> _record_retention.RecordByKey:
--- a/src/topazlug/crashes/_crash_index.py
+++ b/src/topazlug/crashes/_crash_index.py
@@ -101,10 +101,14 @@
     ----------
     block_by_fingerprint : dict
         All blocks, including released ones.
+    sound_parts : set of Fingerprint
+        Parts with which a daemon had lately answered requests when it
+        recorded a crash.
     """
 
     def __init__(self, records: Iterable[_crash_records.CrashRecord]) -> None:
         crashes: list[_crash_records.Crash] = []
+        self.sound_parts: set[_ids.Fingerprint] = set()
         self.block_by_fingerprint: dict[
             _ids.Fingerprint, _crash_records.Block
         ] = {}
@@ -176,6 +180,8 @@
             crashed = CrashedIncarnation(crash.at, crash.group, crash.replicas)
             self._crash_by_incarnation[crash.start] = crashed
         crashed.at = min(crashed.at, crash.at)
+        if with_parts:
+            self.sound_parts.update(crash.parts[n] for n in crash.sound)
         for suspect in crash.suspects:
             run = _SuspectRun(crash, suspect)
             self._runs_by_fingerprint[suspect.fingerprint].append(run)
--- a/src/topazlug/crashes/_crash_records.py
+++ b/src/topazlug/crashes/_crash_records.py
@@ -1,9 +1,8 @@
 """Records of replica crashes that daemons share as rows of a table.
 
-The row of a crash is written by one daemon and never changes. Only a row
-that concerns one fingerprint as a whole (its requests are blocked, or one of
-them was answered) may be written by several. So no two daemons have to agree
-on a row.
+Each daemon writes rows of its own on the crashes that it noticed and on what
+it has answered since. Only the row that blocks a fingerprint may be written by
+several. So no two daemons have to agree on a row.
 """
 
 import datetime
@@ -84,6 +83,9 @@
         The daemon's requests on the replica.
     parts : list of Fingerprint
         Prompt parts of these requests.
+    sound : list of int
+        Positions of those with which the daemon had lately answered other
+        requests.
     """
 
     start: IncarnationName
@@ -93,6 +95,7 @@
     replicas: int
     suspects: list[Suspect]
     parts: list[_ids.Fingerprint] = []
+    sound: list[int] = []
 
 
 @final
@@ -108,11 +111,15 @@
         count against the request.
     at : datetime
         When the record was written.
+    daemon : DaemonId
+        The daemon that answered; empty in records of former versions, which
+        all daemons wrote to one row.
     """
 
     fingerprint: _ids.Fingerprint
     starts: list[IncarnationName]
     at: datetime.datetime
+    daemon: _ids.DaemonId = _ids.DaemonId("")
 
 
 @final
@@ -173,7 +180,8 @@
 
 @record_key.register
 def _key_of_answered(record: Answered) -> str:
-    return f"{_ANSWERED_PREFIX}{record.fingerprint}"
+    name = f"{_ANSWERED_PREFIX}{record.fingerprint}"
+    return f"{name}/{record.daemon}" if record.daemon else name
 
 
 @record_key.register
@@ -213,8 +221,11 @@
         raise ValueError(f"timestamp {record.at} has no time zone")
     if isinstance(record, Crash) and any(
         not 0 <= number < len(record.parts)
-        for suspect in record.suspects
-        for number in suspect.parts
+        for numbers in (
+            record.sound,
+            *(suspect.parts for suspect in record.suspects),
+        )
+        for number in numbers
     ):
-        raise ValueError("a suspect names a part that is not listed")
+        raise ValueError("a number stands for no part that is listed")
     return record
--- a/src/topazlug/crashes/_likely_causes.py
+++ b/src/topazlug/crashes/_likely_causes.py
@@ -55,6 +55,8 @@
         self._count_by_fingerprint: Mapping[_ids.Fingerprint, int] = {}
         # Monotonic seconds.
         self._likely_since: dict[_ids.Fingerprint, float] = {}
+        # When the last crash was added to the count.
+        self._counted_at: dict[_ids.Fingerprint, float] = {}
         self._held_until: dict[_ids.Fingerprint, float] = {}
         self._peer_hold_by_fingerprint: dict[_ids.Fingerprint, _PeerHold] = {}
 
@@ -75,6 +77,14 @@
             fingerprint: likely_since.get(fingerprint, now)
             for fingerprint in count_by_fingerprint
         }
+        self._counted_at = {
+            fingerprint: (
+                now
+                if count > before.get(fingerprint, 0)
+                else self._counted_at[fingerprint]
+            )
+            for fingerprint, count in count_by_fingerprint.items()
+        }
         self._held_until = {
             fingerprint: (
                 now + HOLD_SECONDS
@@ -125,15 +135,24 @@
         """Return whether peers may hold anything back."""
         return bool(self._peer_hold_by_fingerprint)
 
-    def is_settled(
+    def is_settled(self, fingerprint: _ids.Fingerprint) -> bool:
+        """Return whether something has been a likely cause for long enough."""
+        likely_since = self._likely_since.get(fingerprint, math.inf)
+        return self._clock.monotonic() >= likely_since + _SETTLE_SECONDS
+
+    def is_steady(
         self,
         fingerprint: _ids.Fingerprint,
         *,
         seconds: float = _SETTLE_SECONDS,
     ) -> bool:
-        """Return whether something has been a likely cause for long enough."""
-        likely_since = self._likely_since.get(fingerprint, math.inf)
-        return self._clock.monotonic() >= likely_since + seconds
+        """Return whether no crash has been counted for long enough.
+
+        While something is held back, the runs that remain end: either they
+        crash replicas too, or they are answered.
+        """
+        counted_at = self._counted_at.get(fingerprint, math.inf)
+        return self._clock.monotonic() >= counted_at + seconds
 
     def settle_times(self, *others: float) -> list[float]:
         """Return the monotonic times at which likely causes will be settled.
@@ -141,12 +160,13 @@
         Parameters
         ----------
         *others : float
-            Seconds after which some of them are settled.
+            Seconds after which some of them are steady.
         """
         now = self._clock.monotonic()
-        times = [
+        times = [at + _SETTLE_SECONDS for at in self._likely_since.values()]
+        times += [
             at + seconds
-            for at in self._likely_since.values()
+            for at in self._counted_at.values()
             for seconds in (_SETTLE_SECONDS, *others)
         ]
         return [at for at in times if at > now]
--- a/src/topazlug/crashes/_record_retention.py
+++ b/src/topazlug/crashes/_record_retention.py
@@ -11,12 +11,13 @@
 # that runs 64 requests adds as many suspects when it crashes.
 MAX_CRASHES = 512
 MAX_SUSPECTS = 2048
-# Bounds the blocks, and separately the suspects that were answered.
 MAX_BLOCKS = 256
+# Several daemons may clear one suspect.
+MAX_ANSWERED = 512
 
 _MAX_BY_KIND = {
     _crash_records.Crash: MAX_CRASHES,
-    _crash_records.Answered: MAX_BLOCKS,
+    _crash_records.Answered: MAX_ANSWERED,
     _crash_records.Block: MAX_BLOCKS,
 }
 
--- a/src/topazlug/crashes/_sound_parts.py
+++ b/src/topazlug/crashes/_sound_parts.py
@@ -25,16 +25,17 @@
 
 
 class _Answer(NamedTuple):
-    """The newest request with a part that was answered.
+    """The newest answer to a request with a part.
 
     Attributes
     ----------
-    sent_at, answered_at : float
-        Monotonic seconds.
+    began_at, ended_at : float
+        Monotonic seconds at which its output began, and at which it was clear
+        that the replica had survived it.
     """
 
-    sent_at: float
-    answered_at: float
+    began_at: float
+    ended_at: float
 
 
 _NEVER = _Answer(-math.inf, -math.inf)
@@ -42,10 +43,10 @@
 
 @final
 class SoundParts:
-    """Remembers for each prompt part the newest request that was answered.
+    """Remembers for each prompt part the newest answer.
 
-    An answer proves that the part did not crash replicas when the request was
-    sent. It proves nothing of later times: a part may become one that crashes
+    An answer proves that the part did not crash replicas when the output
+    began. It proves nothing of later times: a part may become one that crashes
     replicas, with their next software.
 
     Parameters
@@ -99,19 +100,22 @@
         for part in run.parts:
             before = self._answer_by_part.get(part, _NEVER)
             self._answer_by_part[part] = _Answer(
-                max(before.sent_at, run.began_at), now
+                max(before.began_at, output_began_at(run)), now
             )
             self._answer_by_part.move_to_end(part)
         while len(self._answer_by_part) > _MAX_PARTS:
             self._answer_by_part.popitem(last=False)
 
-    def sent_at(self, part: _ids.Fingerprint) -> float:
-        """Return when the newest request that was answered was sent."""
-        return self._answer_by_part.get(part, _NEVER).sent_at
+    def began_at(self, part: _ids.Fingerprint) -> float:
+        """Return when the output of the newest answer began."""
+        return self._answer_by_part.get(part, _NEVER).began_at
 
-    def is_recent(
-        self, part: _ids.Fingerprint, *, seconds: float = _RECENT_SECONDS
-    ) -> bool:
+    def is_recent(self, part: _ids.Fingerprint) -> bool:
         """Return whether a request with the part was answered lately."""
-        answered_at = self._answer_by_part.get(part, _NEVER).answered_at
-        return answered_at > self._clock.monotonic() - seconds
+        ended_at = self._answer_by_part.get(part, _NEVER).ended_at
+        return ended_at > self._clock.monotonic() - _RECENT_SECONDS
+
+
+def output_began_at(run: _target_runs.Run) -> float:
+    """Return when a run's output began, or when it was sent if it had none."""
+    return run.began_at if run.wrote_at == math.inf else run.wrote_at
--- a/tests/topazlug/crashes/test_crash_history.py
+++ b/tests/topazlug/crashes/test_crash_history.py
@@ -227,7 +227,7 @@
         clock.advance(1.0)
         answers = [
             fixtures.answered(f"f{n}", "i-1@1", at=clock.now())
-            for n in range(_record_retention.MAX_BLOCKS + 50)
+            for n in range(_record_retention.MAX_ANSWERED + 50)
         ]
         history.set_shared_records([block, *answers])
         assert history.analysis.is_blocked("f")
