--- a/src/topazlug/callers/_listener_load.py
+++ b/src/topazlug/callers/_listener_load.py
@@ -13,6 +13,8 @@
 # read within a third of it. A processor quota that is used up delays a daemon
 # by up to 0.1 s in ordinary operation.
 _MAX_DELAY_SECONDS = 0.15
+# Overload begins with shorter delays than this.
+_MIN_PAUSE_SECONDS = 0.4
 
 
 @final
@@ -39,11 +41,12 @@
     def record_delay(self, seconds: float) -> None:
         """Record by how much a timer was late.
 
-        A single delay is no overload: the process may have been paused, and
-        can read what has arrived meanwhile.
+        A single long delay is no overload: the process may have been paused,
+        and can read what has arrived meanwhile.
         """
         is_delayed = seconds > _MAX_DELAY_SECONDS
-        was_late, self.is_late = self.is_late, is_delayed and self._was_delayed
+        is_pause = seconds > _MIN_PAUSE_SECONDS and not self._was_delayed
+        was_late, self.is_late = self.is_late, is_delayed and not is_pause
         self._was_delayed = is_delayed
         if self.is_late and not was_late:
             _log.warning(
