--- a/src/topazlug/crashes/_crash_history.py
+++ b/src/topazlug/crashes/_crash_history.py
@@ -13,6 +13,7 @@
 from topazlug import _clock
 from topazlug import _ids
 from topazlug.crashes import _cause_analysis
+from topazlug.crashes import _crash_index
 from topazlug.crashes import _crash_records
 from topazlug.crashes import _fingerprint
 from topazlug.crashes import _record_retention
@@ -330,13 +331,17 @@
         self, records: Iterable[_crash_records.CrashRecord]
     ) -> None:
         """Discount crashes after which the output of an answer began."""
+        crashes = [
+            record
+            for record in records
+            if isinstance(record, _crash_records.Crash)
+        ]
         starts_by_part: dict[
             _ids.Fingerprint, set[_crash_records.IncarnationName]
         ] = {}
-        for record in records:
-            if isinstance(record, _crash_records.Crash):
-                for part in record.parts:
-                    starts_by_part.setdefault(part, set()).add(record.start)
+        for crash in _crash_index.recent(crashes):
+            for part in crash.parts:
+                starts_by_part.setdefault(part, set()).add(crash.start)
         for part, starts in starts_by_part.items():
             if len(starts) < _MIN_CRASHES_TO_CLEAR:
                 continue
@@ -386,7 +391,12 @@
             return []
         count_by_fingerprint = self._published_crash_counts()
         found = [
-            self._merge_shared(record)
+            # The crashes that matter for a part are all recent.
+            (
+                record
+                if _fingerprint.is_part(fingerprint)
+                else self._merge_shared(record)
+            )
             for fingerprint, record in self._answered.items()
             if count_by_fingerprint.get(fingerprint, 0) + 1
             >= analysis.min_crashes(fingerprint)
--- a/src/topazlug/crashes/_crash_index.py
+++ b/src/topazlug/crashes/_crash_index.py
@@ -7,6 +7,7 @@
 import collections
 from collections.abc import Iterable
 from collections.abc import Iterator
+from collections.abc import Sequence
 import datetime
 from typing import NamedTuple
 from typing import final
@@ -22,7 +23,7 @@
 _LEAD_TIME = datetime.timedelta(seconds=5)
 # Crashes longer ago than this don't count against a prompt part. Parts stay in
 # use for a long time, and over a day one may run at several crashes.
-PART_WINDOW = datetime.timedelta(minutes=10)
+_PART_WINDOW = datetime.timedelta(minutes=10)
 
 
 @final
@@ -146,10 +147,10 @@
             for member in block.members:
                 self._blocks_by_member[member].append(block)
         self._explaining = self._explaining_blocks(crashes)
-        newest = max((crash.at for crash in crashes), default=None)
         for crash in crashes:
-            is_recent = newest is not None and newest - crash.at < PART_WINDOW
-            self._add(crash, with_parts=is_recent)
+            self._add(crash)
+        for crash in recent(crashes):
+            self._add_parts(crash)
         # Times of the crashes that no block explains, in order.
         self._times_by_group: collections.defaultdict[
             _ids.GroupName, list[datetime.datetime]
@@ -180,18 +181,21 @@
                         )
         return explaining
 
-    def _add(self, crash: _crash_records.Crash, *, with_parts: bool) -> None:
+    def _add(self, crash: _crash_records.Crash) -> None:
         crashed = self._crash_by_incarnation.get(crash.start)
         if crashed is None:
             crashed = CrashedIncarnation(crash.at, crash.group, crash.replicas)
             self._crash_by_incarnation[crash.start] = crashed
         crashed.at = min(crashed.at, crash.at)
-        if with_parts:
-            self.sound_parts.update(crash.parts[n] for n in crash.sound)
         for suspect in crash.suspects:
             run = _SuspectRun(crash, suspect)
             self._runs_by_fingerprint[suspect.fingerprint].append(run)
-            for number in suspect.parts if with_parts else ():
+
+    def _add_parts(self, crash: _crash_records.Crash) -> None:
+        self.sound_parts.update(crash.parts[number] for number in crash.sound)
+        for suspect in crash.suspects:
+            run = _SuspectRun(crash, suspect)
+            for number in suspect.parts:
                 self._runs_by_fingerprint[crash.parts[number]].append(run)
 
     def _is_explained(
@@ -340,6 +344,16 @@
         return rate * crashes.seconds / replicas
 
 
+def recent(
+    crashes: Sequence[_crash_records.Crash],
+) -> Iterator[_crash_records.Crash]:
+    """Yield the crashes that count against prompt parts."""
+    newest = max((crash.at for crash in crashes), default=None)
+    for crash in crashes:
+        if newest is not None and newest - crash.at < _PART_WINDOW:
+            yield crash
+
+
 def _members(
     crash: _crash_records.Crash, suspect: _crash_records.Suspect
 ) -> frozenset[_ids.Fingerprint]:
