Close new connections only where many arrive

A daemon without processor time closed the connections of single callers, though that frees no time where few arrive. At least eight must have arrived since the last measurement.

--- a/src/topazlug/callers/_caller_server.py
+++ b/src/topazlug/callers/_caller_server.py
@@ -114,6 +114,7 @@
         Callers whose connection is closed unread try another daemon at once,
         also with requests that may run only once.
         """
+        self.load.record_arrival()
         free = self._max_connections - self.connections
         if free <= self._spare:
             self._evict_longest_idle()
--- a/src/topazlug/callers/_listener_load.py
+++ b/src/topazlug/callers/_listener_load.py
@@ -13,6 +13,8 @@
 # read within a third of it. A processor quota that is used up delays a daemon
 # by up to 0.1 s in ordinary operation.
 _MAX_DELAY_SECONDS = 0.15
+# New connections since the last measurement.
+_MIN_ARRIVED = 8
 # Overload begins with shorter delays than this.
 _MIN_PAUSE_SECONDS = 0.4
 
@@ -28,8 +30,13 @@
 
     def __init__(self) -> None:
         self._was_delayed = False
+        self._arrived = 0
         self.is_late = False
 
+    def record_arrival(self) -> None:
+        """Record that a new connection has arrived."""
+        self._arrived += 1
+
     def measure_forever(self) -> None:
         """Measure the delay of a timer again and again."""
         while True:
@@ -42,9 +49,11 @@
         """Record by how much a timer was late.
 
         A single long delay is no overload: the process may have been paused,
-        and can read what has arrived meanwhile.
+        and can read what has arrived meanwhile. Where few connections arrive,
+        others are not the reason, and closing them frees no time.
         """
-        is_delayed = seconds > _MAX_DELAY_SECONDS
+        arrived, self._arrived = self._arrived, 0
+        is_delayed = seconds > _MAX_DELAY_SECONDS and arrived >= _MIN_ARRIVED
         is_pause = seconds > _MIN_PAUSE_SECONDS and not self._was_delayed
         was_late, self.is_late = self.is_late, is_delayed and not is_pause
         self._was_delayed = is_delayed
