Serve the last callers of a daemon that stops, though it is late

The callers in the queue of a listener that closes must not depend on that: their daemon has been taken out of service.

--- a/src/topazlug/callers/_caller_server.py
+++ b/src/topazlug/callers/_caller_server.py
@@ -118,7 +118,9 @@
         free = self._max_connections - self.connections
         if free <= self._spare:
             self._evict_longest_idle()
-        if free <= 0 or self.load.is_late:
+        # The last callers of a daemon that stops are served.
+        is_late = self.load.is_late and not self.stopping
+        if free <= 0 or is_late:
             self._refuse(args[0], has_room=free > 0)
             return
         self._is_full = False
--- a/tests/topazlug/callers/test_caller_server.py
+++ b/tests/topazlug/callers/test_caller_server.py
@@ -254,6 +254,12 @@
             herd.server.load.record_delay(0.3)
         assert herd.is_answered(herd.connect())
 
+    def test_last_callers_of_a_daemon_that_stops_are_served(self, herd):
+        """Callers in the queue of a daemon that stopped were not served."""
+        herd.delay()
+        herd.server.stopping = True
+        assert herd.is_answered(herd.connect())
+
     def test_open_connections_are_served_while_the_daemon_is_late(self, herd):
         sock = herd.connect()
         assert herd.is_answered(sock)
