Have streams last as long as the replacement that a test watches

A second version begins no stream in its first second, and on a fast machine 120 streams had ended by then, so that none was of the second version.

--- a/tests/topazlug_platform/test_streams_of_two_versions.py
+++ b/tests/topazlug_platform/test_streams_of_two_versions.py
@@ -196,8 +196,10 @@
         """Streams of the version before went on at the one after."""
         with running_fleet(versions=["v1"] * 4) as fleet:
             fleet.break_streams(4)
-            with fleet.replacing("v2"):
-                streams = fleet.streams(120, 0, 1, 2)
+            streams = []
+            with fleet.replacing("v2") as is_done:
+                while len(streams) < 120 or not is_done():
+                    streams += fleet.streams(STREAMS, 0, 1, 2)
             assert [one for one in streams if one.is_mixed] == []
             assert any("v2" in one.versions for one in streams)
 
--- a/tests/topazlug_platform/version_fleet.py
+++ b/tests/topazlug_platform/version_fleet.py
@@ -351,9 +351,12 @@
 
     @contextlib.contextmanager
     def replacing(self, version):
-        """Replace one replica after the other, while the context is left."""
+        """Replace one replica after the other, while the context is left.
+
+        Returns a function that tells whether all have been replaced.
+        """
         task = gevent.spawn(self._replace_all, version)
-        yield
+        yield task.ready
         task.get()
 
     def _replace_all(self, version):
