Add the review's case of streams joined from two versions

Cause: after all daemons were killed, a daemon takes the only software version in its list for the one that began a stream, as soon as another daemon has answered, though that one has just started too.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,10 +1,10 @@
-"""Case 1: streams are cut off because their replica pauses.
+"""Case 1: streams go on at another software version after a kill.
 
-A daemon gets SIGTERM while streams run through it. One of six replicas, the
-one with the most streams, then sends nothing for 1.8 seconds, less than
-clients wait, and goes on. Exits with 1 if the daemon cut off streams although
-their replica had not broken off; with 0 if not, and 2 if the case could not
-run.
+A service is released: its replicas of version 1 are replaced by others of
+version 2, one after the other. All daemons are killed at once while streams of
+version 1 run, and are back after the last replica of version 1 has left. The
+clients take their streams up again. Exits with 1 if more than two streams hold
+events of both versions, with 0 if not, and 2 if the case could not run.
 """
 
 import pathlib
@@ -16,21 +16,25 @@
 HERE = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(HERE.parent))
 
-from common import daemons as _daemons  # noqa: E402
 from common import deployment as _deployment  # noqa: E402
 
 DAEMONS = 3
 REPLICAS = 6
-CLIENTS = 80
-EVENTS = 40
+CLIENTS = 24
+EVENTS = 65
 EVENT_SECONDS = 0.1
-# All streams have begun by then.
-SIGNAL_AFTER_SECONDS = 1.5
-PAUSE_AFTER_SECONDS = 0.3
-# Clients abandon a stream after a gap of 2 s, four times the objective
-# (0.6 s) or eight times the longest pause (0.3 s): after 2.4 s here.
-PAUSE_SECONDS = 1.8
-GRACE_SECONDS = _daemons.BOUNDS["grace_period_s"]
+# Seconds before the streams begin, and between two replicas.
+RELEASE_BEFORE_SECONDS = 1.0
+RELEASE_GAP_SECONDS = 0.77
+# A replica that drains goes on serving for the drain time-out and a little
+# longer.
+SERVES_SECONDS = 2.4
+# Seconds after the streams have begun; the last replica leaves at 5.25.
+KILL_AT_SECONDS = 4.9
+KILLED_SECONDS = 0.5
+# A client tries a few times, each time on a new connection.
+RETRY_AFTER_SECONDS = (0.1, 1.0, 1.5)
+MAX_MIXED = 2
 
 
 def plan(request):
@@ -39,100 +43,124 @@
 
 
 class Client(threading.Thread):
-    """Sends one stream on a connection of its own."""
+    """Reads one stream, and takes it up again when it breaks."""
 
-    def __init__(self, number, daemon, record):
+    def __init__(self, number, deployment, record):
         super().__init__(daemon=True)
-        self.attempt = f"c-{number:02d}"
-        self._daemon = daemon
+        self.name = f"c-{number:02d}"
+        self._number = number
+        self._deployment = deployment
         self._record = record
-        self.sent_at = 0.0
-        self.ended_at = 0.0
-        self.answer = None
-        self.ids = []
+        self.versions_by_id = {}
 
     def run(self):
-        connection = _deployment.connect(self._daemon)
+        self._deadline = time.monotonic() + _deployment.TIMEOUT_MS / 1000
+        if self._try(0):
+            return
+        for number, pause in enumerate(RETRY_AFTER_SECONDS, start=1):
+            time.sleep(pause)
+            if self._try(number):
+                return
+
+    def _try(self, number):
+        """Make one attempt; return whether the stream is complete."""
+        attempt = f"{self.name}-{number}"
+        daemons = self._deployment.daemons
+        daemon = daemons[(self._number + number) % len(daemons)]
+        fields = _deployment.generation_fields(attempt, EVENTS)
+        if self.versions_by_id:
+            fields += [
+                ("Last-Event-Id", str(max(self.versions_by_id))),
+                ("Resumes", f"{self.name}-0"),
+            ]
+        try:
+            connection = _deployment.connect(daemon)
+        except OSError:
+            self._record.write(f"{attempt}: no connection to {daemon.name}")
+            return False
         try:
-            self.sent_at = time.monotonic()
             connection.send(
-                "POST",
-                _deployment.RESUMABLE + "go",
-                _deployment.generation_fields(self.attempt, EVENTS),
-                b"a prompt",
+                "POST", _deployment.RESUMABLE + "go", fields, b"a prompt"
             )
-            self._record.write(f"sent: {self.attempt} to {self._daemon.name}")
             answer = connection.receive()
+        except OSError:
+            return False
         finally:
             connection.close()
-        self.ended_at = time.monotonic()
-        self.ids = [
-            int(line[4:])
-            for line in answer.body.split(b"\n")
-            if line.startswith(b"id: ")
-        ]
-        self.answer = answer
+        self._add_events(answer)
         self._record.write(
-            f"answered: {self.attempt}: status {answer.status}, {answer.end}"
-            f", {len(self.ids)} of {EVENTS} events, "
-            f"{self.ended_at - self.sent_at:.2f} s"
+            f"{attempt}: status {answer.status}, {answer.end}, now "
+            f"{len(self.versions_by_id)} of {EVENTS} events, of versions "
+            f"{sorted(set(self.versions_by_id.values()))}"
         )
+        return answer.status == 200 and answer.end == "complete"
+
+    def _add_events(self, answer):
+        if answer.status != 200:
+            return
+        for event in answer.body.split(b"\n\n")[:-1]:
+            lines = event.decode().split("\n")
+            number = int(lines[0].removeprefix("id: "))
+            version = lines[1].removeprefix("data: ").split(" ")[0]
+            self.versions_by_id[number] = version
 
 
 def play(deployment, record, has_trouble):
-    """Play the case; return whether LOST held."""
-    stopped = deployment.daemons[0]
-    began = time.monotonic()
-    clients = [Client(number, stopped, record) for number in range(CLIENTS)]
+    """Play the case; return whether ORDER held."""
+    began = time.monotonic() + RELEASE_BEFORE_SECONDS
+    threading.Thread(
+        target=release, args=(deployment, record), daemon=True
+    ).start()
+    wait_until(began)
+    clients = [
+        Client(number, deployment, record) for number in range(CLIENTS)
+    ]
     for client in clients:
         client.start()
-        time.sleep(0.01)
-    time.sleep(max(0.0, began + SIGNAL_AFTER_SECONDS - time.monotonic()))
-    signalled_at = time.monotonic()
+    wait_until(began + KILL_AT_SECONDS)
     if has_trouble:
-        stopped.send(signal.SIGTERM)
-        record.write(f"SIGTERM to {stopped.name}")
-        time.sleep(PAUSE_AFTER_SECONDS)
-        busiest = max(deployment.replicas, key=_running)
+        for daemon in deployment.daemons:
+            daemon.send(signal.SIGKILL)
+        record.write("all daemons are killed")
+        for daemon in deployment.daemons:
+            daemon.process.wait()
+        time.sleep(KILLED_SECONDS)
+        for daemon in deployment.daemons:
+            daemon.restart()
+        record.write("all daemons start again")
+    for client in clients:
+        client.join(timeout=20.0)
+    mixed = [
+        client.name
+        for client in clients
+        if len(set(client.versions_by_id.values())) > 1
+    ]
+    record.write(f"{len(mixed)} of {CLIENTS} streams are of two versions")
+    return len(mixed) <= MAX_MIXED
+
+
+def release(deployment, record):
+    """Replace the replicas one after the other."""
+    for old in list(deployment.replicas):
+        new = deployment.add_replica(plan=plan, version="2")
+        old.drain()
         record.write(
-            f"{busiest.name} with {_running(busiest)} streams pauses for "
-            f"{PAUSE_SECONDS} s"
+            f"{new.name} of version 2 starts, {old.name} of version 1 drains"
         )
-        busiest.pause(PAUSE_SECONDS)
-    for client in clients:
-        client.join(timeout=GRACE_SECONDS + 5.0)
-    return check(deployment, clients, signalled_at, record)
+        threading.Thread(
+            target=leave_later, args=(old, record), daemon=True
+        ).start()
+        time.sleep(RELEASE_GAP_SECONDS)
 
 
-def _running(replica):
-    return sum(run.end == "running" for run in replica.runs)
+def leave_later(replica, record):
+    time.sleep(SERVES_SECONDS)
+    replica.leave()
+    record.write(f"{replica.name} of version 1 leaves")
 
 
-def check(deployment, clients, signalled_at, record):
-    """Apply LOST around planned work, with its excuses."""
-    runs_by_attempt = {}
-    for run in deployment.runs():
-        runs_by_attempt.setdefault(run.attempt, []).append(run)
-    is_kept = True
-    for client in clients:
-        answer = client.answer
-        runs = runs_by_attempt.get(client.attempt, [])
-        if answer is None or answer.end == "complete" or not runs:
-            continue
-        cut_after = client.ended_at - signalled_at
-        if client.ended_at - client.sent_at >= _deployment.TIMEOUT_MS / 1000:
-            record.write(f"excused: {client.attempt}, its time was up")
-            continue
-        if cut_after >= GRACE_SECONDS * 5 / 6:
-            record.write(f"excused: {client.attempt}, cut off at the end")
-            continue
-        is_kept = False
-        record.write(
-            f"LOST: {client.attempt}, passed on to {runs[-1].replica}, is cut"
-            f" off {cut_after:.2f} s after SIGTERM with {len(client.ids)} of "
-            f"{EVENTS} events; its replica had not broken off"
-        )
-    return is_kept
+def wait_until(at):
+    time.sleep(max(0.0, at - time.monotonic()))
 
 
 if __name__ == "__main__":
--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -135,6 +135,20 @@
             zones=ZONES,
         )
 
+    def add_replica(self, *, plan, version):
+        """Start one more replica."""
+        number = len(self.replicas)
+        replica = _replicas.Replica(
+            name=f"i-{number + 1}",
+            service=SERVICE,
+            zone=ZONES[number % len(ZONES)],
+            store=self.store,
+            plan=plan,
+            version=version,
+        )
+        self.replicas.append(replica)
+        return replica
+
     def runs(self):
         """Return all runs in the order in which they began."""
         found = [run for replica in self.replicas for run in replica.runs]
--- a/review/common/replicas.py
+++ b/review/common/replicas.py
@@ -44,14 +44,18 @@
         Its service and zone.
     store : Store
         Where it registers.
+    version : str
+        Version of its software.
     plan : callable
         Returns the number of events of a request's answer and the seconds
         between them. A third figure makes it a document without a length,
         in blocks of so many bytes.
     """
 
-    def __init__(self, *, name, service, zone, store, plan):
+    def __init__(self, *, name, service, zone, store, plan, version="1"):
         self.name = name
+        self.version = version
+        self._state = "serving"
         self.service = service
         self.zone = zone
         self._store = store
@@ -79,6 +83,16 @@
         self._sequence = 0
         self._beat()
 
+    def drain(self):
+        """Report that it is leaving; it goes on serving."""
+        self._state = "draining"
+        self._beat()
+
+    def leave(self):
+        """End the process as planned, and remove its entry."""
+        self.crash()
+        self._store.remove("servers", self.name)
+
     def pause(self, seconds):
         """Send no events for a while, as during the reading of a prompt."""
         self._paused_until = time.monotonic() + seconds
@@ -136,9 +150,9 @@
                 "service": self.service,
                 "address": self.address,
                 "zone": self.zone,
-                "version": "1",
+                "version": self.version,
                 "slots": _SLOTS,
-                "state": "serving",
+                "state": self._state,
                 "cold_remaining_ms": 0,
                 "sequence": self._sequence,
                 "born": self.born,
@@ -223,7 +237,10 @@
                 if self._is_lost(epoch):
                     run.end = "lost as its replica crashed"
                     return True
-                event = f"id: {number}\ndata: {attempt} {number}\n\n".encode()
+                event = (
+                    f"id: {number}\ndata: {self.version} {attempt} {number}"
+                    "\n\n"
+                ).encode()
                 sock.sendall(b"%x\r\n%s\r\n" % (len(event), event))
                 run.sent += 1
             sock.sendall(b"0\r\n\r\n")
