--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,9 +1,9 @@
 """Case 1: streams go on at another software version after a kill.
 
-A service is released: its replicas of version 1 are replaced by others of
-version 2, one after the other. All daemons are killed at once while streams of
-version 1 run, and are back after the last replica of version 1 has left. The
-clients take their streams up again. Exits with 1 if more than two streams hold
+A service is released in two halves: its replicas of version 1 are replaced by
+others of version 2, one after the other. All daemons are killed at once while
+streams of version 1 run, and are back after the last replica of version 1 has
+left. The clients take their streams up again. Exits with 1 if more than two streams hold
 events of both versions, with 0 if not, and 2 if the case could not run.
 """
 
@@ -23,14 +23,15 @@
 CLIENTS = 24
 EVENTS = 65
 EVENT_SECONDS = 0.1
-# Seconds before the streams begin, and between two replicas.
-RELEASE_BEFORE_SECONDS = 1.0
+# Half of the replicas are replaced at a time. Seconds after the streams have
+# begun, and between two replicas.
+RELEASES_AT_SECONDS = (-6.0, 0.5)
 RELEASE_GAP_SECONDS = 0.77
 # A replica that drains goes on serving for the drain time-out and a little
 # longer.
 SERVES_SECONDS = 2.4
-# Seconds after the streams have begun; the last replica leaves at 5.25.
-KILL_AT_SECONDS = 4.9
+# Seconds after the streams have begun; the last replica leaves at 4.44.
+KILL_AT_SECONDS = 4.1
 KILLED_SECONDS = 0.5
 # A client tries a few times, each time on a new connection.
 RETRY_AFTER_SECONDS = (0.1, 1.0, 1.5)
@@ -67,7 +68,12 @@
         attempt = f"{self.name}-{number}"
         daemons = self._deployment.daemons
         daemon = daemons[(self._number + number) % len(daemons)]
-        fields = _deployment.generation_fields(attempt, EVENTS)
+        fields = _deployment.generation_fields(
+            attempt,
+            EVENTS,
+            session=self.name,
+            shared_part=f"5c1e07{self._number:02x}",
+        )
         if self.versions_by_id:
             fields += [
                 ("Last-Event-Id", str(max(self.versions_by_id))),
@@ -80,7 +86,10 @@
             return False
         try:
             connection.send(
-                "POST", _deployment.RESUMABLE + "go", fields, b"a prompt"
+                "POST",
+                _deployment.RESUMABLE + "go",
+                fields,
+                f"the prompt of {self.name}".encode(),
             )
             answer = connection.receive()
         except OSError:
@@ -107,9 +116,9 @@
 
 def play(deployment, record, has_trouble):
     """Play the case; return whether ORDER held."""
-    began = time.monotonic() + RELEASE_BEFORE_SECONDS
+    began = time.monotonic() - RELEASES_AT_SECONDS[0]
     threading.Thread(
-        target=release, args=(deployment, record), daemon=True
+        target=release, args=(deployment, began, record), daemon=True
     ).start()
     wait_until(began)
     clients = [
@@ -139,18 +148,27 @@
     return len(mixed) <= MAX_MIXED
 
 
-def release(deployment, record):
-    """Replace the replicas one after the other."""
-    for old in list(deployment.replicas):
-        new = deployment.add_replica(plan=plan, version="2")
-        old.drain()
-        record.write(
-            f"{new.name} of version 2 starts, {old.name} of version 1 drains"
-        )
-        threading.Thread(
-            target=leave_later, args=(old, record), daemon=True
-        ).start()
-        time.sleep(RELEASE_GAP_SECONDS)
+def release(deployment, began, record):
+    """Replace the replicas, one after the other in each half."""
+    old = list(deployment.replicas)
+    half = len(old) // 2
+    for at, group in zip(RELEASES_AT_SECONDS, (old[:half], old[half:])):
+        wait_until(began + at)
+        for replica in group:
+            replace(deployment, replica, record)
+            time.sleep(RELEASE_GAP_SECONDS)
+
+
+def replace(deployment, old, record):
+    """Start a replica of version 2, and have one of version 1 drain."""
+    new = deployment.add_replica(plan=plan, version="2")
+    old.drain()
+    record.write(
+        f"{new.name} of version 2 starts, {old.name} of version 1 drains"
+    )
+    threading.Thread(
+        target=leave_later, args=(old, record), daemon=True
+    ).start()
 
 
 def leave_later(replica, record):
--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -7,6 +7,7 @@
 import threading
 import time
 import traceback
+import zlib
 
 from common import daemons as _daemons
 from common import http1
@@ -24,7 +25,6 @@
 TIMEOUT_MS = 10000
 # Three heartbeats of a replica.
 _LAPSE_SECONDS = 3.6
-_PARTS = "5c1e07a2:800,91bd3f06:410"
 
 
 class Record:
@@ -93,15 +93,19 @@
     }
 
 
-def generation_fields(attempt, events):
-    """Return the header fields of a client's generation."""
-    own_part = sum(attempt.encode())
+def generation_fields(attempt, events, *, session, shared_part="91bd3f06"):
+    """Return the header fields of a client's generation.
+
+    The last part of its prompt is that of its session alone.
+    """
+    own_part = zlib.crc32(session.encode())
+    parts = f"5c1e07a2:800,{shared_part}:410,{own_part:x}:9"
     return [
         ("Host", HOST),
         ("X-Attempt-Id", attempt),
         ("X-Model", "m"),
         ("X-Token-Counts", f"1210,{events * 9}"),
-        ("X-Prompt-Prefix", f"{_PARTS},{own_part:x}{attempt[-2:]}:9"),
+        ("X-Prompt-Prefix", parts),
         ("X-Deadline-Ms", str(TIMEOUT_MS)),
         ("Authorization", f"Bearer {KEY}"),
     ]
