Log what the version of a stream was concluded from

Cause: after a stream went on at another version, the line "the only version" stood for two different conclusions, and no line told what the other daemons had answered, so hypotheses could not be told apart. Change: the line names one of five sources, this daemon's view and that of each daemon that answered, and those that did not answer; a refusal has the same fields. The decision is unchanged. Result: TestLogs, two tests, with the fields of a line.

--- a/src/topazlug/versions/_group_versions.py
+++ b/src/topazlug/versions/_group_versions.py
@@ -58,6 +58,15 @@
         (version,) = self.versions
         return version
 
+    def summary(self) -> str:
+        """Return it as a short text for log lines."""
+        words: list[str] = [*sorted(self.versions)] or ["none"]
+        if not self.is_current:
+            words.append("(old list)")
+        if not self.knows_past:
+            words.append("(past unknown)")
+        return " ".join(words)
+
 
 class _Group(msgspec.Struct):
     listed: frozenset[Version] = frozenset()
--- a/src/topazlug/versions/_origin_exchange.py
+++ b/src/topazlug/versions/_origin_exchange.py
@@ -52,17 +52,25 @@
     ----------
     origin : Origin or None
         Where the stream began, None if none of them knows it.
-    views : list of VersionsView
+    view_by_daemon : dict of DaemonId to VersionsView
         What they know of the versions of the group.
-    has_gaps : bool
-        Whether some of them did not answer.
+    unanswered : list of DaemonId
+        Those that did not answer.
+    is_asked : bool
+        Whether daemons were asked at all.
     """
 
     origin: _stream_origins.Origin | None = None
-    views: list[_group_versions.VersionsView] = msgspec.field(
-        default_factory=list
+    view_by_daemon: dict[_ids.DaemonId, _group_versions.VersionsView] = (
+        msgspec.field(default_factory=dict)
     )
-    has_gaps: bool = False
+    unanswered: list[_ids.DaemonId] = msgspec.field(default_factory=list)
+    is_asked: bool = False
+
+    @property
+    def is_complete(self) -> bool:
+        """Return whether all daemons that know of the stream have answered."""
+        return self.is_asked and not self.unanswered
 
 
 @final
@@ -130,7 +138,9 @@
                 break
         self.told_count += told
 
-    def ask(self, key: _ids.StreamKey, group: _ids.GroupName) -> Answers:
+    def ask(
+        self, key: _ids.StreamKey, group: _ids.GroupName, answers: Answers
+    ) -> None:
         """Ask other daemons where a stream began.
 
         Parameters
@@ -139,15 +149,16 @@
             The stream.
         group : GroupName
             Group whose versions are asked for as well.
+        answers : Answers
+            Receives what they answer.
         """
-        answers = Answers()
+        answers.is_asked = True
         daemons = self._holders.of_stream(key)
         message = messages.OriginAsk(stream=key, group=group)
         for asked in (daemons[:_ASKED_FIRST], daemons[_ASKED_FIRST:]):
             self._ask_all(asked, message, answers)
             if answers.origin is not None:
-                break
-        return answers
+                return
 
     def _ask_all(
         self,
@@ -156,22 +167,23 @@
         answers: Answers,
     ) -> None:
         """Ask some daemons at the same time, until one knows the stream."""
-        calls = [
-            gevent.spawn(self._ask, daemon, message) for daemon in daemons
-        ]
-        self.asked_count += len(calls)
+        daemon_by_call = {
+            gevent.spawn(self._ask, daemon, message): daemon
+            for daemon in daemons
+        }
+        self.asked_count += len(daemon_by_call)
         try:
-            for call in gevent.iwait(calls):
-                reply = call.value
+            for call in gevent.iwait(daemon_by_call):
+                daemon, reply = daemon_by_call[call], call.value
                 if reply is None:
-                    answers.has_gaps = True
+                    answers.unanswered.append(daemon)
                     continue
-                answers.views.append(_view_from(reply))
+                answers.view_by_daemon[daemon] = _view_from(reply)
                 if reply.is_known:
                     answers.origin = _origin_from(reply)
                     return
         finally:
-            gevent.killall(calls, block=False)
+            gevent.killall(list(daemon_by_call), block=False)
 
     def _ask(
         self, daemon: _ids.DaemonId, message: messages.OriginAsk
--- a/src/topazlug/versions/_stream_versions.py
+++ b/src/topazlug/versions/_stream_versions.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Mapping
+import enum
 from typing import Any
 from typing import final
 
@@ -27,6 +28,16 @@
 _REGISTRATION_SECONDS = 1.0
 
 
+class _Source(enum.Enum):
+    """How this daemon knows at which version a stream began."""
+
+    REMEMBERED = "remembered here"
+    OTHER_DAEMON = "remembered by another daemon"
+    OWN_VIEW = "the only version in this daemon's view"
+    VIEWS = "the only version in this daemon's and other views"
+    PRESUMED = "the only version until a moment ago"
+
+
 @final
 class StreamVersions:
     """Remembers where streams began, and finds out where others did.
@@ -199,51 +210,86 @@
         StreamNotResumable
             It is not known, or not certain.
         """
+        own_view = self.groups.view(group)
+        answers = _origin_exchange.Answers()
         try:
-            origin, source = self._find(attempt, group)
-        except _errors.StreamNotResumable:
+            origin, source = self._find(attempt, group, own_view, answers)
+        except _errors.StreamNotResumable as error:
             self.refused_count += 1
+            _log.info(
+                "a stream of {group} is not taken up: {why}",
+                group=group,
+                why=error.message,
+                **_evidence(own_view, answers),
+            )
             raise
         self.taken_up_count += 1
         _log.info(
             "the stream began at version {version} of {group}: {source}",
             version=origin.version,
             group=origin.group,
-            source=source,
+            source=source.value,
+            **_evidence(own_view, answers),
         )
         return origin
 
     def _find(
-        self, attempt: _ids.RequestId, group: _ids.GroupName
-    ) -> tuple[_stream_origins.Origin, str]:
-        """Return where a stream began, and how that is known."""
+        self,
+        attempt: _ids.RequestId,
+        group: _ids.GroupName,
+        own_view: _group_versions.VersionsView,
+        answers: _origin_exchange.Answers,
+    ) -> tuple[_stream_origins.Origin, _Source]:
+        """Return where a stream began, and how that is known.
+
+        Parameters
+        ----------
+        attempt, group
+            As for `find`.
+        own_view : VersionsView
+            What this daemon knows of the group's versions.
+        answers : Answers
+            Receives what other daemons answer, if they are asked.
+        """
         key = _stream_origins.stream_key(attempt)
         origin = self._origins.find(key)
         if origin is not None:
-            return _certain(origin), "remembered here"
-        own_view = self.groups.view(group)
+            return _certain(origin), _Source.REMEMBERED
         version = own_view.sole_version
         if version is not None and own_view.is_current and own_view.knows_past:
-            return _stream_origins.Origin(group, version), "the only version"
-        if self._exchange is None:
-            answers = _origin_exchange.Answers(has_gaps=True)
-        else:
-            answers = self._exchange.ask(key, group)
+            return _stream_origins.Origin(group, version), _Source.OWN_VIEW
+        if self._exchange is not None:
+            self._exchange.ask(key, group, answers)
         if answers.origin is not None:
-            return _certain(answers.origin), "another daemon"
+            return _certain(answers.origin), _Source.OTHER_DAEMON
         version = _sole_version(own_view, answers)
         if version is not None:
-            return _stream_origins.Origin(group, version), "the only version"
+            return _stream_origins.Origin(group, version), _Source.VIEWS
         version = self.groups.presumed(group)
         if version is not None:
-            return _stream_origins.Origin(group, version), "the first version"
+            return _stream_origins.Origin(group, version), _Source.PRESUMED
         raise _errors.StreamNotResumable(
             f"it is not known at which version of {group} the stream began, "
-            f"and {len(answers.views)} other daemons don't know either",
+            f"and {len(answers.view_by_daemon)} other daemons don't know "
+            "either",
             retry_after=_RETRY_AFTER_SECONDS,
         )
 
 
+def _evidence(
+    own_view: _group_versions.VersionsView, answers: _origin_exchange.Answers
+) -> dict[str, Any]:
+    """Return the fields of a log line on where a stream began."""
+    return {
+        "view": own_view.summary(),
+        "views": {
+            daemon: view.summary()
+            for daemon, view in answers.view_by_daemon.items()
+        },
+        "unanswered": answers.unanswered,
+    }
+
+
 def _is_replaced(former: _target.Target, target: _target.Target) -> bool:
     """Return whether another version has taken the place of a replica."""
     is_same = _target.process_of(former) == _target.process_of(target)
@@ -270,13 +316,13 @@
     date, as the store is down for all, it takes the answers of all daemons
     that were asked: one that does not answer may know of another version.
     """
-    views = [own_view, *answers.views]
+    views = [own_view, *answers.view_by_daemon.values()]
     versions = frozenset().union(*(view.versions for view in views))
     if len(versions) != 1:
         return None
     is_current = any(view.is_current for view in views)
-    knows_past = bool(answers.views) or own_view.knows_past
+    knows_past = bool(answers.view_by_daemon) or own_view.knows_past
     (version,) = versions
-    if (is_current and knows_past) or not answers.has_gaps:
+    if (is_current and knows_past) or answers.is_complete:
         return version
     return None
--- a/tests/topazlug/versions/test_stream_versions.py
+++ b/tests/topazlug/versions/test_stream_versions.py
@@ -1,5 +1,6 @@
 """Which software version continues a stream."""
 
+import logbook
 import pytest
 
 from tests.topazlug.versions import version_fakes as fakes
@@ -220,3 +221,32 @@
         fleet.list(TWO)
         assert fleet.find(0, "unknown") is None
         assert len(fleet.sent) == 8
+
+
+class TestLogs:
+    """A line tells what the version of a stream was concluded from."""
+
+    def test_only_version_of_several_views(self):
+        fleet = fakes.Fleet(3, knows_past=False)
+        fleet.list(fakes.targets("v1"))
+        fleet.unreachable = {"d2"}
+        with logbook.TestHandler().applicationbound() as lines:
+            fleet.find(0, "a")
+        (fields,) = [
+            one.kwargs for one in lines.records if "source" in one.kwargs
+        ]
+        assert fields["view"] == "v1 (past unknown)"
+        assert fields["views"] == {"d1": "v1 (past unknown)"}
+        assert fields["unanswered"] == ["d2"]
+
+    def test_refused_stream(self):
+        fleet = fakes.Fleet(2)
+        fleet.list(TWO)
+        fleet.age_by_daemon = {"d1": 60.0}
+        with logbook.TestHandler().applicationbound() as lines:
+            fleet.find(0, "a")
+        (fields,) = [
+            one.kwargs for one in lines.records if "why" in one.kwargs
+        ]
+        assert fields["view"] == "v1 v2"
+        assert fields["views"] == {"d1": "v1 v2 (old list)"}
