Track since when a copy of a table has been followed

Cause: a daemon knows the age of its list of replicas, but not whether it missed some seconds of it before. After such a gap, rows may have come and gone that it never saw, so conclusions on the past need both. Change: `CopyState` of a feed: the age, infinite before any answer, and the time since which no two answers of the store were further apart than the bound on the age of lists. Nothing decides by it yet. Result: TestState, two tests; the age of a copy that was never read was 0 before.

--- a/src/topazlug/fleet/_fleet.py
+++ b/src/topazlug/fleet/_fleet.py
@@ -135,6 +135,7 @@
             clock=self._clock,
             pace=pace,
             validity=validity,
+            max_gap=self._options.staleness_bounds.propagation,
         )
         self._feeds.append(feed)
         if self._relay_server is not None:
--- a/src/topazlug/fleet/_table_feed.py
+++ b/src/topazlug/fleet/_table_feed.py
@@ -12,6 +12,7 @@
 from topazlug import _clock
 from topazlug import _errors
 from topazlug import _logs
+from topazlug.fleet import _copy_state
 from topazlug.fleet import _table_copy
 from topazlug.fleet import _table_source
 
@@ -24,6 +25,7 @@
 # is answered at once. Otherwise ages would add up along a chain of daemons.
 _MIN_AGE_GAIN_SECONDS = 0.5
 _DEFAULT_VALIDITY_SECONDS = 2.5
+_DEFAULT_MAX_GAP_SECONDS = 4.0
 
 
 @final
@@ -98,6 +100,8 @@
         Seconds after the last answer of the store, direct or relayed, for
         which other daemons may use this copy. Without this limit a call that
         the store never answers would look to them as if nothing had changed.
+    max_gap : float
+        Seconds between two answers of the store that count as a gap.
     """
 
     def __init__(
@@ -110,9 +114,11 @@
         clock: _clock.Clock,
         pace: Pace = DEFAULT_PACE,
         validity: float = _DEFAULT_VALIDITY_SECONDS,
+        max_gap: float = _DEFAULT_MAX_GAP_SECONDS,
     ) -> None:
         self._source = source
         self._validity = validity
+        self._max_gap = max_gap
         self._catching_up: gevent.Greenlet | None = None
         self._pace = pace
         self.table = table
@@ -123,6 +129,7 @@
         self._is_read = False
         # When the store last answered, to this daemon or the relaying one.
         self._store_answered_at = -math.inf
+        self._followed_since = math.inf
         self._lost_at: float | None = None
         # When the last failed call started.
         self._failed_at = 0.0
@@ -271,6 +278,14 @@
             return 0.0
         return self._clock.monotonic() - self._store_answered_at
 
+    @property
+    def state(self) -> _copy_state.CopyState:
+        """Return how up to date the copy is."""
+        return _copy_state.CopyState(
+            age=self._clock.monotonic() - self._store_answered_at,
+            followed_since=self._followed_since,
+        )
+
     @property
     def _valid_until(self) -> float:
         return self._store_answered_at + self._validity
@@ -328,6 +343,8 @@
     def _record_answer(self, answer: _table_source.TableChanges) -> None:
         store_answered_at = self._clock.monotonic() - answer.age
         if store_answered_at > self._store_answered_at:
+            if store_answered_at - self._store_answered_at > self._max_gap:
+                self._followed_since = store_answered_at
             self._store_answered_at = store_answered_at
             self._wake_waiting()
         seconds_since_failure = answer.seconds_since_failure
--- a/src/topazlug/forwarding/_daemon.py
+++ b/src/topazlug/forwarding/_daemon.py
@@ -146,7 +146,7 @@
             daemons=lambda: self._fleet.directory.daemons_by_id,
             groups=_group_versions.GroupVersions(
                 clock=clock,
-                list_age=lambda: self.replicas.source_age(),
+                list_age=lambda: self.replicas.source_state().age,
                 max_list_age=options.staleness_bounds.propagation,
                 knows_past=options.first_start,
             ),
--- a/src/topazlug/placement/_replica_list.py
+++ b/src/topazlug/placement/_replica_list.py
@@ -12,6 +12,7 @@
 from topazlug import _clock
 from topazlug import _ids
 from topazlug import _logs
+from topazlug.fleet import _copy_state
 from topazlug.targets import _targets
 
 _log = _logs.logger("replicas")
@@ -49,8 +50,8 @@
 
     Attributes
     ----------
-    source_age : callable
-        Returns the age in seconds of the copy that the list is read from.
+    source_state : callable
+        Returns how up to date the copy is that the list is read from.
     """
 
     def __init__(
@@ -60,7 +61,8 @@
         unreachable: float,
         clock: _clock.Clock,
     ) -> None:
-        self.source_age: Callable[[], float] = float
+        self.source_state: Callable[[], _copy_state.CopyState]
+        self.source_state = _copy_state.CopyState
         self._on_change = on_change
         self._clock = clock
         self._max_disconnected = unreachable - _MARGIN_SECONDS
--- a/tests/topazlug/fleet/test_table_feed.py
+++ b/tests/topazlug/fleet/test_table_feed.py
@@ -1,5 +1,7 @@
 """Keeping a complete copy of a table that never returns to older rows."""
 
+import math
+
 import gevent
 from gevent import event
 import pytest
@@ -15,7 +17,13 @@
 
 class Rig:
     def __init__(
-        self, *, store=None, wait=0.02, min_interval=0.0, validity=60.0
+        self,
+        *,
+        store=None,
+        wait=0.02,
+        min_interval=0.0,
+        validity=60.0,
+        max_gap=4.0,
     ):
         self.store = store or store_fakes.FakeTables()
         self.received = []
@@ -31,6 +39,7 @@
             clock=_clock.SystemClock(),
             pace=_table_feed.Pace(min_interval=min_interval, max_pause=0.05),
             validity=validity,
+            max_gap=max_gap,
         )
         self.greenlet = gevent.spawn(self.feed.run)
 
@@ -145,6 +154,32 @@
         rig.greenlet.kill()
 
 
+class TestState:
+    def test_before_any_answer(self):
+        """A copy that was never read looked up to date."""
+        store = store_fakes.FakeTables()
+        store.is_unavailable = True
+        rig = Rig(store=store)
+        gevent.sleep(0.02)
+        assert rig.feed.state.age == math.inf
+        rig.greenlet.kill()
+
+    def test_gap_ends_with_the_first_answer_after_it(self):
+        """Rows may have come and gone while the store was lost."""
+        rig = Rig(max_gap=0.2)
+        rig.wait_for({})
+        first = rig.feed.state.followed_since
+        gevent.sleep(0.1)
+        assert rig.feed.state.followed_since == first
+        rig.store.is_unavailable = True
+        gevent.sleep(0.3)
+        assert rig.feed.state.age > 0.2
+        rig.store.is_unavailable = False
+        routing_fixtures.wait_until(lambda: rig.feed.state.age < 0.1)
+        assert rig.feed.state.followed_since > first + 0.3
+        rig.greenlet.kill()
+
+
 class TestRetries:
     def test_pauses_between_retries_stay_short(self):
         """Guards against requests to a replica 3 s after it left.
--- a/tests/topazlug_platform/version_fleet.py
+++ b/tests/topazlug_platform/version_fleet.py
@@ -17,6 +17,7 @@
 from tests.topazlug_platform import cut_fleet
 from tests.topazlug_platform import platform_rig
 from topazlug import _ids
+from topazlug.fleet import _copy_state
 from topazlug.forwarding import _table
 
 EVENTS = 10
@@ -311,7 +312,8 @@
 
     def age_list(self, number, seconds):
         """Have a daemon's list of replicas be this old."""
-        self.daemons[number].replicas.source_age = lambda: seconds
+        state = _copy_state.CopyState(age=seconds)
+        self.daemons[number].replicas.source_state = lambda: state
 
     def remembered(self, number):
         """Return how many streams a daemon remembers."""
