Record versions in the store, so that daemons that start know them

Cause: a daemon took the only version of its list for the only one there had been as soon as any other daemon answered, and the others had just started too. Change: each version of a group is a row in the table that all daemons follow for crashes. A daemon that starts reads it with its list. One view must know both the present and the past; while the store is silent for all, each daemon that was asked must know the past. The same cause elsewhere, with it: a restarted daemon that sees a second version first began streams there at once, before others could know of it; after a gap in its list, a daemon presumed the first version, or took the list for followed; a version with most replicas may be in use by others when this daemon first sees it.

--- a/bench/capacity/capacity_streams.py
+++ b/bench/capacity/capacity_streams.py
@@ -9,6 +9,7 @@
 from topazlug import _clock
 from topazlug import _ids
 from topazlug._generated import messages
+from topazlug.fleet import _copy_state
 from topazlug.peers import _peer_codec
 from topazlug.targets import _targets
 from topazlug.versions import _group_versions
@@ -49,9 +50,10 @@
         daemons=lambda: rows,
         groups=_group_versions.GroupVersions(
             clock=clock,
-            list_age=lambda: 0.0,
+            list_state=_copy_state.CopyState,
+            record_state=_copy_state.CopyState,
             max_list_age=2.0,
-            knows_past=True,
+            first_start=True,
         ),
         clock=clock,
     )
--- a/src/topazlug/_generated/messages.py
+++ b/src/topazlug/_generated/messages.py
@@ -579,7 +579,7 @@
         Annotated[
             bool,
             Meta(
-                description="Whether it has had the list for as long as streams are remembered."
+                description="Whether these are all versions that the group has had for as long as streams are remembered."
             ),
         ]
     ) = False
--- a/src/topazlug/forwarding/_blocked_requests.py
+++ b/src/topazlug/forwarding/_blocked_requests.py
@@ -6,6 +6,7 @@
 from topazlug.crashes import _crash_records
 from topazlug.fleet import _row_reader
 from topazlug.fleet import _table_source
+from topazlug.versions import _version_records
 
 
 def blocks_in_force(
@@ -22,9 +23,12 @@
         name=_crash_records.TABLE, decode=_crash_records.decode, clock=clock
     )
     rows = store.rows(_crash_records.TABLE).rows
+    _, crashes = _version_records.split_rows(
+        {row.key: row.data for row in rows}
+    )
     blocks = [
         record
-        for record in reader.read({row.key: row.data for row in rows})
+        for record in reader.read(crashes)
         if isinstance(record, _crash_records.Block)
         and not record.released
         and clock.now() - record.at < _crash_records.RETENTION
--- a/src/topazlug/forwarding/_crash_assembly.py
+++ b/src/topazlug/forwarding/_crash_assembly.py
@@ -53,8 +53,6 @@
     ----------
     guard : CrashGuard
         Detects and rejects requests that crash replicas.
-    listener : TableListener
-        Receives the rows of the table `TABLE`.
     """
 
     def __init__(
@@ -87,9 +85,6 @@
         self._reader = _row_reader.RowReader(
             name=TABLE, decode=_crash_records.decode, clock=clock
         )
-        self.listener = _table_feed.TableListener(
-            changed=self._update_shared_records
-        )
 
     def _write(
         self,
@@ -106,7 +101,8 @@
         rows += [_table_source.Row(key, deleted=True) for key in deleted_keys]
         self._store.write(TABLE, rows)
 
-    def _update_shared_records(self, data_by_key: dict[str, bytes]) -> None:
+    def update_rows(self, data_by_key: dict[str, bytes]) -> None:
+        """Apply the crash records in the rows of `TABLE`."""
         self.guard.set_shared_records(self._reader.read(data_by_key))
 
     def _distribute(self, records: list[_crash_records.CrashRecord]) -> None:
--- a/src/topazlug/forwarding/_daemon.py
+++ b/src/topazlug/forwarding/_daemon.py
@@ -28,6 +28,7 @@
 from topazlug.forwarding import _options
 from topazlug.forwarding import _startup_gate
 from topazlug.forwarding import _table
+from topazlug.forwarding import _version_assembly
 from topazlug.forwarding import _wire
 from topazlug.limits import _retry_share
 from topazlug.peers import _peers
@@ -48,8 +49,7 @@
 from topazlug.targets import _target_client
 from topazlug.targets import _targets
 from topazlug.telemetry import _metrics
-from topazlug.versions import _group_versions
-from topazlug.versions import _stream_versions
+from topazlug.versions import _version_records
 
 _log = _logs.logger("daemon")
 _SWEEP_INTERVAL_SECONDS = 1.0
@@ -141,17 +141,16 @@
             unreachable=options.staleness_bounds.recovery,
             clock=clock,
         )
-        self.versions = _stream_versions.StreamVersions(
+        self._version_assembly = _version_assembly.VersionAssembly(
             daemon=options.daemon,
             daemons=lambda: self._fleet.directory.daemons_by_id,
-            groups=_group_versions.GroupVersions(
-                clock=clock,
-                list_age=lambda: self.replicas.source_state().age,
-                max_list_age=options.staleness_bounds.propagation,
-                knows_past=options.first_start,
-            ),
+            new_store=new_store,
+            list_state=lambda: self.replicas.source_state(),
+            max_list_age=options.staleness_bounds.propagation,
+            first_start=options.first_start,
             clock=clock,
         )
+        self.versions = self._version_assembly.streams
         self._admission = _owner_admission.OwnerOrViewAdmission(
             view_admission=_view_admission.ViewAdmission(
                 targets=self.targets,
@@ -325,13 +324,19 @@
         _replica_list.log_changes(before, targets)
         self._drop_stale_connections(targets)
         self._crash_assembly.guard.handle_list_change(before, targets)
-        self.versions.update_targets(before, targets)
+        self._version_assembly.update_targets(before, targets)
         self.views.update_targets(targets)
         self.contexts.update_targets(targets)
         self.targets.set_list(targets)
         self._has_replica_list = True
         self._open_gate()
 
+    def _update_shared_records(self, data_by_key: dict[str, bytes]) -> None:
+        """Apply the rows of the table that daemons write together."""
+        versions, crashes = _version_records.split_rows(data_by_key)
+        self._version_assembly.update_rows(versions)
+        self._crash_assembly.update_rows(crashes)
+
     def _drop_stale_connections(self, targets: list[_targets.Target]) -> None:
         """Drop the connections to replica processes that have ended.
 
@@ -488,11 +493,14 @@
         self.spawn(self._fleet.run)
         for task in self._crash_assembly.tasks():
             self.spawn(task)
-        self.follow(
+        for task in self._version_assembly.tasks():
+            self.spawn(task)
+        records = self.follow(
             _crash_assembly.TABLE,
-            self._crash_assembly.listener,
+            _table_feed.TableListener(changed=self._update_shared_records),
             pace=_crash_assembly.PACE,
         )
+        self._version_assembly.record_state = lambda: records.state
         _log.info(
             "started: callers at {host}:{port}",
             host=self._options.callers.host,
--- a/src/topazlug/versions/_stream_versions.py
+++ b/src/topazlug/versions/_stream_versions.py
@@ -20,10 +20,14 @@
 from topazlug.versions import _origin_exchange
 from topazlug.versions import _stream_holders
 from topazlug.versions import _stream_origins
+from topazlug.versions import _version_records
 
 _log = _logs.logger("versions")
 # Another daemon may know the stream, or this one reach those that do.
 _RETRY_AFTER_SECONDS = 0.2
+# A daemon that has just started waits this long for the records of versions,
+# which it reads at the same time as its list of replicas.
+_RECORDS_TIMEOUT_SECONDS = 0.25
 # A replica writes its entry within this time after its start.
 _REGISTRATION_SECONDS = 1.0
 
@@ -114,7 +118,20 @@
             former = before.get(target.replica)
             if former is not None:
                 self._handle_replacement(former, target)
-        for group in self.groups.update(targets):
+        self._tell_unfinished(self.groups.update(targets))
+
+    def update_records(
+        self, records: Iterable[_version_records.VersionRecord]
+    ) -> None:
+        """Apply the records of versions."""
+        self._tell_unfinished(self.groups.set_records(records))
+
+    def _tell_unfinished(self, groups: Iterable[_ids.GroupName]) -> None:
+        """Tell other daemons of the streams of some groups.
+
+        They were not told before, as these groups had one version only.
+        """
+        for group in groups:
             for stream in self._origins.unfinished(group):
                 self._tell(*stream)
 
@@ -210,17 +227,16 @@
         StreamNotResumable
             It is not known, or not certain.
         """
-        own_view = self.groups.view(group)
         answers = _origin_exchange.Answers()
         try:
-            origin, source = self._find(attempt, group, own_view, answers)
+            origin, source = self._find(attempt, group, answers)
         except _errors.StreamNotResumable as error:
             self.refused_count += 1
             _log.info(
                 "a stream of {group} is not taken up: {why}",
                 group=group,
                 why=error.message,
-                **_evidence(own_view, answers),
+                **self._evidence(group, answers),
             )
             raise
         self.taken_up_count += 1
@@ -229,7 +245,7 @@
             version=origin.version,
             group=origin.group,
             source=source.value,
-            **_evidence(own_view, answers),
+            **self._evidence(group, answers),
         )
         return origin
 
@@ -237,7 +253,6 @@
         self,
         attempt: _ids.RequestId,
         group: _ids.GroupName,
-        own_view: _group_versions.VersionsView,
         answers: _origin_exchange.Answers,
     ) -> tuple[_stream_origins.Origin, _Source]:
         """Return where a stream began, and how that is known.
@@ -246,8 +261,6 @@
         ----------
         attempt, group
             As for `find`.
-        own_view : VersionsView
-            What this daemon knows of the group's versions.
         answers : Answers
             Receives what other daemons answer, if they are asked.
         """
@@ -255,13 +268,14 @@
         origin = self._origins.find(key)
         if origin is not None:
             return _certain(origin), _Source.REMEMBERED
-        version = own_view.sole_version
-        if version is not None and own_view.is_current and own_view.knows_past:
+        version = self._sole_version(group)
+        if version is not None:
             return _stream_origins.Origin(group, version), _Source.OWN_VIEW
         if self._exchange is not None:
             self._exchange.ask(key, group, answers)
         if answers.origin is not None:
             return _certain(answers.origin), _Source.OTHER_DAEMON
+        own_view = self.groups.view(group)
         version = _sole_version(own_view, answers)
         if version is not None:
             return _stream_origins.Origin(group, version), _Source.VIEWS
@@ -275,19 +289,28 @@
             retry_after=_RETRY_AFTER_SECONDS,
         )
 
-
-def _evidence(
-    own_view: _group_versions.VersionsView, answers: _origin_exchange.Answers
-) -> dict[str, Any]:
-    """Return the fields of a log line on where a stream began."""
-    return {
-        "view": own_view.summary(),
-        "views": {
-            daemon: view.summary()
-            for daemon, view in answers.view_by_daemon.items()
-        },
-        "unanswered": answers.unanswered,
-    }
+    def _sole_version(
+        self, group: _ids.GroupName
+    ) -> _ids.SoftwareVersion | None:
+        """Return the only version of a group if this daemon can prove it."""
+        view = self.groups.view(group)
+        if not view.knows_past and not self.groups.records_read.is_set():
+            self.groups.records_read.wait(_RECORDS_TIMEOUT_SECONDS)
+            view = self.groups.view(group)
+        return view.sole_version if view.is_proof else None
+
+    def _evidence(
+        self, group: _ids.GroupName, answers: _origin_exchange.Answers
+    ) -> dict[str, Any]:
+        """Return the fields of a log line on where a stream began."""
+        return {
+            "view": self.groups.view(group).summary(),
+            "views": {
+                daemon: view.summary()
+                for daemon, view in answers.view_by_daemon.items()
+            },
+            "unanswered": answers.unanswered,
+        }
 
 
 def _is_replaced(former: _target.Target, target: _target.Target) -> bool:
@@ -310,19 +333,18 @@
 ) -> _ids.SoftwareVersion | None:
     """Return the only version that a group can have had lately.
 
-    An up-to-date list shows all versions there are, and a daemon that has
-    followed it for long enough those that have left. After a loss of power no
-    daemon has, so another one's view is enough for that. If no list is up to
-    date, as the store is down for all, it takes the answers of all daemons
-    that were asked: one that does not answer may know of another version.
+    One daemon must know both the present and the past: an up-to-date list of
+    a daemon that has just started shows only the versions that are left, and
+    other daemons may have started just as lately. If no list is up to date,
+    as the store is down for all, the past must be known to all daemons that
+    were asked, as any of them may have had a newer list than the others.
     """
     views = [own_view, *answers.view_by_daemon.values()]
     versions = frozenset().union(*(view.versions for view in views))
     if len(versions) != 1:
         return None
-    is_current = any(view.is_current for view in views)
-    knows_past = bool(answers.view_by_daemon) or own_view.knows_past
     (version,) = versions
-    if (is_current and knows_past) or answers.is_complete:
+    if any(view.is_proof for view in views):
         return version
-    return None
+    is_known_to_all = all(view.knows_past for view in views)
+    return version if answers.is_complete and is_known_to_all else None
--- a/tests/topazlug/forwarding/test_blocked_requests.py
+++ b/tests/topazlug/forwarding/test_blocked_requests.py
@@ -1,5 +1,6 @@
 """Operators list and release blocked requests in the store."""
 
+import logbook
 import pytest
 
 from tests.topazlug import claim_fakes
@@ -8,6 +9,7 @@
 from topazlug import _errors
 from topazlug.crashes import _crash_records
 from topazlug.forwarding import _blocked_requests
+from topazlug.versions import _version_records
 
 
 @pytest.fixture
@@ -43,6 +45,20 @@
         clock.advance(_crash_records.RETENTION.total_seconds())
         assert blocked_fingerprints(store, clock) == []
 
+    def test_records_of_versions_are_not_invalid_rows(self, store, clock):
+        """Each software version was reported as an error."""
+        record = _version_records.VersionRecord(
+            group="llm", version="1", number=1
+        )
+        store.put(
+            _crash_records.TABLE,
+            _version_records.record_key(record),
+            _version_records.encode(record),
+        )
+        with logbook.TestHandler().applicationbound() as lines:
+            assert blocked_fingerprints(store, clock) == ["f"]
+        assert [one.kwargs["key"] for one in lines.records] == ["block/spoilt"]
+
     def test_release(self, store, clock):
         _blocked_requests.release(store, "f", clock=clock)
         assert blocked_fingerprints(store, clock) == []
--- a/tests/topazlug/versions/test_stream_versions.py
+++ b/tests/topazlug/versions/test_stream_versions.py
@@ -82,21 +82,15 @@
 
     def test_daemon_that_has_just_started_asks(self):
         """A version that it has not seen may have left a moment ago."""
-        fleet = fakes.Fleet(3, knows_past=False)
+        fleet = fakes.Fleet(3)
         fleet.list(fakes.targets("v1"))
+        fleet.restart(0)
+        fleet.list(fakes.targets("v1"), 0)
         assert fleet.find(0, "a") == "v1"
         assert len(fleet.sent) == 2
 
-    def test_one_daemon_has_not_come_back_after_a_loss_of_power(self):
-        """All others refused streams for a minute."""
-        fleet = fakes.Fleet(9, knows_past=False)
-        fleet.list(fakes.targets("v1", "v1"))
-        fleet.unreachable = {"d8"}
-        assert [fleet.find(number, "a") for number in range(8)] == ["v1"] * 8
-        assert fleet.find(8, "a") is None
-
     def test_daemon_that_knows_of_another_version_is_asked(self):
-        fleet = fakes.Fleet(3, knows_past=False)
+        fleet = fakes.Fleet(3, first_start=False)
         fleet.list(TWO, 1)
         fleet.list(fakes.targets("v1"), 0, 2)
         assert fleet.find(0, "a") is None
@@ -227,8 +221,10 @@
     """A line tells what the version of a stream was concluded from."""
 
     def test_only_version_of_several_views(self):
-        fleet = fakes.Fleet(3, knows_past=False)
+        fleet = fakes.Fleet(3)
         fleet.list(fakes.targets("v1"))
+        fleet.restart(0)
+        fleet.list(fakes.targets("v1"), 0)
         fleet.unreachable = {"d2"}
         with logbook.TestHandler().applicationbound() as lines:
             fleet.find(0, "a")
@@ -236,7 +232,7 @@
             one.kwargs for one in lines.records if "source" in one.kwargs
         ]
         assert fields["view"] == "v1 (past unknown)"
-        assert fields["views"] == {"d1": "v1 (past unknown)"}
+        assert fields["views"] == {"d1": "v1"}
         assert fields["unanswered"] == ["d2"]
 
     def test_refused_stream(self):
--- a/tests/topazlug/versions/version_fakes.py
+++ b/tests/topazlug/versions/version_fakes.py
@@ -1,13 +1,18 @@
 """Daemons whose messages are delivered at once, or lost."""
 
+import math
+
 import msgspec
 
 from tests.topazlug import claim_fakes
 from tests.topazlug.forwarding import forwarding_fixtures as fixtures
 from topazlug import _errors
 from topazlug import _ids
+from topazlug.fleet import _copy_state
 from topazlug.versions import _group_versions
 from topazlug.versions import _stream_versions
+from topazlug.versions import _version_recorder
+from topazlug.versions import _version_records
 
 GROUP = fixtures.GROUP
 MAX_AGE = 2.0
@@ -22,6 +27,11 @@
     )
 
 
+def copy_state(age):
+    """Return the state of a copy of this age."""
+    return _copy_state.CopyState(age)
+
+
 def targets(*versions):
     """Return one replica of each version."""
     return [
@@ -58,7 +68,14 @@
 
 
 class Fleet:
-    """Some daemons that share a clock.
+    """Some daemons that share a clock and a table of records.
+
+    Parameters
+    ----------
+    count : int
+        Number of daemons.
+    first_start : bool
+        Whether the whole system starts for the first time.
 
     Attributes
     ----------
@@ -66,42 +83,122 @@
         Daemons that reach no other one.
     sent : list of (DaemonId, DaemonId, msgspec.Struct)
         Sender, recipient and content of each message.
+    writes : int
+        Calls that wrote or removed records.
+    is_writable, is_readable : bool
+        Whether the table of records can be written and read.
+    gap_ended_at_by_daemon : dict of DaemonId to float
+        When each daemon's list was up to date again after a gap.
+    last_refusal : StreamNotResumable or None
+        The last refusal of a daemon.
     """
 
-    def __init__(self, count, *, knows_past=True):
+    def __init__(self, count, *, first_start=True):
         self.clock = claim_fakes.FakeClock()
         self.unreachable = set()
         self.sent = []
+        self.writes = 0
+        self.is_writable = True
+        self.is_readable = True
+        self.last_refusal = None
         self.age_by_daemon = {}
+        self.gap_ended_at_by_daemon = {}
         self.daemons = [_ids.DaemonId(f"d{number}") for number in range(count)]
+        self._record_by_key = {}
+        self.links_by_daemon = {}
+        self.versions = [None] * count
+        self._recorders = [None] * count
+        for number in range(count):
+            self._start(number, first_start)
+
+    def _start(self, number, first_start):
+        daemon = self.daemons[number]
         rows = dict.fromkeys(self.daemons)
-        self.links_by_daemon = {one: Links(self, one) for one in self.daemons}
-        self.versions = [
-            self._new(daemon, rows, knows_past) for daemon in self.daemons
-        ]
-        for versions, links in zip(
-            self.versions, self.links_by_daemon.values(), strict=True
-        ):
-            versions.join(links)
-
-    def _new(self, daemon, rows, knows_past):
-        return _stream_versions.StreamVersions(
+        versions = _stream_versions.StreamVersions(
             daemon=daemon,
             daemons=lambda: rows,
             groups=_group_versions.GroupVersions(
                 clock=self.clock,
-                list_age=lambda: self.age_by_daemon.get(daemon, 0.0),
+                list_state=lambda: self._list_state(daemon),
+                record_state=lambda: _copy_state.CopyState(
+                    self.age_by_daemon.get(daemon, 0.0)
+                ),
                 max_list_age=MAX_AGE,
-                knows_past=knows_past,
+                first_start=first_start,
             ),
             clock=self.clock,
         )
+        self.links_by_daemon[daemon] = Links(self, daemon)
+        versions.join(self.links_by_daemon[daemon])
+        self.versions[number] = versions
+        self.read_records(number)
+        self._recorders[number] = _version_recorder.VersionRecorder(
+            daemon=daemon,
+            daemons=lambda: rows,
+            groups=versions.groups,
+            write=self._write,
+            clock=self.clock,
+        )
+
+    def _list_state(self, daemon):
+        return _copy_state.CopyState(
+            self.age_by_daemon.get(daemon, 0.0),
+            self.gap_ended_at_by_daemon.get(daemon, -math.inf),
+        )
+
+    def _write(self, records, removed_keys):
+        if not self.is_writable:
+            raise _errors.StoreUnavailable("rejected")
+        self.writes += 1
+        for record in records:
+            key = _version_records.record_key(record)
+            self._record_by_key[key] = record
+        for key in removed_keys:
+            self._record_by_key.pop(key, None)
+
+    def recorded(self):
+        """Return the versions in the table of records."""
+        return {one.version for one in self._record_by_key.values()}
+
+    def record(self, *numbers):
+        """Have some daemons, or all, write what is due, and all read it."""
+        for number in numbers or range(len(self.daemons)):
+            try:
+                self._recorders[number].write_due()
+            except _errors.StoreUnavailable:
+                continue
+            self.read_records()
+
+    def record_at(self, number):
+        """Have one daemon write records, whichever rank it has."""
+        for _ in range(len(self.daemons) + 1):
+            self.record(number)
+            self.clock.advance(0.25)
+
+    def read_records(self, *numbers):
+        """Have some daemons, or all, read the table of records."""
+        if not self.is_readable:
+            return
+        for number in numbers or range(len(self.daemons)):
+            self.versions[number].update_records(self._record_by_key.values())
+
+    def restart(self, *numbers):
+        """Kill some daemons, or all, and start others in their place."""
+        for number in numbers or range(len(self.daemons)):
+            self._start(number, first_start=False)
 
     def list(self, found, *numbers):
         """Pass a list of replicas to some daemons, or to all."""
         for number in numbers or range(len(self.daemons)):
             self.versions[number].update_targets({}, found)
 
+    def lose_list(self, *numbers):
+        """Have the lists of some daemons be followed again after a gap."""
+        for number in numbers:
+            self.gap_ended_at_by_daemon[self.daemons[number]] = (
+                self.clock.monotonic()
+            )
+
     def begin(self, number, attempt, replica):
         """Have a daemon relay the first event of a stream."""
         self.versions[number].begin(_ids.RequestId(attempt), replica)
@@ -110,6 +207,18 @@
         """Return the version that a daemon finds, None if it refuses."""
         try:
             origin = self.versions[number].find(_ids.RequestId(attempt), GROUP)
-        except _errors.StreamNotResumable:
+        except _errors.StreamNotResumable as error:
+            self.last_refusal = error
             return None
         return origin.version
+
+    def settled(self, number, found):
+        """Return the versions that may begin streams at a daemon."""
+        groups = self.versions[number].groups
+        return {one.version for one in groups.settled(GROUP, found)}
+
+    def find_at_all(self, attempt):
+        """Return the versions that the daemons find."""
+        return {
+            self.find(number, attempt) for number in range(len(self.daemons))
+        }
--- a/tests/topazlug_platform/version_fleet.py
+++ b/tests/topazlug_platform/version_fleet.py
@@ -16,9 +16,12 @@
 from tests.topazlug_platform import crash_fleet
 from tests.topazlug_platform import cut_fleet
 from tests.topazlug_platform import platform_rig
+from topazlug import _errors
 from topazlug import _ids
 from topazlug.fleet import _copy_state
 from topazlug.forwarding import _table
+from topazlug.forwarding import _version_assembly
+from topazlug.versions import _version_records
 
 EVENTS = 10
 wait_until = crash_fleet.wait_until
@@ -303,6 +306,42 @@
             for one in replicas
         )
 
+    def recorded(self):
+        """Return the versions that are recorded in the store."""
+        rows = self.store._current_rows(_version_assembly.TABLE)
+        records, _ = _version_records.split_rows(
+            {key: row.data for key, row in rows.items()}
+        )
+        return {
+            _version_records.decode(key, data).version
+            for key, data in records.items()
+        }
+
+    def reject_writes(self):
+        """Have the store reject all writes; return an event, set by one."""
+        rejected = event.Event()
+
+        def write(table, rows, *, new=()):
+            rejected.set()
+            raise _errors.StoreUnavailable("rejected")
+
+        self.store.write = write
+        return rejected
+
+    def kill(self, *numbers):
+        """Kill some daemons, or all."""
+        for number in numbers or range(len(self.daemons)):
+            self.daemons[number].halt()
+
+    def start(self, *numbers):
+        """Start daemons in the place of some that were killed, or of all."""
+        self.options = {"first_start": False}
+        numbers = numbers or range(len(self.daemons))
+        for number in numbers:
+            self.daemons[number] = self._new_daemon(number)
+        self.list_replicas()
+        self.wait_joined()
+
     def forget_versions(self, number, group=fixtures.GROUP):
         """Have a daemon know only the versions of its present list."""
         self.daemons[number].versions.groups._group_by_name.clear()
