Name no time in refusals of streams that can't become known

Callers' view: a stream whose beginning no daemon can know any more was refused with Retry-After: 0.2, so callers spent their retry on an answer that could not change. Cause: the time holds while a daemon does not answer or this one's list or records are behind; it was sent also if all had answered. Change: no Retry-After if all daemons that may know have answered and this daemon knows all versions of the last minute. Test: TestRefusal, two tests; the first fails on the parent commit.

--- a/src/topazlug/versions/_stream_versions.py
+++ b/src/topazlug/versions/_stream_versions.py
@@ -282,11 +282,13 @@
         version = self.groups.presumed(group)
         if version is not None:
             return _stream_origins.Origin(group, version), _Source.PRESUMED
+        # If all that may know have answered, asking again is in vain.
+        is_final = answers.is_complete and own_view.is_proof
         raise _errors.StreamNotResumable(
             f"it is not known at which version of {group} the stream began, "
             f"and {len(answers.view_by_daemon)} other daemons don't know "
             "either",
-            retry_after=_RETRY_AFTER_SECONDS,
+            retry_after=None if is_final else _RETRY_AFTER_SECONDS,
         )
 
     def _sole_version(
--- a/tests/topazlug/versions/test_lost_knowledge.py
+++ b/tests/topazlug/versions/test_lost_knowledge.py
@@ -294,3 +294,19 @@
         fleet.restart(0)
         fleet.list(BOTH, 0)
         assert fleet.find_at_all("a") == {None}
+
+
+class TestRefusal:
+    def test_that_is_final_names_no_time(self, fleet):
+        """Callers came back for an answer that could not change."""
+        release(fleet)
+        fleet.restart()
+        fleet.list(NEXT)
+        assert fleet.find(0, "a") is None
+        assert fleet.last_refusal.retry_after is None
+
+    def test_while_a_daemon_does_not_answer(self, fleet):
+        release(fleet)
+        fleet.unreachable = {"d2"}
+        assert fleet.find(0, "a") is None
+        assert fleet.last_refusal.retry_after == 0.2
