Have the soak release a version and lose all daemons as it ends

Change: in runs with one version, by a draw of its own, a release replaces one replica after the other; after half of these all daemons lose power. The settings of the first start say so, those of later ones don't.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -102,6 +102,7 @@
             surge=surge,
             cuts_daemons=plan.cuts_daemons,
             has_herds=plan.has_bad_parts,
+            has_release=plan.has_release,
         )
         faults.run(until)
         gevent.joinall(senders, raise_error=True)
@@ -131,7 +132,8 @@
             f"{', waves' if plan.has_waves else ''}"
             f"{', cut daemons' if plan.cuts_daemons else ''}"
             f"{', versions' if plan.has_versions else ''}"
-            f"{', bad parts' if plan.has_bad_parts else ''}; {summary}; "
+            f"{', bad parts' if plan.has_bad_parts else ''}"
+            f"{', release' if plan.has_release else ''}; {summary}; "
             f"{_stream_guarantees.describe(outcomes)}",
             flush=True,
         )
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -99,6 +99,8 @@
         brittle.
     has_herds : bool
         Whether herds of connections come to one daemon.
+    has_release : bool
+        Whether all replicas are replaced by others of another version.
     """
 
     def __init__(
@@ -110,12 +112,14 @@
         surge: _Inject | None = None,
         cuts_daemons: bool = False,
         has_herds: bool = False,
+        has_release: bool = False,
     ) -> None:
         self._world = world
         self._seed = seed
         self._running: list[gevent.Greenlet] = []
         self._is_briefly_silent = False
         self._has_lost_power = False
+        self._is_released = False
         self._is_brittle = False
         self.injected: list[InjectedFault] = []
         kinds: dict[str, _Inject] = {
@@ -153,9 +157,12 @@
         herd_kinds: dict[str, _Inject] = {}
         if has_herds:
             herd_kinds = {"connection-herd": self._crowd_daemon}
+        release_kinds: dict[str, _Inject] = {}
+        if has_release:
+            release_kinds = {"version-released": self._release}
         parts = only.split(",")
         known = [*kinds, *load_kinds, _SURGE_KIND, *owner_kinds, *cut_kinds]
-        known += herd_kinds
+        known += [*herd_kinds, *release_kinds]
         if not any(part in kind for kind in known for part in parts):
             raise ValueError(f"{only!r} is part of none of {known}")
         if surge is not None:
@@ -165,6 +172,7 @@
         self._owner_kinds = _select(owner_kinds, parts)
         self._cut_kinds = _select(cut_kinds, parts)
         self._herd_kinds = _select(herd_kinds, parts)
+        self._release_kinds = _select(release_kinds, parts)
 
     def run(self, until: float) -> None:
         """Inject faults until a point in time, then wait until they end."""
@@ -187,6 +195,11 @@
                 ),
                 (f"cut {self._seed}", self._cut_kinds, _LOAD_PAUSE_SECONDS),
                 (f"herd {self._seed}", self._herd_kinds, _OWNER_PAUSE_SECONDS),
+                (
+                    f"release {self._seed}",
+                    self._release_kinds,
+                    _OWNER_PAUSE_SECONDS,
+                ),
             )
             if kinds
         ]
@@ -360,6 +373,18 @@
             self._has_lost_power = True
             self._world.lose_power(duration / 2)
 
+    def _release(self, number: int, duration: float) -> None:
+        """Release another version, at most once in a run.
+
+        In half of the runs all daemons lose power as it ends.
+        """
+        if self._is_released:
+            return
+        self._is_released = True
+        self._world.release()
+        if number % 2:
+            self._lose_power(number, duration)
+
     def _evacuate_zone(self, number: int, duration: float) -> None:
         self._world.evacuate(number, _EVACUATION_SECONDS + duration)
 
--- a/soak/_run_plan.py
+++ b/soak/_run_plan.py
@@ -9,6 +9,7 @@
 _CUTS_PROBABILITY = 0.5
 _VERSIONS_PROBABILITY = 0.5
 _BAD_PARTS_PROBABILITY = 0.5
+_RELEASE_PROBABILITY = 0.5
 
 
 class LoadReport(enum.Enum):
@@ -40,6 +41,9 @@
     has_bad_parts : bool
         Whether prompts with a part that crashes replicas are sent, and herds
         of connections come to one daemon.
+    has_release : bool
+        Whether all replicas are replaced by others of a second version. Not
+        in runs with two versions from the start.
     """
 
     load_report: LoadReport = LoadReport.NONE
@@ -48,6 +52,7 @@
     cuts_daemons: bool = False
     has_versions: bool = False
     has_bad_parts: bool = False
+    has_release: bool = False
 
     @property
     def sends_context(self) -> bool:
@@ -64,7 +69,7 @@
     generator = random.Random(f"plan {seed}")
     # Half of the runs have the report that the newest decisions depend on.
     reports = [*LoadReport, LoadReport.SLOWNESS]
-    return RunPlan(
+    plan = RunPlan(
         load_report=generator.choice(reports),
         has_pressure=generator.random() < _PRESSURE_PROBABILITY,
         has_waves=generator.random() < _WAVES_PROBABILITY,
@@ -72,3 +77,5 @@
         has_versions=generator.random() < _VERSIONS_PROBABILITY,
         has_bad_parts=generator.random() < _BAD_PARTS_PROBABILITY,
     )
+    has_release = generator.random() < _RELEASE_PROBABILITY
+    return plan._replace(has_release=has_release and not plan.has_versions)
--- a/soak/_world.py
+++ b/soak/_world.py
@@ -36,6 +36,8 @@
 # at a time, of the 24 of four replicas. A surge adds 21 callers, which makes
 # that 29. With fewer slots too few requests are served to compare the teams.
 _SLOTS_UNDER_PRESSURE = 6
+# Between the replacements of two replicas in a release.
+_RELEASE_PAUSE_SECONDS = 0.5
 
 
 class Disruption(NamedTuple):
@@ -174,21 +176,22 @@
         self.killed_at: list[float] = []
         self._is_starting = False
         self.disruptions: list[tuple[float, float]] = []
-        path = folder / f"boot-{number}.json"
-        settings = self._settings(number, store_port)
+        self._path = folder / f"boot-{number}.json"
+        self._settings = self._new_settings(number, store_port)
         if has_pressure:
-            settings["invariants"] = ["pressure"]
-        path.write_text(json.dumps(settings))
+            self._settings["invariants"] = ["pressure"]
+        self._write_settings()
         self.process = processes.Process(
             name=f"daemon-{number}",
             arguments=[str(ROOT / "platform" / "topazlugd.py")],
             folder=folder,
-            environment={"TOPAZLUG_CONFIG": str(path)},
+            environment={"TOPAZLUG_CONFIG": str(self._path)},
         )
 
-    def _settings(self, number: int, store_port: int) -> dict[str, Any]:
+    def _new_settings(self, number: int, store_port: int) -> dict[str, Any]:
         return {
             "node_name": f"daemon-{number}",
+            "bootstrap": True,
             "zone": "z",
             "listeners_map": {
                 "frontend": f"{self.host}:{self.port}",
@@ -214,11 +217,16 @@
         if not self._is_starting and not self.process.is_running():
             self._is_starting = True
             try:
+                self._write_settings()
                 self.process.start()
             finally:
                 self._is_starting = False
+            self._settings["bootstrap"] = False
         self.record_disruption()
 
+    def _write_settings(self) -> None:
+        self._path.write_text(json.dumps(self._settings))
+
     def record_disruption(self, seconds: float = 0.0) -> None:
         """Record that time bounds don't apply to this daemon for a while."""
         now = time.monotonic()
@@ -276,6 +284,7 @@
         self._evacuated: set[str] = set()
         self._added_keys: list[_clients.AddedKey] = []
         self.change_configuration()
+        self._is_released = False
         self._starts_cold = False
         for _ in range(replicas):
             self.replicas.append(self._new_replica())
@@ -318,7 +327,7 @@
     def _next_version(self) -> str:
         """Return the version of a new replica; pairs of zones share one."""
         if not self._plan.has_versions:
-            return _expected.VERSIONS[0]
+            return _expected.VERSIONS[1 if self._is_released else 0]
         number = (self._replica_count - 1) // len(ZONES)
         return _expected.VERSIONS[number % len(_expected.VERSIONS)]
 
@@ -401,6 +410,16 @@
         self.replicas[self.replicas.index(old)] = new
         self.former_replicas.append(old)
 
+    def release(self) -> None:
+        """Replace one replica after the other by one of another version."""
+        self._is_released = True
+        for old in list(self.replicas):
+            self.replace(old)
+            if old.drained_at is None:
+                old.drained_at = time.monotonic()
+                old.process.terminate()
+            gevent.sleep(_RELEASE_PAUSE_SECONDS)
+
     def replace_ended(self) -> None:
         """Start a replacement for each replica that has exited by itself."""
         for replica in list(self.replicas):
--- a/tests/soak/test_faults.py
+++ b/tests/soak/test_faults.py
@@ -50,6 +50,11 @@
         surging = faults(surge=lambda number, duration: None)
         assert list(surging._load_kinds) == ["replica-slow", "team-surges"]
 
+    def test_releases_only_in_runs_with_one(self):
+        assert list(faults()._release_kinds) == []
+        releasing = faults(has_release=True)
+        assert list(releasing._release_kinds) == ["version-released"]
+
     def test_only(self):
         slow = faults(only="slow")
         assert list(slow._kinds) == ["link-slow"]
@@ -103,3 +108,15 @@
         one._lose_power(1, 0.5)
         one._lose_power(2, 0.5)
         assert lost == [0.25]
+
+    @pytest.mark.parametrize("number, expected", [(1, [0.25]), (2, [])])
+    def test_power_is_lost_after_half_of_the_releases(self, number, expected):
+        """Daemons that have just started know no version before."""
+        lost = []
+        releases = []
+        one = faults(has_release=True)
+        one._world.lose_power = lost.append
+        one._world.release = lambda: releases.append(1)
+        one._release(number, 0.5)
+        one._release(number, 0.5)
+        assert (len(releases), lost) == (1, expected)
--- a/tests/soak/test_run_plan.py
+++ b/tests/soak/test_run_plan.py
@@ -23,6 +23,7 @@
                 cuts_daemons,
                 has_versions,
                 has_bad_parts,
+                has_release,
             )
             for report in _run_plan.LoadReport
             for has_pressure in (False, True)
@@ -30,4 +31,6 @@
             for cuts_daemons in (False, True)
             for has_versions in (False, True)
             for has_bad_parts in (False, True)
+            for has_release in (False, True)
+            if not (has_versions and has_release)
         }
