Count answers without their end as truncated in the soak

Cause: daemon 0 was frozen between the head and the body of an answer, and killed 0.5 s later. `HTTPResponse.read` with a limit returns nothing at the end of the connection, whatever the length says, so the caller took the answer for whole. Change: what is left of the length makes it truncated, which LOST judges. Test: test_answer_without_its_end_is_truncated; two of its six cases fail without the change.

--- a/soak/_clients.py
+++ b/soak/_clients.py
@@ -310,6 +310,11 @@
             read = response.read1 if response.chunked else response.read
             while data := read(_READ_BYTES):
                 received += data
+            # Only a `read` without a limit reports a missing end itself.
+            if response.length:
+                raise http_client.IncompleteRead(
+                    bytes(received), response.length
+                )
         except TimeoutError:
             connection.close()
             return Response(
