--- a/review/harness-2/harness.py
+++ b/review/harness-2/harness.py
@@ -298,8 +298,6 @@
         self.slots = slots
         self.state = "serving"
         self.work_seconds = 0.02
-        # Returns whether a run fails; its health check stays good.
-        self.fails = lambda: False
         self.runs = []
         self._record = record
         self._store = store
@@ -334,7 +332,7 @@
             self._register()
 
     def run(self, attempt, tenant, path):
-        """Run a request; return whether it failed."""
+        """Run a request."""
         with self._lock:
             self.runs.append((time.monotonic(), attempt, tenant, path))
             self._running += 1
@@ -345,7 +343,6 @@
         time.sleep(self.work_seconds)
         with self._lock:
             self._running -= 1
-        return self.fails()
 
     @property
     def load(self):
@@ -371,18 +368,13 @@
             self.answer(421, b"", names[:1])
             return
         attempt = self.headers.get("X-Attempt-Id", "")
-        failed = replica.run(
-            attempt, self.headers.get("X-Tenant", ""), self.path
-        )
+        replica.run(attempt, self.headers.get("X-Tenant", ""), self.path)
         fields = (
             ("X-Attempt-Id", attempt),
             ("X-Response-Signature", SIGNATURE),
             ("X-Replica-Load", replica.load),
             ("Keep-Alive", "timeout=5"),
         )
-        if failed:
-            self.answer(500, b"failed", fields)
-            return
         body = f"{attempt} {replica.service} {replica.name}".encode()
         self.answer(200, body, fields)
 
@@ -529,6 +521,8 @@
         self.zone = zone
         self.host = host
         self.port, self.ready_port, control, peers = ports
+        # Where other machines reach it.
+        self.internal_ports = (peers, peers + 1)
         self.store_port = store_port
         self._settings_path = folder / f"{name}.json"
         self._log_path = folder / f"{name}.log"
@@ -577,10 +571,10 @@
         }
         self.process = None
 
-    def start(self):
+    def start(self, *, is_first=True):
         """Start the process as the platform does."""
+        self._settings["bootstrap"] = is_first
         self._settings_path.write_text(json.dumps(self._settings))
-        self._settings["bootstrap"] = False
         deploy = tomllib.loads((ROOT / "deploy/system.toml").read_text())
         command = deploy["roles"]["topazlugd"]["run"].split()
         kept = {
@@ -654,12 +648,23 @@
             for name, host in zip(names, hosts, strict=True)
         ]
 
-    def start(self, seconds=20.0):
-        """Start all daemons and wait until they are ready."""
-        for daemon in self.daemons:
-            daemon.start()
+    def start(self, seconds=20.0, *, daemons=None, is_first=True):
+        """Start all or some daemons and wait until they are ready.
+
+        Parameters
+        ----------
+        seconds : float
+            How long they may take.
+        daemons : list of Daemon or None
+            Those to start; None for all.
+        is_first : bool
+            Whether the whole system starts for the first time.
+        """
+        chosen = self.daemons if daemons is None else daemons
+        for daemon in chosen:
+            daemon.start(is_first=is_first)
         wait_until(
-            lambda: all(one.is_ready() for one in self.daemons),
+            lambda: all(one.is_ready() for one in chosen),
             seconds,
             "the daemons are not ready",
         )
