--- a/review/harness-2/harness.py
+++ b/review/harness-2/harness.py
@@ -513,8 +513,6 @@
         self.zone = zone
         self.host = host
         self.port, self.ready_port, control, peers = ports
-        # Where other machines reach it.
-        self.internal_ports = (peers, peers + 1)
         self.store_port = store_port
         self._settings_path = folder / f"{name}.json"
         self._log_path = folder / f"{name}.log"
