Log requests received while a daemon stops, and each one cut off

Cause of this change: the log gave only the number of requests that were cut off, so three hypotheses could not be told apart: the requests come on connections kept from before the signal, on new ones, or had been sent while the answer before them ran. Change: a line for each request received while the daemon stops, with its number on its connection, and one for each request that is cut off, with the time at which it was received (the first 50). A registry of open requests takes the place of two counters.

--- a/src/topazlug/callers/_caller_connection.py
+++ b/src/topazlug/callers/_caller_connection.py
@@ -36,6 +36,8 @@
 
     _rejection: _errors.RequestError | None = None
     has_ended_reading = False
+    # Requests that the connection has carried.
+    request_count = 0
 
     def handle(self) -> None:
         """Serve one connection."""
@@ -118,6 +120,8 @@
         environ[_caller_request.RAW_PATH] = self.path.partition("?")[0]
         environ[_caller_request.FIELDS] = self.headers.items()
         environ[_caller_request.TARGET] = self.path
+        self.request_count += 1
+        environ[_caller_request.NUMBER] = self.request_count
         return environ
 
     def handle_one_response(self) -> None:
--- a/src/topazlug/callers/_caller_request.py
+++ b/src/topazlug/callers/_caller_request.py
@@ -25,6 +25,8 @@
 RAW_PATH = "topazlug.raw_path"
 FIELDS = "topazlug.fields"
 TARGET = "topazlug.target"
+# Number of the request on its connection, from 1.
+NUMBER = "topazlug.number"
 
 
 @final
--- a/src/topazlug/forwarding/_app.py
+++ b/src/topazlug/forwarding/_app.py
@@ -27,6 +27,7 @@
 from topazlug.forwarding import _call
 from topazlug.forwarding import _call_metrics
 from topazlug.forwarding import _forwarder
+from topazlug.forwarding import _open_requests
 from topazlug.forwarding import _startup_gate
 from topazlug.forwarding import _table
 from topazlug.forwarding import _wire
@@ -94,10 +95,8 @@
 
     Attributes
     ----------
-    in_progress : int
-        Number of requests whose answer has not ended.
-    delegated_in_progress : int
-        Those of them that other daemons have sent.
+    requests : OpenRequests
+        Requests whose answer has not ended.
     delegated_count : int
         Number of requests that this daemon served for others.
     """
@@ -122,41 +121,40 @@
         self._decoder = decoder
         self._call_metrics = call_metrics
         self._clock = clock
-        self.in_progress = 0
-        self.delegated_in_progress = 0
+        self.requests = _open_requests.OpenRequests(clock=clock)
         self.delegated_count = 0
 
     def __call__(
         self, environ: Mapping[str, Any], start_response: _wsgi.StartResponse
     ) -> Iterable[bytes]:
         """Answer one WSGI request."""
-        is_delegated = _delegation_server.SENDER in environ
-        self.in_progress += 1
-        self.delegated_in_progress += is_delegated
+        request = self.requests.begin(
+            is_delegated=_delegation_server.SENDER in environ
+        )
         return _wsgi.respond(
-            lambda: self._answer(environ),
+            lambda: self._answer(environ, request),
             start_response,
             is_head=environ["REQUEST_METHOD"] == "HEAD",
-            on_end=functools.partial(self._on_answer_end, is_delegated),
+            on_end=functools.partial(self.requests.end, request),
         )
 
-    def _on_answer_end(self, is_delegated: bool) -> None:
-        self.in_progress -= 1
-        self.delegated_in_progress -= is_delegated
-
     def _answer(
-        self, environ: Mapping[str, Any]
+        self,
+        environ: Mapping[str, Any],
+        request: _open_requests.OpenRequest,
     ) -> _caller_answer.CallerAnswer:
-        started_at = self._clock.monotonic()
+        started_at = request.received_at
         attempt = _ids.RequestId("")
         # A failure before the key is checked is counted for no team.
         team = _metrics.NO_TEAM
         try:
             received = self._decode(environ)
-            attempt = received.head.attempt
+            attempt = request.attempt = received.head.attempt
             with _logs.request_fields(
                 request_id=attempt, **received.log_fields
             ):
+                if self._is_stopping():
+                    _log_late_request(environ)
                 call = self._read_call(environ, received, started_at)
                 team = call.team_name
                 return self._forward_with_log_fields(call)
@@ -222,7 +220,7 @@
         reasons = messages.DeclineReason
         if self._is_stopping():
             return reasons.stopping
-        if self.delegated_in_progress > _MAX_DELEGATED_IN_PROGRESS:
+        if self.requests.delegated_count > _MAX_DELEGATED_IN_PROGRESS:
             return reasons.busy
         if self._tables.version < delegation.table:
             return reasons.table_behind
@@ -355,6 +353,14 @@
         return answer
 
 
+def _log_late_request(environ: Mapping[str, Any]) -> None:
+    """Log a request that arrives while the daemon stops."""
+    _log.info(
+        "received while the daemon stops",
+        connection_requests=environ.get(_caller_request.NUMBER),
+    )
+
+
 def _has_not_run(error: _errors.TopazlugError) -> bool:
     """Return whether the failed request certainly has not run."""
     if not isinstance(error, _errors.RequestError):
--- a/src/topazlug/forwarding/_daemon.py
+++ b/src/topazlug/forwarding/_daemon.py
@@ -539,15 +539,14 @@
             return
         self._stopping = True
         _log.info(
-            "stopping with {n} requests in progress", n=self._app.in_progress
+            "stopping with {n} requests in progress", n=len(self._app.requests)
         )
         stop = _graceful_stop.GracefulStop(
             callers=self._callers,
-            in_progress=lambda: self._app.in_progress,
+            requests=self._app.requests,
             clock=self._clock,
         )
         stop.run(seconds=self._options.stop_seconds)
-        _log.info("stopped, {n} requests cut off", n=self._app.in_progress)
         self.halt()
 
     def halt(self) -> None:
--- a/src/topazlug/forwarding/_gauges.py
+++ b/src/topazlug/forwarding/_gauges.py
@@ -37,7 +37,7 @@
     """Register the gauges and totals of a daemon with its metrics."""
     _target_gauges.watch(metrics, targets)
     gauge = _metrics.Gauge
-    metrics.watch(gauge.IN_FLIGHT, lambda: app.in_progress)
+    metrics.watch(gauge.IN_FLIGHT, lambda: len(app.requests))
     metrics.watch(gauge.CONNECTIONS, lambda: callers.connections)
     metrics.watch(gauge.REVISION, lambda: tables.version)
     metrics.watch(gauge.TABLE_AGE, lambda: fleet.table_age)
--- a/src/topazlug/forwarding/_graceful_stop.py
+++ b/src/topazlug/forwarding/_graceful_stop.py
@@ -1,11 +1,14 @@
 """Graceful stop: finishes the requests in progress before the daemon ends."""
 
-from collections.abc import Callable
+import itertools
 from typing import final
 
 from topazlug import _clock
+from topazlug import _logs
 from topazlug.callers import _caller_server
+from topazlug.forwarding import _open_requests
 
+_log = _logs.logger("daemon")
 # The load balancer checks readiness each second and removes a daemon after two
 # failed checks. Until then it sends new callers, whose connections would be
 # reset if the listener were closed.
@@ -15,6 +18,8 @@
 _STOP_MARGIN_SECONDS = 0.4
 _IDLE_SECONDS = 0.3
 _POLL_SECONDS = 0.05
+# Requests that are cut off and named in the log.
+_MAX_LOGGED_REQUESTS = 50
 
 
 @final
@@ -30,8 +35,8 @@
     ----------
     callers : CallersServer
         The callers' listener.
-    in_progress : callable
-        Returns the number of requests whose answer has not ended.
+    requests : OpenRequests
+        Requests whose answer has not ended.
     clock : Clock
         Clock of the daemon.
     """
@@ -40,31 +45,49 @@
         self,
         *,
         callers: _caller_server.CallersServer,
-        in_progress: Callable[[], int],
+        requests: _open_requests.OpenRequests,
         clock: _clock.Clock,
     ) -> None:
         self._callers = callers
-        self._in_progress = in_progress
+        self._requests = requests
         self._clock = clock
 
     def run(self, *, seconds: float) -> None:
         """Stop within this time, even if requests are still in progress."""
-        end = self._clock.monotonic() + seconds - _STOP_MARGIN_SECONDS
+        began = self._clock.monotonic()
+        end = began + seconds - _STOP_MARGIN_SECONDS
         self._callers.stopping = True
         self._clock.sleep(_READINESS_PROPAGATION_SECONDS)
         self._callers.close_listener()
         self._callers.close_idle()
         self._wait_until_idle(end)
+        self._log_end(began)
 
     def _wait_until_idle(self, end: float) -> None:
         idle_since: float | None = None
         while self._clock.monotonic() < end:
             now = self._clock.monotonic()
             self._callers.close_idle()
-            if self._in_progress() or self._callers.connections:
+            if len(self._requests) or self._callers.connections:
                 idle_since = None
             elif idle_since is None:
                 idle_since = now
             elif now - idle_since >= _IDLE_SECONDS:
                 return
             self._clock.sleep(_POLL_SECONDS)
+
+    def _log_end(self, began: float) -> None:
+        """Log the end of the stop, and each request that it cuts off."""
+        now = self._clock.monotonic()
+        for request in itertools.islice(self._requests, _MAX_LOGGED_REQUESTS):
+            _log.warning(
+                "cut off by the end of the daemon",
+                request_id=request.attempt,
+                received_after=round(request.received_at - began, 3),
+                age=round(now - request.received_at, 3),
+            )
+        _log.info(
+            "stopped after {seconds:.3f} s, {n} requests cut off",
+            seconds=round(now - began, 3),
+            n=len(self._requests),
+        )
--- a/tests/topazlug_platform/test_cut_off_daemons.py
+++ b/tests/topazlug_platform/test_cut_off_daemons.py
@@ -165,7 +165,7 @@
             fleet.statuses(1, TRIES)
             after = [one._app.delegated_count for one in fleet.daemons]
             assert sum(after) - sum(served) <= 2 * TRIES
-            assert not any(one._app.in_progress for one in fleet.daemons)
+            assert not any(len(one._app.requests) for one in fleet.daemons)
 
     def test_caller_that_hangs_up_ends_the_run(self):
         """A replica must not go on for a caller that left another daemon."""
@@ -174,12 +174,14 @@
             fleet.notice_cut(0)
             with fleet.begin_slow_stream(0):
                 cut_fleet.wait_until(
-                    lambda: fleet.daemons[1]._app.delegated_in_progress
-                    + fleet.daemons[2]._app.delegated_in_progress
+                    lambda: fleet.daemons[1]._app.requests.delegated_count
+                    + fleet.daemons[2]._app.requests.delegated_count
                 )
                 assert fleet.open_connections() > 0
             cut_fleet.wait_until(
-                lambda: not any(one._app.in_progress for one in fleet.daemons)
+                lambda: not any(
+                    len(one._app.requests) for one in fleet.daemons
+                )
             )
 
     def test_deadline_is_that_of_the_caller(self):
