Refuse requests that can't end before a stopping daemon does

Cause: an answer that begins while the daemon stops closes its connection, one that began before does not. Idle connections were closed in rounds of 0.05 s, so whatever a caller sent between two rounds was read. And nothing asked whether an answer can end before the daemon: a request was sent to a replica at any moment of the stop. Change: once the load balancer has removed the daemon, a connection ends as soon as its answer has ended, before its next request is read. A request that has arrived by then, or comes before, is sent to a replica only if its answer is expected to end before the daemon does, or its deadline passes by then. Otherwise it is refused before anything is sent, with 503 daemon_stopping and a Retry-After that lasts until the load balancer has removed this daemon, 0.05 s after that. The check is repeated before each retry, before another daemon is asked, and before a broken stream is resumed. How long answers take is learned from the last 32 complete ones of the route, else of the group, per token where callers name tokens; the longest counts, and 1.2 times of it. Alternatives: to end connections at the signal (callers would find some of them closed 2.6 s earlier for nothing), to refuse all that comes after the signal (requests of 1.5 s and streams of 1.2 s are answered whole today), to wait for the deadline (nearly all of 8 s would be refused). A test set a private flag of the daemon; it now begins the stop where delegated requests ask for it.

--- a/src/topazlug/_errors.py
+++ b/src/topazlug/_errors.py
@@ -57,6 +57,7 @@
     PEER_REFUSED = "peer_refused"
     PEER_MESSAGE_INVALID = "peer_message_invalid"
     NOT_READY = "not_ready"
+    STOPPING = "daemon_stopping"
     INTERNAL = "internal_error"
 
 
@@ -316,6 +317,14 @@
     status = HTTPStatus.SERVICE_UNAVAILABLE
 
 
+@final
+class DaemonStopping(RequestError):
+    """The daemon stops before the answer could end."""
+
+    code = Code.STOPPING
+    status = HTTPStatus.SERVICE_UNAVAILABLE
+
+
 @final
 class StoreUnavailable(RequestError):
     """The platform's service did not answer, or rejected the request."""
--- a/src/topazlug/callers/_caller_connection.py
+++ b/src/topazlug/callers/_caller_connection.py
@@ -52,6 +52,9 @@
 
     def read_requestline(self) -> str:
         """Read the request line; close a connection that stays idle."""
+        # A new connection is about to carry its first request.
+        if self.server.closes_idle and self.request_count:
+            self.end_reading()
         self.server.idle_handlers[self] = None
         try:
             with gevent.Timeout(self.server.idle_seconds, False):
--- a/src/topazlug/callers/_caller_server.py
+++ b/src/topazlug/callers/_caller_server.py
@@ -31,7 +31,9 @@
     Attributes
     ----------
     stopping : bool
-        Whether each answer closes its connection.
+        Whether each answer that begins closes its connection.
+    closes_idle : bool
+        Whether a connection is closed once it waits for its next request.
     head_seconds, idle_seconds : float
         Maximum time for the head of a request, and between two requests.
     idle_handlers : dict of CallersHandler
@@ -72,6 +74,7 @@
             **options,
         )
         self.stopping = False
+        self.closes_idle = False
         self.head_seconds = _caller_connection.HEAD_SECONDS
         self.idle_seconds = _caller_connection.IDLE_SECONDS
         self.idle_handlers: dict[_caller_connection.CallersHandler, None] = {}
@@ -181,10 +184,11 @@
             self.do_handle(*accepted)
 
     def close_idle(self) -> None:
-        """Close the connections that wait for a request.
+        """Close the connections that wait for a request, now and later.
 
         Only their receiving side is shut down, so a request that has just
         arrived is still read and answered.
         """
+        self.closes_idle = True
         for handler in list(self.idle_handlers):
             handler.end_reading()
--- a/src/topazlug/calls/_attempts.py
+++ b/src/topazlug/calls/_attempts.py
@@ -19,6 +19,13 @@
 _MAX_ATTEMPTS = 4
 # Bounds the attempts of a request whose connections all fail.
 _MAX_CONNECTS = 6
+# Failures that would be the same at any other replica: the request crashes
+# each of them, this daemon reaches none, or it stops before the answer ends.
+_FINAL_ERRORS = (
+    _errors.RequestBlocked,
+    _errors.NoReplicaPath,
+    _errors.DaemonStopping,
+)
 
 ResultT = TypeVar("ResultT")
 MayRepeat = Callable[[_targets.Target], bool]
@@ -125,13 +132,7 @@
                 failure = self._connect_failed(placement, error)
             except _errors.TargetRefused as error:
                 failure = self._rejected(placement, error)
-            except _errors.RequestBlocked as error:
-                # It crashes replicas, whichever one is tried next.
-                self._admission.release(placement)
-                error.outcome = outcome
-                raise
-            except _errors.NoReplicaPath as error:
-                # No other replica can be reached from this daemon either.
+            except _FINAL_ERRORS as error:
                 self._admission.release(placement)
                 error.outcome = outcome
                 raise
--- a/src/topazlug/forwarding/_app.py
+++ b/src/topazlug/forwarding/_app.py
@@ -2,8 +2,10 @@
 
 from collections.abc import Callable
 from collections.abc import Iterable
+from collections.abc import Iterator
 from collections.abc import Mapping
 from collections.abc import Sequence
+import contextlib
 import functools
 from http import HTTPStatus
 from typing import Any
@@ -24,11 +26,13 @@
 from topazlug.crashes import _fingerprint
 from topazlug.delegation import _delegation_server
 from topazlug.delegation import _delegation_wire
+from topazlug.forwarding import _answer_durations
 from topazlug.forwarding import _call
 from topazlug.forwarding import _call_metrics
 from topazlug.forwarding import _forwarder
 from topazlug.forwarding import _open_requests
 from topazlug.forwarding import _startup_gate
+from topazlug.forwarding import _stop_admission
 from topazlug.forwarding import _table
 from topazlug.forwarding import _wire
 from topazlug.routing import _owner_client
@@ -87,9 +91,8 @@
         Delays requests while the daemon starts.
     call_metrics : CallMetrics
         Counts requests and their durations.
-    is_stopping : callable
-        Returns whether the daemon is stopping, so that it accepts no more
-        requests of other daemons.
+    stop_admission : StopAdmission
+        Refuses requests that can't end before the daemon does.
     clock : Clock
         Clock of the daemon.
 
@@ -110,10 +113,10 @@
         decoder: _wire.CallerHeaderDecoder,
         gate: _startup_gate.StartupGate,
         call_metrics: _call_metrics.CallMetrics,
-        is_stopping: Callable[[], bool],
+        stop_admission: _stop_admission.StopAdmission,
         clock: _clock.Clock,
     ) -> None:
-        self._is_stopping = is_stopping
+        self._stop_admission = stop_admission
         self._gate = gate
         self._forwarder = forwarder
         self._tables = tables
@@ -143,29 +146,54 @@
         environ: Mapping[str, Any],
         request: _open_requests.OpenRequest,
     ) -> _caller_answer.CallerAnswer:
-        started_at = request.received_at
-        attempt = _ids.RequestId("")
         # A failure before the key is checked is counted for no team.
         team = _metrics.NO_TEAM
         try:
             received = self._decode(environ)
-            attempt = request.attempt = received.head.attempt
-            with _logs.request_fields(
-                request_id=attempt, **received.log_fields
+            request.attempt = received.head.attempt
+            with (
+                _logs.request_fields(
+                    request_id=request.attempt, **received.log_fields
+                ),
+                self._stop_handled(request),
             ):
-                if self._is_stopping():
-                    _log_late_request(environ)
-                call = self._read_call(environ, received, started_at)
+                call = self._read_call(environ, received, request)
                 team = call.team_name
                 return self._forward_with_log_fields(call)
         except _errors.TopazlugError as error:
             if not isinstance(error, _caller_watch.CallerLeft):
                 self._call_metrics.record_failure(team, error)
-            return self._error_answer(error, attempt, started_at)
+            return self._error_answer(error, request)
         except Exception:
             _log.exception("internal error while handling a request")
             fault = _errors.TopazlugError("internal error")
-            return _caller_answer.error_answer(fault, attempt)
+            return _caller_answer.error_answer(fault, request.attempt)
+        finally:
+            request.phase = _open_requests.Phase.ANSWERING
+
+    @contextlib.contextmanager
+    def _stop_handled(
+        self, request: _open_requests.OpenRequest
+    ) -> Iterator[None]:
+        """Handle the daemon's stop while a request is served.
+
+        Raises
+        ------
+        DaemonStopping
+            The request can't be waited for.
+        DelegationDeclined
+            The same, but another daemon sent it, and can send it elsewhere.
+        """
+        try:
+            yield
+        except _errors.DaemonStopping as error:
+            refusal = self._stop_admission.refusal(request)
+            is_certain = refusal.outcome is _errors.Outcome.NOT_RUN
+            if request.is_delegated and is_certain:
+                raise _delegation_wire.DelegationDeclined(
+                    messages.DeclineReason.stopping
+                ) from error
+            raise refusal from error
 
     def _decode(self, environ: Mapping[str, Any]) -> _ReceivedHead:
         """Return the decoded head of a request."""
@@ -218,7 +246,7 @@
         request for a route or key that the sender already knows.
         """
         reasons = messages.DeclineReason
-        if self._is_stopping():
+        if self._stop_admission.is_stopping:
             return reasons.stopping
         if self.requests.delegated_count > _MAX_DELEGATED_IN_PROGRESS:
             return reasons.busy
@@ -230,9 +258,11 @@
         self,
         environ: Mapping[str, Any],
         received: _ReceivedHead,
-        started_at: float,
+        request: _open_requests.OpenRequest,
     ) -> _call.ForwardedCall:
         """Return a request with its route, its team and its body."""
+        if self._stop_admission.is_stopping:
+            _log_late_request(environ)
         head = received.head
         if received.delegation is not None:
             head = self._accept_delegated(head, received.delegation)
@@ -253,12 +283,19 @@
             else head.caller_timeout
         )
         timeout = min(timeout, route.timeout)
+        chat = _call.chat_of(head)
+        group = route.group_for(chat)
+        request.deadline = request.received_at + timeout
+        request.kind = _answer_durations.AnswerKind(
+            route.name, group, head.output_tokens
+        )
+        self._stop_admission.check(request)
         body = _caller_request.read_body(
             environ,
             limit=table.bounds.max_body_bytes,
             timeout=min(_BODY_TIMEOUT_SECONDS, timeout),
         )
-        chat = _call.chat_of(head)
+        request.phase = _open_requests.Phase.WAITING
         return _call.ForwardedCall(
             method=environ["REQUEST_METHOD"],
             target=environ[_caller_request.TARGET],
@@ -266,11 +303,11 @@
             body=body,
             route=route,
             team=team,
-            group=route.group_for(chat),
+            group=group,
             rank=table.rank_of(route, team),
             chat=chat,
-            started_at=started_at,
-            deadline=started_at + timeout,
+            started_at=request.received_at,
+            deadline=request.deadline,
             socket=environ.get(_caller_request.SOCKET),
             fingerprint=_fingerprint.fingerprint(
                 method=environ["REQUEST_METHOD"],
@@ -281,6 +318,7 @@
             ),
             fields=received.fields,
             delegation=received.delegation,
+            open_request=request,
         )
 
     def _forward_with_log_fields(
@@ -298,22 +336,7 @@
             return self._serve(call)
 
     def _serve(self, call: _call.ForwardedCall) -> _caller_answer.CallerAnswer:
-        try:
-            answer = self._forwarder.serve(call)
-        except _errors.RequestError as error:
-            # The caller is asked to retry early enough to get the answer
-            # before its deadline, but not while a retry would certainly be
-            # rejected.
-            if error.retry_after is not None:
-                remaining_seconds = call.deadline - self._clock.monotonic()
-                max_retry_after = max(
-                    0.0,
-                    _owner_client.MAX_RETRY_DELAY_FRACTION * remaining_seconds,
-                )
-                error.retry_after = max(
-                    min(error.retry_after, max_retry_after), error.rejected_for
-                )
-            raise
+        answer = self._forwarder.serve(call)
         _log.info(
             "answered with {status} after {seconds:.3f} s",
             status=answer.status,
@@ -321,14 +344,35 @@
         )
         return answer
 
+    def _limit_retry_after(
+        self,
+        error: _errors.RequestError,
+        request: _open_requests.OpenRequest,
+    ) -> None:
+        """Have the caller retry early enough to get the answer in time.
+
+        But not while a retry would certainly be rejected.
+        """
+        if error.retry_after is None or request.deadline is None:
+            return
+        remaining_seconds = request.deadline - self._clock.monotonic()
+        max_retry_after = max(
+            0.0,
+            _owner_client.MAX_RETRY_DELAY_FRACTION * remaining_seconds,
+        )
+        error.retry_after = max(
+            min(error.retry_after, max_retry_after), error.rejected_for
+        )
+
     def _error_answer(
         self,
         error: _errors.TopazlugError,
-        attempt: _ids.RequestId,
-        started_at: float,
+        request: _open_requests.OpenRequest,
     ) -> _caller_answer.CallerAnswer:
+        if isinstance(error, _errors.RequestError):
+            self._limit_retry_after(error, request)
         answer = _caller_answer.error_answer(
-            error, attempt, whole_seconds=False
+            error, request.attempt, whole_seconds=False
         )
         if answer.status in _NOT_RUN_STATUSES and not _has_not_run(error):
             answer.status = int(HTTPStatus.BAD_GATEWAY)
@@ -336,14 +380,17 @@
             answer.headers.append(
                 (_delegation_wire.DECLINED, error.reason.value)
             )
-        with _logs.request_fields(request_id=attempt, status=answer.status):
+        now = self._clock.monotonic()
+        with _logs.request_fields(
+            request_id=request.attempt, status=answer.status
+        ):
             if isinstance(error, _caller_watch.CallerLeft):
                 _log.info("caller disconnected before its answer began")
             else:
                 _log.warning(
                     "failed with {code} after {seconds:.3f} s: {why}",
                     code=error.code.value,
-                    seconds=round(self._clock.monotonic() - started_at, 3),
+                    seconds=round(now - request.received_at, 3),
                     outcome=getattr(error, "outcome", None),
                     retry_after=getattr(error, "retry_after", None),
                     why=error.message,
--- a/src/topazlug/forwarding/_call.py
+++ b/src/topazlug/forwarding/_call.py
@@ -10,6 +10,7 @@
 from topazlug import _ids
 from topazlug._generated import messages
 from topazlug.crashes import _fingerprint
+from topazlug.forwarding import _open_requests
 from topazlug.forwarding import _table
 from topazlug.forwarding import _wire
 from topazlug.routing import _placement
@@ -77,6 +78,8 @@
         its attempts; None if this daemon has it from the caller.
     version : SoftwareVersion or None
         Version that began its stream; None if no event has been relayed.
+    open_request : OpenRequest
+        How far it has come.
     """
 
     method: str
@@ -95,6 +98,9 @@
     fields: Sequence[_wire.Field]
     delegation: messages.DelegatedCall | None = None
     version: _ids.SoftwareVersion | None = None
+    open_request: _open_requests.OpenRequest = msgspec.field(
+        default_factory=_open_requests.OpenRequest
+    )
 
     @property
     def takes_stream_up(self) -> bool:
--- a/src/topazlug/forwarding/_call_metrics.py
+++ b/src/topazlug/forwarding/_call_metrics.py
@@ -6,6 +6,7 @@
 from topazlug import _errors
 from topazlug import _ids
 from topazlug._generated import table
+from topazlug.forwarding import _answer_durations
 from topazlug.forwarding import _call
 from topazlug.routing import _placement
 from topazlug.telemetry import _metrics
@@ -24,20 +25,29 @@
     ----------
     metrics : Metrics
         Metrics of the daemon.
+    durations : AnswerDurations
+        Learns how long answers take.
     clock : Clock
         Clock of the daemon.
     """
 
     def __init__(
-        self, *, metrics: _metrics.Metrics, clock: _clock.Clock
+        self,
+        *,
+        metrics: _metrics.Metrics,
+        durations: _answer_durations.AnswerDurations,
+        clock: _clock.Clock,
     ) -> None:
         self._metrics = metrics
+        self._durations = durations
         self._clock = clock
 
     def record_first_byte(self, call: _call.ForwardedCall) -> None:
         """Record the time to the first byte of a call's answer."""
+        now = self._clock.monotonic()
+        call.open_request.answered_at = now
         self._metrics.observe_first_token(
-            call.team_name, _CLASS, self._clock.monotonic() - call.started_at
+            call.team_name, _CLASS, now - call.started_at
         )
 
     def record_pause(self, call: _call.ForwardedCall, seconds: float) -> None:
@@ -59,6 +69,8 @@
         code = None
         if status >= _SERVER_ERROR:
             code = _errors.Code.TARGET_FAILED
+        else:
+            self._record_duration(call)
         self._metrics.count_request(
             call.team_name, _CLASS, code, _errors.Outcome.RAN
         )
@@ -66,6 +78,21 @@
             call.team_name, _CLASS, self._clock.monotonic() - call.started_at
         )
 
+    def _record_duration(self, call: _call.ForwardedCall) -> None:
+        request = call.open_request
+        # A caller that takes a stream up gets a part of its tokens only.
+        if (
+            request.kind is None
+            or request.answered_at is None
+            or call.takes_stream_up
+        ):
+            return
+        self._durations.record(
+            request.kind,
+            until_begin=request.answered_at - call.started_at,
+            whole=self._clock.monotonic() - call.started_at,
+        )
+
     def record_broken_stream(
         self, call: _call.ForwardedCall, error: _errors.RequestError
     ) -> None:
--- a/src/topazlug/forwarding/_daemon.py
+++ b/src/topazlug/forwarding/_daemon.py
@@ -17,6 +17,7 @@
 from topazlug.fleet import _fleet_directory
 from topazlug.fleet import _table_feed
 from topazlug.fleet import _table_source
+from topazlug.forwarding import _answer_durations
 from topazlug.forwarding import _app
 from topazlug.forwarding import _awaited_heads
 from topazlug.forwarding import _call_metrics
@@ -27,6 +28,7 @@
 from topazlug.forwarding import _monitoring
 from topazlug.forwarding import _options
 from topazlug.forwarding import _startup_gate
+from topazlug.forwarding import _stop_admission
 from topazlug.forwarding import _table
 from topazlug.forwarding import _version_assembly
 from topazlug.forwarding import _wire
@@ -208,8 +210,12 @@
         self.metrics = _metrics.Metrics(
             _settings_types.MetricsSettings(), options.daemon, options.zone
         )
+        durations = _answer_durations.AnswerDurations()
         self._call_metrics = _call_metrics.CallMetrics(
-            metrics=self.metrics, clock=clock
+            metrics=self.metrics, durations=durations, clock=clock
+        )
+        self._stop_admission = _stop_admission.StopAdmission(
+            durations=durations, clock=clock
         )
         self._awaited_heads = _awaited_heads.AwaitedHeads(
             views=self.views,
@@ -240,6 +246,7 @@
             contexts=self.contexts,
             guard=self._crash_assembly.guard,
             call_metrics=self._call_metrics,
+            stop_admission=self._stop_admission,
             path_check=self._path_check,
             delegator=self._delegation.delegator if is_delegating else None,
             targets=self.targets,
@@ -262,7 +269,7 @@
             decoder=caller_decoder,
             gate=self._gate,
             call_metrics=self._call_metrics,
-            is_stopping=lambda: self._stopping,
+            stop_admission=self._stop_admission,
             clock=clock,
         )
         self._callers = _caller_server.CallersServer(
@@ -544,6 +551,7 @@
         stop = _graceful_stop.GracefulStop(
             callers=self._callers,
             requests=self._app.requests,
+            admission=self._stop_admission,
             clock=self._clock,
         )
         stop.run(seconds=self._options.stop_seconds)
--- a/src/topazlug/forwarding/_forwarder.py
+++ b/src/topazlug/forwarding/_forwarder.py
@@ -23,6 +23,7 @@
 from topazlug.forwarding import _event_relay
 from topazlug.forwarding import _exchange
 from topazlug.forwarding import _failures
+from topazlug.forwarding import _stop_admission
 from topazlug.forwarding import _stream_resumer
 from topazlug.limits import _retry_share
 from topazlug.placement import _mechanisms
@@ -78,6 +79,8 @@
         Retry budget of this daemon.
     call_metrics : CallMetrics
         Counts requests and their durations.
+    stop_admission : StopAdmission
+        Refuses requests that can't end before the daemon does.
     clock : Clock
         Clock of the daemon.
     is_brittle : callable
@@ -103,6 +106,7 @@
         versions: _stream_versions.StreamVersions,
         budget: _retry_share.RetryShare,
         call_metrics: _call_metrics.CallMetrics,
+        stop_admission: _stop_admission.StopAdmission,
         is_brittle: Callable[[_ids.GroupName], bool],
         count_usable: _stream_resumer.CountUsable,
         clock: _clock.Clock,
@@ -124,6 +128,7 @@
         self._versions = versions
         self._budget = budget
         self._call_metrics = call_metrics
+        self._stop_admission = stop_admission
         self._clock = clock
 
     def serve(self, call: _call.ForwardedCall) -> _caller_answer.CallerAnswer:
@@ -135,6 +140,7 @@
             The request failed before any of an answer was sent to the
             caller.
         """
+        self._stop_admission.check(call.open_request)
         # Callers repeat a failed request at any daemon, under a new id. One
         # request that crashes every replica it runs on crashed eleven of them
         # in eleven seconds, each with two to twelve other requests.
@@ -213,13 +219,15 @@
             raise _delegation_wire.DelegationDeclined(
                 messages.DeclineReason.cut_off
             )
+        self._stop_admission.check(call.open_request)
         may_send = progress.sent < call.max_replicas and (
             is_certain or call.route.repeatable
         )
         if self._delegator is None or call.delegation or not may_send:
             error.retry_after = _CUT_RETRY_AFTER_SECONDS
             raise error
-        return self._delegator.serve(call, progress)
+        with call.open_request.being_sent():
+            return self._delegator.serve(call, progress)
 
     def _attempt(
         self,
@@ -229,12 +237,16 @@
     ) -> _caller_answer.CallerAnswer:
         # It may have waited for a slot while the cause of crashes was found.
         self._guard.check(call.fingerprint, call.part_fingerprints)
+        self._check_stop(call, placement)
         if not progress.placed:
             self._call_metrics.record_sent(call)
         progress.replica = placement.target.replica
         progress.placed += 1
         progress.sent += 1
-        with _logs.request_fields(replica=placement.target.replica):
+        with (
+            _logs.request_fields(replica=placement.target.replica),
+            call.open_request.being_sent(),
+        ):
             try:
                 answer = self._exchange.send(
                     call,
@@ -261,6 +273,17 @@
                 answer.close()
                 raise
 
+    def _check_stop(
+        self, call: _call.ForwardedCall, placement: _placement.Placement
+    ) -> None:
+        """Check that the answer can end, as it may have waited for a slot."""
+        try:
+            self._stop_admission.check(call.open_request)
+        except _errors.DaemonStopping:
+            # Nothing was sent.
+            placement.is_outcome_unknown = True
+            raise
+
     def _answer_timeout(
         self,
         call: _call.ForwardedCall,
--- a/src/topazlug/forwarding/_forwarder_assembly.py
+++ b/src/topazlug/forwarding/_forwarder_assembly.py
@@ -14,6 +14,7 @@
 from topazlug.forwarding import _call_metrics
 from topazlug.forwarding import _exchange
 from topazlug.forwarding import _forwarder
+from topazlug.forwarding import _stop_admission
 from topazlug.forwarding import _stream_resumer
 from topazlug.forwarding import _wire
 from topazlug.limits import _retry_share
@@ -53,6 +54,8 @@
         Rejects requests that crash replicas.
     call_metrics : CallMetrics
         Counts requests and their durations.
+    stop_admission : StopAdmission
+        Refuses requests that can't end before the daemon does.
     path_check : PathCheck
         Finds out whether this daemon is cut off from a group.
     delegator : Delegator or None
@@ -79,6 +82,7 @@
     contexts: _context_locator.ContextLocator
     guard: _crash_guard.CrashGuard
     call_metrics: _call_metrics.CallMetrics
+    stop_admission: _stop_admission.StopAdmission
     path_check: _path_check.PathCheck
     delegator: _delegator.Delegator | None
     targets: _targets.TargetDirectory
@@ -103,6 +107,7 @@
             versions=self.versions,
             budget=self.budget,
             call_metrics=self.call_metrics,
+            stop_admission=self.stop_admission,
             is_brittle=lambda group: (
                 self.targets.brittle.tolerated_by(group) is not None
             ),
@@ -154,6 +159,7 @@
             budget=self.budget,
             views=self.views,
             guard=self.guard,
+            stop_admission=self.stop_admission,
             count_usable=self._count_usable,
             disabled=self.disabled,
             clock=self.clock,
--- a/src/topazlug/forwarding/_graceful_stop.py
+++ b/src/topazlug/forwarding/_graceful_stop.py
@@ -7,6 +7,7 @@
 from topazlug import _logs
 from topazlug.callers import _caller_server
 from topazlug.forwarding import _open_requests
+from topazlug.forwarding import _stop_admission
 
 _log = _logs.logger("daemon")
 # The load balancer checks readiness each second and removes a daemon after two
@@ -27,9 +28,10 @@
     """Closes a daemon's listener and waits until its last request has ended.
 
     The daemon reports that it is not ready but still accepts connections
-    until the load balancer has removed it. Each answer closes its
-    connection. The stop is complete when there has been no request and no
-    connection for `_IDLE_SECONDS`.
+    until the load balancer has removed it. Each answer that begins closes its
+    connection, and then each connection is closed once it is idle. A request
+    that can't end in time is refused. The stop is complete when there has
+    been no request and no connection for `_IDLE_SECONDS`.
 
     Parameters
     ----------
@@ -37,6 +39,8 @@
         The callers' listener.
     requests : OpenRequests
         Requests whose answer has not ended.
+    admission : StopAdmission
+        Decides which requests can end in time.
     clock : Clock
         Clock of the daemon.
     """
@@ -46,21 +50,27 @@
         *,
         callers: _caller_server.CallersServer,
         requests: _open_requests.OpenRequests,
+        admission: _stop_admission.StopAdmission,
         clock: _clock.Clock,
     ) -> None:
         self._callers = callers
         self._requests = requests
+        self._admission = admission
         self._clock = clock
 
     def run(self, *, seconds: float) -> None:
         """Stop within this time, even if requests are still in progress."""
         began = self._clock.monotonic()
-        end = began + seconds - _STOP_MARGIN_SECONDS
+        schedule = _stop_admission.StopSchedule(
+            unlisted_at=began + _READINESS_PROPAGATION_SECONDS,
+            ends_at=began + seconds - _STOP_MARGIN_SECONDS,
+        )
         self._callers.stopping = True
+        self._admission.begin(schedule)
         self._clock.sleep(_READINESS_PROPAGATION_SECONDS)
         self._callers.close_listener()
         self._callers.close_idle()
-        self._wait_until_idle(end)
+        self._wait_until_idle(schedule.ends_at)
         self._log_end(began)
 
     def _wait_until_idle(self, end: float) -> None:
--- a/src/topazlug/forwarding/_open_requests.py
+++ b/src/topazlug/forwarding/_open_requests.py
@@ -1,12 +1,38 @@
 """Requests that a daemon has read and not answered completely."""
 
 from collections.abc import Iterator
+import contextlib
+import enum
 from typing import final
 
 import msgspec
 
 from topazlug import _clock
+from topazlug import _errors
 from topazlug import _ids
+from topazlug.forwarding import _answer_durations
+from topazlug.targets import _target_client
+
+
+class Phase(enum.Enum):
+    """How far a request has come.
+
+    Attributes
+    ----------
+    READING
+        Its body is being read.
+    WAITING
+        It waits for a replica.
+    SENT
+        A replica or another daemon may be running it.
+    ANSWERING
+        Its answer is being sent to the caller.
+    """
+
+    READING = "reading"
+    WAITING = "waiting"
+    SENT = "sent"
+    ANSWERING = "answering"
 
 
 @final
@@ -21,11 +47,49 @@
         Whether another daemon sent it.
     attempt : RequestId
         Id of the attempt, empty until the head is decoded.
+    phase : Phase
+        How far it has come.
+    outcome : Outcome
+        Whether it may have run.
+    kind : AnswerKind or None
+        What the duration of its answer depends on; None until its route is
+        known.
+    deadline : float or None
+        Monotonic seconds at which it ends without an answer; None until its
+        route is known.
+    answered_at : float or None
+        Monotonic seconds at which its answer began; None before.
     """
 
-    received_at: float
+    received_at: float = 0.0
     is_delegated: bool = False
     attempt: _ids.RequestId = _ids.RequestId("")
+    phase: Phase = Phase.READING
+    outcome: _errors.Outcome = _errors.Outcome.NOT_RUN
+    kind: _answer_durations.AnswerKind | None = None
+    deadline: float | None = None
+    answered_at: float | None = None
+
+    @contextlib.contextmanager
+    def being_sent(self) -> Iterator[None]:
+        """Record that the request may run from the beginning of the block.
+
+        It has not run if the block fails with an error that says so.
+        """
+        before = self.outcome
+        self.phase = Phase.SENT
+        self.outcome = _errors.Outcome.UNKNOWN
+        try:
+            yield
+        except _target_client.ConnectFailed:
+            self.phase = Phase.WAITING
+            self.outcome = before
+            raise
+        except _errors.RequestError as error:
+            self.phase = Phase.WAITING
+            if error.outcome is _errors.Outcome.NOT_RUN:
+                self.outcome = before
+            raise
 
 
 @final
@@ -58,7 +122,8 @@
     def begin(self, *, is_delegated: bool) -> OpenRequest:
         """Add a request."""
         request = OpenRequest(
-            received_at=self._clock.monotonic(), is_delegated=is_delegated
+            received_at=self._clock.monotonic(),
+            is_delegated=is_delegated,
         )
         self._requests[request] = None
         self.delegated_count += is_delegated
--- a/src/topazlug/forwarding/_stream_resumer.py
+++ b/src/topazlug/forwarding/_stream_resumer.py
@@ -10,6 +10,7 @@
 from topazlug.crashes import _crash_guard
 from topazlug.forwarding import _call
 from topazlug.forwarding import _exchange
+from topazlug.forwarding import _stop_admission
 from topazlug.limits import _retry_share
 from topazlug.placement import _mechanisms
 from topazlug.placement import _replica_view
@@ -44,6 +45,8 @@
         Receives the outcomes of requests.
     guard : CrashGuard
         Rejects requests that crash replicas.
+    stop_admission : StopAdmission
+        Refuses requests that can't end before the daemon does.
     count_usable : callable
         Returns the number of usable replicas of a group and a version.
     clock : Clock
@@ -65,11 +68,13 @@
         budget: _retry_share.RetryShare,
         views: _replica_view.ReplicaViews,
         guard: _crash_guard.CrashGuard,
+        stop_admission: _stop_admission.StopAdmission,
         count_usable: CountUsable,
         clock: _clock.Clock,
         disabled: _mechanisms.DisabledMechanisms = _mechanisms.NONE_DISABLED,
     ) -> None:
         self._guard = guard
+        self._stop_admission = stop_admission
         self._count_usable = count_usable
         self.is_disabled = _mechanisms.Mechanism.RESUMPTION in disabled
         self._admission = admission
@@ -118,6 +123,12 @@
         ):
             _log.info("stream not resumed: the request crashes replicas")
             return None
+        elapsed = self._clock.monotonic() - call.started_at
+        if not self._stop_admission.can_end(
+            call.open_request, elapsed=elapsed
+        ):
+            _log.info("stream not resumed: the daemon stops before its end")
+            return None
         if not self._budget.spend(call.group):
             _log.info("stream not resumed: retry budget exhausted")
             return None
--- a/tests/topazlug/forwarding/test_event_relay.py
+++ b/tests/topazlug/forwarding/test_event_relay.py
@@ -68,7 +68,9 @@
         fingerprint=0,
         part_fingerprints=(),
         group=fixtures.GROUP,
+        started_at=0.0,
         deadline=10.0,
+        open_request=None,
         placement_request=placement_request,
     )
 
@@ -81,6 +83,7 @@
     retries=9,
     usable=6,
     is_silent=False,
+    can_end=True,
 ):
     """Resume a stream that broke at i-0; return where it was sent."""
     admission = Admission(replicas)
@@ -93,6 +96,9 @@
         guard=types.SimpleNamespace(
             may_repeat=lambda *_: True, check=lambda *_: None
         ),
+        stop_admission=types.SimpleNamespace(
+            can_end=lambda request, *, elapsed: can_end
+        ),
         count_usable=lambda group, version: usable,
         clock=claim_fakes.FakeClock(),
     )
@@ -126,6 +132,15 @@
         assert not held
 
 
+class TestStop:
+    def test_stream_that_cannot_end_is_not_resumed(self, call):
+        """It ran at a second replica and was cut off there."""
+        resumed, sent_to, held = resume(call, {}, can_end=False)
+        assert not resumed
+        assert not sent_to
+        assert not held
+
+
 class TestLastReplica:
     def test_stream_goes_on_where_it_broke(self, call):
         """A stream ended although its only replica still served."""
--- a/tests/topazlug_platform/platform_rig.py
+++ b/tests/topazlug_platform/platform_rig.py
@@ -3,6 +3,7 @@
 import gevent
 from gevent import server
 from gevent import socket
+import logbook
 from topazlug_platform import contexts
 from topazlug_platform import headers
 
@@ -11,6 +12,7 @@
 from tests.topazlug.forwarding import forwarding_fixtures as fixtures
 from topazlug import _clock
 from topazlug import _ids
+from topazlug import _logs
 from topazlug._generated import settings
 from topazlug.fleet import _staleness_bounds
 from topazlug.forwarding import _daemon
@@ -82,6 +84,26 @@
     return _options.ForwardingOptions(**{**values, **changes})
 
 
+class LogLines(logbook.TestHandler):
+    """Keeps log lines with the fields of the request in progress."""
+
+    def __init__(self):
+        super().__init__()
+        self.lines = []
+
+    def emit(self, record):
+        fields = {**_logs.current_fields(), **record.kwargs}
+        self.lines.append((record.msg, fields))
+
+    def of_request(self, attempt):
+        """Return the text and the fields of a request's lines."""
+        return [
+            (text, fields)
+            for text, fields in self.lines
+            if fields.get("request_id") == attempt
+        ]
+
+
 class Rig:
     """One daemon; a replica is a callable that serves one request.
 
--- a/tests/topazlug_platform/test_cut_off_daemons.py
+++ b/tests/topazlug_platform/test_cut_off_daemons.py
@@ -1,6 +1,7 @@
 """Daemons that reach no replica, while others of their fleet do."""
 
 import contextlib
+import time
 
 import gevent
 import logbook
@@ -8,6 +9,7 @@
 
 from tests.topazlug.forwarding import forwarding_fixtures as fixtures
 from tests.topazlug_platform import cut_fleet
+from topazlug.forwarding import _stop_admission
 from topazlug.forwarding import _table
 
 CUT = cut_fleet.CUT
@@ -23,6 +25,10 @@
     },
 }
 TRIES = 40
+# Of a daemon that has just been told to stop.
+SCHEDULE = _stop_admission.StopSchedule(
+    unlisted_at=time.monotonic() + 60.0, ends_at=time.monotonic() + 60.0
+)
 # Of the tries at a daemon that is cut off, at least this fraction is served.
 MIN_SERVED = 0.95
 
@@ -216,7 +222,7 @@
         with running_fleet() as fleet:
             fleet.cut_off(CUT.RESET, 0)
             fleet.notice_cut(0)
-            fleet.daemons[1]._stopping = True
+            fleet.daemons[1]._stop_admission.begin(SCHEDULE)
             before = fleet.daemons[1]._app.delegated_count
             assert fleet.statuses(0, TRIES).count(200) >= MIN_SERVED * TRIES
             assert fleet.daemons[1]._app.delegated_count == before
--- a/tests/topazlug_platform/test_streams_of_two_versions.py
+++ b/tests/topazlug_platform/test_streams_of_two_versions.py
@@ -4,11 +4,10 @@
 import time
 
 import gevent
-import logbook
 
 from tests.topazlug_platform import cut_fleet
+from tests.topazlug_platform import platform_rig
 from tests.topazlug_platform import version_fleet
-from topazlug import _logs
 
 STREAMS = 40
 # Of the streams that are taken up, at least this fraction goes on.
@@ -278,30 +277,10 @@
             assert [one for one in taken_up if one.is_mixed] == []
 
 
-class Lines(logbook.TestHandler):
-    """Keeps log lines with the fields of the request in progress."""
-
-    def __init__(self):
-        super().__init__()
-        self.lines = []
-
-    def emit(self, record):
-        fields = {**_logs.current_fields(), **record.kwargs}
-        self.lines.append((record.msg, fields))
-
-    def of_request(self, attempt):
-        """Return the text and the fields of a request's lines."""
-        return [
-            (text, fields)
-            for text, fields in self.lines
-            if fields.get("request_id") == attempt
-        ]
-
-
 class TestLogs:
     def test_request_id_leads_to_the_versions_of_its_replicas(self):
         """No line told which versions a stream had come from."""
-        lines = Lines()
+        lines = platform_rig.LogLines()
         attempts = []
         with running_fleet() as fleet, lines.applicationbound():
             fleet.break_streams(4)
@@ -315,7 +294,7 @@
         assert any(text.startswith("stream") for text, _ in found)
 
     def test_line_names_the_attempt_that_is_taken_up(self):
-        lines = Lines()
+        lines = platform_rig.LogLines()
         attempts = []
         with running_fleet() as fleet, lines.applicationbound():
             fleet.stream(0, 1, leaves_after=4, attempts=attempts)
