Refuse requests that wait too long while the daemon stops

Callers' view: a request whose body ended after the signal, or that waited for a slot, was sent to a replica however late and cut off at the end of the stop. One whose body did not end, or whose replica was silent, got 500 from the end of the process. A request that has been read and not sent was looked at only when its wait ended, and the end of the process interrupted all that still waited as if by an internal error. Change: the stop looks at the requests that are not sent each 0.05 s, and refuses those whose answer can't end any more if it began only now. 0.1 s before its end it gives up those that are sent and have no answer yet: 502, as they may have run. A request that another daemon sent is declined instead, so that that one can ask another. A request is interrupted from the event loop, where its phase is checked again, so that none is said not to have run once it is being sent. An answer that has begun is left alone. No stop takes longer: all end within the seconds that they are given.

--- a/src/topazlug/forwarding/_app.py
+++ b/src/topazlug/forwarding/_app.py
@@ -186,7 +186,7 @@
         """
         try:
             yield
-        except _errors.DaemonStopping as error:
+        except (_open_requests.Interrupted, _errors.DaemonStopping) as error:
             refusal = self._stop_admission.refusal(request)
             is_certain = refusal.outcome is _errors.Outcome.NOT_RUN
             if request.is_delegated and is_certain:
--- a/src/topazlug/forwarding/_graceful_stop.py
+++ b/src/topazlug/forwarding/_graceful_stop.py
@@ -17,6 +17,9 @@
 # The stop ends this long before the platform's limit, even with requests in
 # progress.
 _STOP_MARGIN_SECONDS = 0.4
+# Requests without an answer are given up this long before the end, so that
+# callers are told.
+_LAST_ANSWER_SECONDS = 0.1
 _IDLE_SECONDS = 0.3
 _POLL_SECONDS = 0.05
 # Requests that are cut off and named in the log.
@@ -67,24 +70,42 @@
         )
         self._callers.stopping = True
         self._admission.begin(schedule)
-        self._clock.sleep(_READINESS_PROPAGATION_SECONDS)
+        self._wait_until_unlisted(schedule)
         self._callers.close_listener()
         self._callers.close_idle()
-        self._wait_until_idle(schedule.ends_at)
+        if not self._wait_until_idle(schedule.ends_at - _LAST_ANSWER_SECONDS):
+            self._requests.interrupt_unanswered()
+            self._wait_until_idle(schedule.ends_at)
         self._log_end(began)
 
-    def _wait_until_idle(self, end: float) -> None:
+    def _wait_until_unlisted(
+        self, schedule: _stop_admission.StopSchedule
+    ) -> None:
+        while self._clock.monotonic() < schedule.unlisted_at:
+            self._refuse_late()
+            self._clock.sleep(_POLL_SECONDS)
+
+    def _wait_until_idle(self, end: float) -> bool:
+        """Return whether the daemon was idle for a while before this time."""
         idle_since: float | None = None
         while self._clock.monotonic() < end:
             now = self._clock.monotonic()
+            self._refuse_late()
             self._callers.close_idle()
             if len(self._requests) or self._callers.connections:
                 idle_since = None
             elif idle_since is None:
                 idle_since = now
             elif now - idle_since >= _IDLE_SECONDS:
-                return
+                return True
             self._clock.sleep(_POLL_SECONDS)
+        return False
+
+    def _refuse_late(self) -> None:
+        """Refuse the requests that can't end any more if sent only now."""
+        for request in self._requests:
+            if request.is_unsent and not self._admission.can_end(request):
+                self._requests.interrupt_unsent(request)
 
     def _log_end(self, began: float) -> None:
         """Log the end of the stop, and each request that it cuts off."""
--- a/src/topazlug/forwarding/_open_requests.py
+++ b/src/topazlug/forwarding/_open_requests.py
@@ -3,8 +3,10 @@
 from collections.abc import Iterator
 import contextlib
 import enum
+from typing import Any
 from typing import final
 
+import gevent
 import msgspec
 
 from topazlug import _clock
@@ -14,6 +16,14 @@
 from topazlug.targets import _target_client
 
 
+@final
+class Interrupted(_errors.TopazlugError):
+    """The daemon stops and can't wait for a request any longer.
+
+    It is raised in the request's greenlet, wherever that waits.
+    """
+
+
 class Phase(enum.Enum):
     """How far a request has come.
 
@@ -43,6 +53,8 @@
     ----------
     received_at : float
         Monotonic seconds at which its head had been read.
+    greenlet : greenlet or None
+        Serves the request; None if it can't be interrupted.
     is_delegated : bool
         Whether another daemon sent it.
     attempt : RequestId
@@ -62,6 +74,7 @@
     """
 
     received_at: float = 0.0
+    greenlet: Any = None
     is_delegated: bool = False
     attempt: _ids.RequestId = _ids.RequestId("")
     phase: Phase = Phase.READING
@@ -70,6 +83,11 @@
     deadline: float | None = None
     answered_at: float | None = None
 
+    @property
+    def is_unsent(self) -> bool:
+        """Return whether no replica can be running it at this moment."""
+        return self.phase in (Phase.READING, Phase.WAITING)
+
     @contextlib.contextmanager
     def being_sent(self) -> Iterator[None]:
         """Record that the request may run from the beginning of the block.
@@ -120,9 +138,10 @@
         return iter(list(self._requests))
 
     def begin(self, *, is_delegated: bool) -> OpenRequest:
-        """Add a request."""
+        """Add a request that the current greenlet serves."""
         request = OpenRequest(
             received_at=self._clock.monotonic(),
+            greenlet=gevent.getcurrent(),
             is_delegated=is_delegated,
         )
         self._requests[request] = None
@@ -133,3 +152,26 @@
         """Remove a request whose answer has ended, complete or not."""
         del self._requests[request]
         self.delegated_count -= request.is_delegated
+
+    def interrupt_unsent(self, request: OpenRequest) -> None:
+        """Raise `Interrupted` in a request unless it is sent by then."""
+        self._schedule(request, (Phase.READING, Phase.WAITING))
+
+    def interrupt_unanswered(self) -> None:
+        """Raise `Interrupted` in all requests whose answer has not begun."""
+        for request in self:
+            self._schedule(request, (Phase.READING, Phase.WAITING, Phase.SENT))
+
+    def _schedule(
+        self, request: OpenRequest, phases: tuple[Phase, ...]
+    ) -> None:
+        # A greenlet can be interrupted from the event loop only. Others run
+        # before that, so the phase is checked there.
+        loop = gevent.get_hub().loop
+        loop.run_callback(self._interrupt, request, phases)
+
+    def _interrupt(
+        self, request: OpenRequest, phases: tuple[Phase, ...]
+    ) -> None:
+        if request in self._requests and request.phase in phases:
+            request.greenlet.throw(Interrupted("the daemon stops"))
--- a/tests/topazlug_platform/test_requests_at_a_stop.py
+++ b/tests/topazlug_platform/test_requests_at_a_stop.py
@@ -13,6 +13,7 @@
 from topazlug.forwarding import _table
 
 STREAM = _table.RequestKind.STREAM
+AT_MOST_ONCE = _table.RequestKind.AT_MOST_ONCE
 # The load balancer needs this long to remove the daemon in these tests.
 UNLISTED_SECONDS = 0.3
 STOP_SECONDS = 2.0
@@ -56,6 +57,12 @@
     return script
 
 
+def silent(sock):
+    """Send nothing until the daemon closes the connection."""
+    sock.recv(1)
+    return False
+
+
 def request(*fields, body=b"body", length=None):
     """Return a request whose connection is kept."""
     data = platform_rig.request(DEADLINE, *fields, body=body)
@@ -322,6 +329,46 @@
                 assert connection.read()[0] == 200
             rig.wait_stopped()
 
+    def test_too_late(self):
+        """The request was sent to a replica and cut off."""
+        with running(stream_route(), streaming) as rig:
+            rig.learn()
+            with Connection(rig) as connection:
+                connection.send(body=b"", length=4)
+                gevent.sleep(0.05)
+                rig.begin_stop()
+                # An answer takes 1.2 s, so that it has to begin by now.
+                gevent.sleep(1.0)
+                with gevent.Timeout(REFUSAL_SECONDS):
+                    assert is_refusal(connection.read())
+            assert len(rig.requests) == 1
+            rig.wait_stopped()
+
+    def test_never(self):
+        """The caller got 500 as the daemon ended."""
+        with running(slow_route(), answering()) as rig:
+            rig.learn()
+            with Connection(rig) as connection:
+                connection.send(body=b"", length=4)
+                gevent.sleep(0.05)
+                rig.begin_stop()
+                assert is_refusal(connection.read())
+            rig.wait_stopped()
+
+
+class TestSilentReplica:
+    def test_caller_is_told(self):
+        """The caller got 500, as if the request had failed by itself."""
+        with running(slow_route(kind=AT_MOST_ONCE), silent) as rig:
+            with Connection(rig) as connection:
+                connection.send()
+                routing_fixtures.wait_until(lambda: bool(rig.requests))
+                rig.begin_stop()
+                status, fields = connection.read()
+            assert status == 502
+            assert "retry-after" not in fields
+            rig.wait_stopped()
+
 
 class TestSecondSignal:
     def test_does_not_end_the_stop(self):
