Read the rest of a request on a connection that is being closed

Callers' view: 400 for a proper request of which the first bytes arrived as the daemon closed its idle connection, at a stop or to make room for new connections. Callers do not repeat a request after 400. Cause: an idle connection is shut down for reading, so that what has arrived is still read. Change: a connection on which bytes wait to be read is not shut down; its request is read whole, and its answer closes the connection. If a part arrives in the very moment: a head is closed without an answer, as nothing of the request has been read whole, and a body gets 503 not_ready.

--- a/src/topazlug/callers/_caller_connection.py
+++ b/src/topazlug/callers/_caller_connection.py
@@ -1,6 +1,7 @@
 """Connection handler of the callers' listener, with bounds on time."""
 
 import socket as _plain_socket
+import ssl
 import traceback
 from typing import Any
 
@@ -63,15 +64,37 @@
             self.server.idle_handlers.pop(self, None)
         return ""
 
-    def end_reading(self) -> None:
-        """Accept no further request, except one that has already arrived."""
+    def end_reading(self) -> bool:
+        """Accept no further request, unless one has begun to arrive.
+
+        Returns
+        -------
+        bool
+            Whether the connection ends. If not, the request that arrives is
+            read completely.
+        """
+        if self._has_unread_bytes():
+            return False
         self.has_ended_reading = True
         try:
             # The library's own shutdown interrupts a waiting read and so
             # discards bytes that have just arrived.
             self.socket._sock.shutdown(_plain_socket.SHUT_RD)
         except OSError:
-            return
+            # The caller has closed it.
+            return True
+        return True
+
+    def _has_unread_bytes(self) -> bool:
+        # A TLS connection can't be peeked at without consuming data.
+        if isinstance(self.socket, ssl.SSLSocket):
+            return False
+        flags = _plain_socket.MSG_PEEK | _plain_socket.MSG_DONTWAIT
+        try:
+            return bool(self.socket._sock.recv(1, flags))
+        except OSError:
+            # Nothing has arrived, or the caller has closed it.
+            return False
 
     def read_request(self, raw_requestline: str) -> Any:
         """Read the head within the time limit.
@@ -96,6 +119,9 @@
         result = super().handle_one_request()
         if not isinstance(result, tuple):
             return result
+        if self.has_ended_reading:
+            # The request is incomplete because nothing more is read.
+            return None
         error = self._rejection or _errors.BadHeader(
             "the request line is too long"
         )
@@ -120,6 +146,7 @@
         # arrived.
         is_watched = not self.has_ended_reading
         environ[_caller_request.SOCKET] = self.socket if is_watched else None
+        environ[_caller_request.HAS_ENDED_READING] = self.has_ended_reading
         environ[_caller_request.RAW_PATH] = self.path.partition("?")[0]
         environ[_caller_request.FIELDS] = self.headers.items()
         environ[_caller_request.TARGET] = self.path
--- a/src/topazlug/callers/_caller_request.py
+++ b/src/topazlug/callers/_caller_request.py
@@ -21,12 +21,16 @@
 _BEARER = "bearer "
 _READ_BLOCK_BYTES = 65536
 _MAX_KEY_CHARACTERS = 512
+# A new connection is served at once, here or by another daemon.
+_CLOSED_RETRY_SECONDS = 0.05
 SOCKET = "topazlug.socket"
 RAW_PATH = "topazlug.raw_path"
 FIELDS = "topazlug.fields"
 TARGET = "topazlug.target"
 # Number of the request on its connection, from 1.
 NUMBER = "topazlug.number"
+# Whether the daemon reads no more than had arrived by now.
+HAS_ENDED_READING = "topazlug.has_ended_reading"
 
 
 @final
@@ -202,6 +206,8 @@
     ------
     BodyTooLarge, BodyTooSlow, BadBody
         The body is too long, took too long or is malformed.
+    NotReady
+        The daemon closed the connection before all of it arrived.
     """
     declared = environ.get("CONTENT_LENGTH") or ""
     if declared.isdigit() and int(declared) > limit:
@@ -214,14 +220,32 @@
         try:
             body = _read_at_most(stream, limit)
         except (OSError, ValueError) as error:
-            raise _errors.BadBody(
-                f"the body could not be read: {error}"
+            raise _incomplete_error(
+                environ, f"the body could not be read: {error}"
             ) from error
     if declared.isdigit() and len(body) < int(declared):
-        raise _errors.BadBody("the body is shorter than its Content-Length")
+        raise _incomplete_error(
+            environ, "the body is shorter than its Content-Length"
+        )
     return body
 
 
+def _incomplete_error(
+    environ: Mapping[str, Any], why: str
+) -> _errors.RequestError:
+    """Return the error for a body whose end is missing.
+
+    A caller whose connection this daemon has closed meanwhile did nothing
+    wrong, and must not be told so.
+    """
+    if not environ.get(HAS_ENDED_READING):
+        return _errors.BadBody(why)
+    return _errors.NotReady(
+        "this daemon closed the connection before the body had arrived",
+        retry_after=_CLOSED_RETRY_SECONDS,
+    )
+
+
 def _too_large(limit: int) -> _errors.BodyTooLarge:
     return _errors.BodyTooLarge(f"the body is longer than {limit} bytes")
 
--- a/src/topazlug/callers/_caller_server.py
+++ b/src/topazlug/callers/_caller_server.py
@@ -141,9 +141,8 @@
 
     def _evict_longest_idle(self) -> None:
         for handler in self.idle_handlers:
-            if not handler.has_ended_reading:
+            if not handler.has_ended_reading and handler.end_reading():
                 self.evicted += 1
-                handler.end_reading()
                 return
 
     def handler_accepted(
--- a/tests/topazlug_platform/test_requests_at_a_stop.py
+++ b/tests/topazlug_platform/test_requests_at_a_stop.py
@@ -356,6 +356,48 @@
             rig.wait_stopped()
 
 
+class TestPartOfRequest:
+    """A connection is closed as idle while a request arrives on it."""
+
+    @staticmethod
+    @contextlib.contextmanager
+    def idle_connection():
+        """Yield the listener, and a caller whose connection is idle."""
+        with running(slow_route(), answering()) as rig:
+            callers = rig.daemon._callers
+            with Connection(rig) as connection:
+                connection.send()
+                assert connection.read()[0] == 200
+                routing_fixtures.wait_until(lambda: callers.idle_handlers)
+                yield callers, connection
+
+    def test_rest_that_follows_is_read(self):
+        """Callers got 400 for a request whose body followed its head."""
+        with self.idle_connection() as (callers, connection):
+            connection.send(body=b"", length=4)
+            callers.close_idle()
+            gevent.sleep(0.05)
+            connection.sock.sendall(b"body")
+            assert connection.read()[0] == 200
+
+    def test_rest_that_is_not_read(self):
+        """Callers got 400 for a request that the daemon stopped reading."""
+        with self.idle_connection() as (callers, connection):
+            callers.close_idle()
+            connection.send(body=b"", length=4)
+            status, fields = connection.read()
+            assert status == 503
+            assert float(fields["retry-after"]) > 0
+
+    def test_part_of_a_head(self):
+        """Callers got 400 for a head that the daemon stopped reading."""
+        with self.idle_connection() as (callers, connection):
+            connection.sock.sendall(b"POST /a/x HT")
+            gevent.sleep(0.05)
+            callers.close_idle()
+            assert connection.read() is None
+
+
 class TestSilentReplica:
     def test_caller_is_told(self):
         """The caller got 500, as if the request had failed by itself."""
