Close the listener for other daemons as a daemon begins to stop

A daemon that reaches no replica sends requests to one that stops, is declined, and asks the next. Cause: the listener for other daemons is open until the process ends. Change: it closes as the stop begins, without resetting what is in its queue, and used connections close once they are idle. A refused connection says for certain that nothing was sent. A connection without a request so far stays, and its request is declined.

--- a/src/topazlug/delegation/_delegation_role.py
+++ b/src/topazlug/delegation/_delegation_role.py
@@ -154,6 +154,11 @@
             target, _target_report.TargetReport(leaving=True)
         )
 
+    def leave(self) -> None:
+        """Have other daemons send their requests elsewhere."""
+        if self._server is not None:
+            self._server.leave()
+
     def sweep(self) -> None:
         """Close expired idle connections."""
         self._connections.sweep()
--- a/src/topazlug/delegation/_delegation_server.py
+++ b/src/topazlug/delegation/_delegation_server.py
@@ -68,6 +68,19 @@
         self._authenticate = authenticate
         self.idle_seconds = _IDLE_SECONDS
 
+    def leave(self) -> None:
+        """Accept no more connections, and close those that have been used.
+
+        A daemon that has just connected is about to send a request. If its
+        connection were closed, it would not know whether the request ran.
+        """
+        self.stopping = True
+        self.close_listener()
+        self.closes_idle = True
+        for handler in list(self.idle_handlers):
+            if handler.request_count:
+                handler.end_reading()
+
     def handle(self, client_socket: Any, address: Any) -> None:
         """Serve one connection after its handshake."""
         try:
--- a/src/topazlug/forwarding/_daemon.py
+++ b/src/topazlug/forwarding/_daemon.py
@@ -548,6 +548,7 @@
         _log.info(
             "stopping with {n} requests in progress", n=len(self._app.requests)
         )
+        self._greenlets.append(gevent.spawn(self._delegation.leave))
         stop = _graceful_stop.GracefulStop(
             callers=self._callers,
             requests=self._app.requests,
--- a/tests/topazlug_platform/cut_fleet.py
+++ b/tests/topazlug_platform/cut_fleet.py
@@ -111,6 +111,10 @@
         """Return how many requests a daemon had others serve."""
         return self.daemons[number]._delegation.delegator.sent_count
 
+    def delegation_port(self, number):
+        """Return the port of a daemon for requests of others."""
+        return self._delegation[number]
+
     def cut_links(self, number, replica):
         """Cut the link of one daemon to one replica."""
         self.links_by_daemon[number][replica].cut(CUT.RESET)
@@ -168,3 +172,12 @@
         for links in self.links_by_daemon.values():
             for link in links.values():
                 link.stop()
+
+
+def refuses_connections(port):
+    """Return whether nothing listens at a port."""
+    try:
+        socket.create_connection(("127.0.0.1", port), timeout=0.5).close()
+    except OSError:
+        return True
+    return False
