Answer the last chats of a daemon of the own interface as it stops

Cause: as in the forwarding daemon, connections that an answer from before the signal left open are read until the end. After a second without a request the daemon waits 0.3 to 0.6 s for claims and peers, and what it reads then is not waited for. Change: connections end once idle before that wait, and the daemon ends when no request has been in progress for 0.3 s after it.

--- a/src/topazlug/_daemon.py
+++ b/src/topazlug/_daemon.py
@@ -287,8 +287,15 @@
             seconds=self.settings.limits.stop_grace,
             clock=self.clock,
         )
+        # From here on a request is read only if it has arrived by now.
+        self.callers.close_idle()
         self.claims.wait_finalized(_LEAVE_GRACE_SECONDS)
-        gevent.sleep(_LEAVE_GRACE_SECONDS)
+        _idle_wait.wait_until_idle(
+            lambda: self.app.in_progress,
+            seconds=self.settings.limits.stop_grace,
+            idle_seconds=_LEAVE_GRACE_SECONDS,
+            clock=self.clock,
+        )
         self.halt()
 
     def halt(self) -> None:
--- a/src/topazlug/_idle_wait.py
+++ b/src/topazlug/_idle_wait.py
@@ -1,20 +1,22 @@
 """Wait for the end of the requests in progress before a daemon stops."""
 
 from collections.abc import Callable
+import math
 
 from topazlug import _clock
 
 _POLL_SECONDS = 0.05
-# Together one second. Polls are counted, not seconds: after a pause of the
-# process the seconds have passed, but requests that arrived meanwhile have
-# not been read.
-_IDLE_POLLS = 20
+_IDLE_SECONDS = 1.0
 
 
 def wait_until_idle(
-    in_progress: Callable[[], int], *, seconds: float, clock: _clock.Clock
+    in_progress: Callable[[], int],
+    *,
+    seconds: float,
+    clock: _clock.Clock,
+    idle_seconds: float = _IDLE_SECONDS,
 ) -> None:
-    """Wait until no request has been in progress for a second.
+    """Wait until no request has been in progress for a while.
 
     Parameters
     ----------
@@ -24,9 +26,14 @@
         Maximum time to wait.
     clock : Clock
         Source of time.
+    idle_seconds : float
+        Seconds without a request after which the wait ends.
     """
+    # Polls are counted, not seconds: after a pause of the process the seconds
+    # have passed, but requests that arrived meanwhile have not been read.
+    max_idle_polls = math.ceil(idle_seconds / _POLL_SECONDS)
     deadline = clock.monotonic() + seconds
     idle_polls = 0
-    while idle_polls < _IDLE_POLLS and clock.monotonic() < deadline:
+    while idle_polls < max_idle_polls and clock.monotonic() < deadline:
         clock.sleep(_POLL_SECONDS)
         idle_polls = 0 if in_progress() else idle_polls + 1
--- a/tests/fleet/test_graceful_stop.py
+++ b/tests/fleet/test_graceful_stop.py
@@ -2,6 +2,7 @@
 
 from concurrent import futures
 import http.client
+import json
 import time
 from typing import Iterator
 
@@ -17,6 +18,9 @@
 TOKENS = 100
 BATCH_SIZE = 20
 CONNECTIONS = 400
+# Chats that are sent after a stopping daemon has had no request for a second.
+LATE_CHATS = 10
+LATE_CHAT_SECONDS = 1.25
 # Longer than a daemon without requests takes to stop.
 LATE_SECONDS = 2.5
 
@@ -113,6 +117,25 @@
         assert daemon.process.wait(20.0) == 0
 
 
+class TestStopWithKeptConnections:
+    def test_late_chats_are_not_cut_off(self, own_fleet: _fleet.Fleet) -> None:
+        """A chat that a stopping daemon reads must not be cut off.
+
+        The daemon has had no request for a second, and is about to end.
+        Callers send chats on connections that they have kept. The engines run
+        them, and the callers get 500 as the daemon ends.
+        """
+        daemon = own_fleet.daemons[0]
+        connections = [keep_connection(daemon) for _ in range(LATE_CHATS)]
+        daemon.process.terminate()
+        time.sleep(LATE_CHAT_SECONDS)
+        with futures.ThreadPoolExecutor(LATE_CHATS) as executor:
+            endings = list(executor.map(late_chat, connections))
+        assert daemon.process.wait(20.0) == 0
+        assert set(endings) <= {"whole", "no answer"}
+        assert chats_begun(own_fleet) == endings.count("whole")
+
+
 class TestRollingReplacement:
     def test_no_call_fails(self, own_fleet: _fleet.Fleet) -> None:
         """No call may fail while each daemon is replaced under load.
@@ -133,6 +156,59 @@
         assert load.failures() == []
 
 
+def chats_begun(fleet: _fleet.Fleet) -> int:
+    """Return how many chats the engines have begun to run."""
+    return sum(
+        run["event"] == "start"
+        for engine in fleet.engines
+        for run in fleet_calls.journal(engine)
+    )
+
+
+def keep_connection(
+    daemon: _fleet.DaemonProcess,
+) -> http.client.HTTPConnection:
+    """Return a connection that has carried a request."""
+    connection = http.client.HTTPConnection(
+        _fleet.HOST, daemon.callers_port, timeout=20.0
+    )
+    connection.request(
+        "GET",
+        "/v1/models",
+        headers={"Authorization": f"Bearer {fleet_fixtures.KEY}"},
+    )
+    assert connection.getresponse().read()
+    return connection
+
+
+def late_chat(connection: http.client.HTTPConnection) -> str:
+    """Send a chat on a kept connection; return how it ended."""
+    question = fleet_fixtures.new_question()
+    body = {
+        "model": fleet_fixtures.MODEL,
+        "messages": [{"role": "user", "content": question}],
+        "max_tokens": TOKENS,
+    }
+    # Otherwise it would connect anew if the connection was closed.
+    connection.auto_open = 0
+    try:
+        connection.request(
+            "POST",
+            "/v1/chat/completions",
+            json.dumps(body),
+            {"Authorization": f"Bearer {fleet_fixtures.KEY}"},
+        )
+        answer = connection.getresponse()
+    except (OSError, http.client.NotConnected, http.client.BadStatusLine):
+        return "no answer"
+    if answer.status != 200:
+        return f"status {answer.status}"
+    try:
+        return "whole" if answer.read() else "empty"
+    except (OSError, http.client.HTTPException):
+        return "cut off"
+
+
 def open_streams(
     executor: futures.Executor, daemon: _fleet.DaemonProcess
 ) -> list["futures.Future[fleet_calls.Answer]"]:
