Give up answers whose bytes have no end

Callers' view: 504 at their deadline where a replica sends the size of a chunk, its extension or the fields after the last chunk without an end, though another replica could have answered; a failure with an endless body was passed on to the caller. A stream that repeats events, or whose event does not end, was not resumed. Memory grew with the trailers, by 53 MB in 12 s as the users saw it. Cause: limits existed for heads, bodies and events, each in its own place. Bytes of an answer that belong to none of them were read until the deadline, any byte counted as a sign of life, and a reply to a daemon's own poll of loads had no limit at all. A second answer to the request before was bounded by the sizes of heads only. Change: what comes between two parts of a body is given up after 64 KiB, or after four blocks and one second. The body of a failure that another replica follows ends after 64 KiB or a second. A stream whose replica sends bytes, but no new event, is silent; 1 MiB of repeated events ends its answer. Answers to the request before may have 64 KiB together. A poll of a load lasts 2 s at most. A daemon that has another serve a request waits for the first part of the answer before it begins its own, so that it can still ask the next. In each case the connection is closed. Ruled out: a limit on time alone (a sound replica may pause for more than a second between two blocks), and on bytes alone (a byte each 50 ms).

--- a/src/topazlug/calls/_sse.py
+++ b/src/topazlug/calls/_sse.py
@@ -10,10 +10,12 @@
 _EVENT_END = b"\n\n"
 _ID_FIELD = b"id:"
 _MAX_EVENT_BYTES = 1 << 20
+# A target that resumes a stream may repeat some of its events.
+_MAX_DISCARDED_BYTES = 1 << 20
 
 
 class EventTooLong(ValueError):
-    """An event exceeds the maximum size."""
+    """There is no end of an event, or of events that are discarded."""
 
 
 class EventMissing(ValueError):
@@ -42,6 +44,7 @@
 
     def __init__(self, *, last_id: int | None = -1) -> None:
         self._partial = b""
+        self._discarded = 0
         self.last_id = last_id
         self.done = False
         self.count = 0
@@ -62,7 +65,8 @@
         Raises
         ------
         EventTooLong
-            An event is longer than 1 MiB.
+            An event is longer than 1 MiB, or more than that was discarded
+            since the last new event.
         EventMissing
             An event is missing after `last_id`, where the stream must be
             resumed.
@@ -86,9 +90,16 @@
                 self._partial = event + _EVENT_END + self._partial
                 break
         if not new_events:
+            self._discard(sum(map(len, events)))
             return b""
+        self._discarded = 0
         return _EVENT_END.join(new_events) + _EVENT_END
 
+    def _discard(self, size: int) -> None:
+        self._discarded += size
+        if self._discarded > _MAX_DISCARDED_BYTES:
+            raise EventTooLong(f"{self._discarded} bytes without a new event")
+
     @property
     def is_between_events(self) -> bool:
         """Return whether no partial event is buffered."""
--- a/src/topazlug/delegation/_delegator.py
+++ b/src/topazlug/delegation/_delegator.py
@@ -333,7 +333,9 @@
                 headers=headers,
                 body=iter([b"".join(chunks)]),
             )
-        pieces = self._pieces(call, answer, chunks, stack.pop_all())
+        # Until the first part arrives, another daemon can be asked.
+        first = next(chunks, b"")
+        pieces = self._pieces(call, answer, first, chunks, stack.pop_all())
         return _caller_answer.CallerAnswer(
             status=answer.status,
             headers=headers,
@@ -344,6 +346,7 @@
         self,
         call: _call.ForwardedCall,
         answer: _target_answer.TargetAnswer,
+        first: bytes,
         chunks: Iterator[bytes],
         stack: contextlib.ExitStack,
     ) -> Iterator[bytes]:
@@ -354,6 +357,7 @@
         with stack:
             stack.callback(watch.stop)
             yield b""
+            yield first
             try:
                 yield from chunks
             except _errors.RequestError as error:
--- a/src/topazlug/forwarding/_event_relay.py
+++ b/src/topazlug/forwarding/_event_relay.py
@@ -109,6 +109,7 @@
         RequestError
             The stream broke before its first event.
         """
+        began_at = self._clock.monotonic()
         chunks = self._answer.chunks(
             receive_timeout=receive_timeout, deadline=self._call.deadline
         )
@@ -117,6 +118,7 @@
             if events:
                 self._begin()
                 return events
+            self._check_silence(began_at, receive_timeout)
         if not self._may_be_complete():
             raise _truncated("it ended before its first event was complete")
         return b""
@@ -190,9 +192,9 @@
 
     def _relay_from_replica(self) -> Iterator[bytes]:
         last_event_at = self._clock.monotonic()
+        receive_timeout = self._receive_timeout()
         chunks = self._answer.chunks(
-            receive_timeout=self._receive_timeout(),
-            deadline=self._call.deadline,
+            receive_timeout=receive_timeout, deadline=self._call.deadline
         )
         for data in chunks:
             events = self._complete_events(data)
@@ -203,9 +205,19 @@
                 )
                 last_event_at = now
                 yield events
+            else:
+                self._check_silence(last_event_at, receive_timeout)
         if not self._may_be_complete():
             raise _truncated("it ended within an event")
 
+    def _check_silence(self, since: float, timeout: float) -> None:
+        """Treat a replica as silent that sends bytes, but no new event."""
+        if self._clock.monotonic() - since > timeout:
+            raise _errors.TargetSilent(
+                f"no event was complete for {timeout:.1f} s",
+                outcome=_errors.Outcome.UNKNOWN,
+            )
+
     def _complete_events(self, data: bytes) -> bytes:
         try:
             return self._reader.feed(data)
--- a/src/topazlug/forwarding/_forwarder.py
+++ b/src/topazlug/forwarding/_forwarder.py
@@ -40,6 +40,10 @@
 # An answer up to this size is read completely before the caller receives any
 # of it. If it breaks off, the request is retried or fails with a clean error.
 _MAX_BUFFERED_BYTES = 1 << 20
+# Maximum size and duration of the body of a failure after which the request
+# is sent to another replica.
+_MAX_FAILURE_BYTES = 65536
+_MAX_FAILURE_SECONDS = 1.0
 # A daemon that is cut off notices the end of its cut within about this time.
 _CUT_RETRY_AFTER_SECONDS = 0.5
 # A second replica is tried once the first byte takes longer than this many
@@ -327,6 +331,11 @@
         answer: _target_answer.TargetAnswer,
     ) -> _caller_answer.CallerAnswer:
         """Read a complete answer, or the first part of a very long one."""
+        failed = answer.status >= _SERVER_ERROR
+        if failed and call.route.repeatable:
+            body = self._read_failure(call, answer)
+            self._record_outcome(placement, failed=True)
+            raise _exchange.AnsweredWithFailure(answer, body)
         remaining_seconds = call.deadline - self._clock.monotonic()
         chunks = answer.chunks(
             receive_timeout=remaining_seconds, deadline=call.deadline
@@ -338,18 +347,46 @@
                 return self._relay_long(
                     call, placement, answer, bytes(head), chunks
                 )
-        failed = answer.status >= _SERVER_ERROR
-        self._views.of_incarnation(placement.target).record_outcome(
-            failed=failed
-        )
-        placement.failed = failed
-        if failed and call.route.repeatable:
-            raise _exchange.AnsweredWithFailure(answer, bytes(head))
+        self._record_outcome(placement, failed=failed)
         self._admission.release(placement)
         self._call_metrics.record_first_byte(call)
         self._call_metrics.record_answer(call, answer.status)
         return _buffered_answer(answer, bytes(head))
 
+    def _record_outcome(
+        self, placement: _placement.Placement, *, failed: bool
+    ) -> None:
+        view = self._views.of_incarnation(placement.target)
+        view.record_outcome(failed=failed)
+        placement.failed = failed
+
+    def _read_failure(
+        self, call: _call.ForwardedCall, answer: _target_answer.TargetAnswer
+    ) -> bytes:
+        """Read the body of a failure, of which another replica is asked next.
+
+        Raises
+        ------
+        RequestError
+            It is too long, or does not end soon.
+        """
+        began_at = self._clock.monotonic()
+        body = bytearray()
+        for data in answer.chunks(
+            receive_timeout=_MAX_FAILURE_SECONDS, deadline=call.deadline
+        ):
+            body += data
+            seconds = self._clock.monotonic() - began_at
+            if len(body) > _MAX_FAILURE_BYTES or (
+                seconds > _MAX_FAILURE_SECONDS
+            ):
+                raise _errors.TargetFailed(
+                    f"the replica answered {answer.status} with a body that "
+                    f"had no end after {len(body)} bytes and {seconds:.1f} s",
+                    outcome=_errors.Outcome.RAN,
+                )
+        return bytes(body)
+
     def _relay_long(
         self,
         call: _call.ForwardedCall,
--- a/src/topazlug/targets/_answer_heads.py
+++ b/src/topazlug/targets/_answer_heads.py
@@ -10,6 +10,7 @@
 from topazlug.targets import _target_answer
 
 _MAX_HEAD = 65536
+# Bytes of repeated answers that are discarded before an answer.
 _MAX_SKIPPED = 65536
 _HEAD_END = b"\r\n\r\n"
 
@@ -70,6 +71,7 @@
         parser = _target_answer.AnswerParser(method=method)
         pending = b""
         size = 0
+        skipped = 0
         while True:
             head, separator, rest = pending.partition(_HEAD_END)
             if not separator:
@@ -104,7 +106,10 @@
                 raise target_failed_error(
                     "the answer belongs to another request"
                 )
-            pending = self._skip(connection, parser, rest, end)
+            pending, count = self._skip(
+                connection, parser, rest, end, limit=_MAX_SKIPPED - skipped
+            )
+            skipped += count
             parser = _target_answer.AnswerParser(method=method)
 
     def _echoed(self, parser: _target_answer.AnswerParser) -> set[str]:
@@ -119,15 +124,19 @@
         parser: _target_answer.AnswerParser,
         rest: bytes,
         end: float,
-    ) -> bytes:
-        """Discard the body of a repeated answer; return the bytes after it.
+        *,
+        limit: int,
+    ) -> tuple[bytes, int]:
+        """Discard the body of a repeated answer.
+
+        Returns the bytes after it, and the number of those discarded.
 
         The parser does not report at which byte of a block a message ended,
         so it is fed one byte at a time.
         """
         skipped = 0
         while not parser.message_complete:
-            if skipped > _MAX_SKIPPED:
+            if skipped > limit:
                 raise target_failed_error(
                     "the answer belongs to another request"
                 )
@@ -143,7 +152,7 @@
             skipped += 1
         if parser.should_close():
             raise target_failed_error("the answer belongs to another request")
-        return rest
+        return rest, skipped
 
     def _remaining(self, end: float) -> float:
         return max(0.0, end - self._clock.monotonic())
--- a/src/topazlug/targets/_target_answer.py
+++ b/src/topazlug/targets/_target_answer.py
@@ -21,6 +21,50 @@
 MIN_FINAL_STATUS = 200
 _IDLE_SECONDS = 60.0
 IDLE_PER_TARGET = 32
+# Bytes between two parts of a body: the size of a chunk, its extension, or
+# the fields after the last chunk.
+_MAX_FRAMING_BYTES = 65536
+# They arrive in one or two blocks. A target that sends more blocks for longer
+# than this sends them without an end.
+_MAX_FRAMING_BLOCKS = 4
+_MAX_FRAMING_SECONDS = 1.0
+
+
+@final
+class _FramingBound:
+    """Bounds what a target sends between two parts of a body."""
+
+    def __init__(self, *, clock: _clock.Clock) -> None:
+        self._clock = clock
+        self._began_at = 0.0
+        self._bytes = 0
+        self._blocks = 0
+
+    def reset(self) -> None:
+        """Record that a part of the body has arrived."""
+        self._bytes = self._blocks = 0
+
+    def add(self, size: int) -> None:
+        """Record a block without a part of the body.
+
+        Raises
+        ------
+        HTTPParseError
+            They have no end.
+        """
+        now = self._clock.monotonic()
+        if not self._blocks:
+            self._began_at = now
+        self._bytes += size
+        self._blocks += 1
+        is_dripping = (
+            self._blocks > _MAX_FRAMING_BLOCKS
+            and now - self._began_at > _MAX_FRAMING_SECONDS
+        )
+        if self._bytes > _MAX_FRAMING_BYTES or is_dripping:
+            raise _response.HTTPParseError(
+                f"{self._bytes} bytes without a part of the body"
+            )
 
 
 class AnswerParser(_response.HTTPResponse):
@@ -57,6 +101,11 @@
     def should_close(self) -> bool:
         return self.has_more or super().should_close()
 
+    @property
+    def has_body(self) -> bool:
+        """Return whether a part of the body waits to be taken."""
+        return bool(self._body_buffer)
+
     def take_body(self) -> bytes:
         body = bytes(self._body_buffer)
         del self._body_buffer[:]
@@ -102,6 +151,7 @@
         self.is_between_events: Callable[[], bool] | None = None
         self._connection = connection
         self._clock = clock
+        self._framing = _FramingBound(clock=clock)
         self._parser = parser
         self._pool = pool
         self._request_id = request_id
@@ -162,7 +212,7 @@
             data = self._connection.recv(RECEIVE_BYTES)
             if self._on_receive is not None:
                 self._on_receive()
-            self._parser.feed(data)
+            self._feed(data)
         except (TimeoutError, BlockingIOError) as error:
             self.close(_target_runs.RunEnd.TIMED_OUT)
             if remaining <= receive_timeout:
@@ -173,11 +223,18 @@
             ) from error
         except (OSError, _response.HTTPParseError) as error:
             self.close(self._lost_end)
-            raise _truncated_error() from error
+            raise _truncated_error(str(error)) from error
         if not data and not self._parser.message_complete:
             self.close(self._lost_end)
             raise _truncated_error()
 
+    def _feed(self, data: bytes) -> None:
+        self._parser.feed(data)
+        if self._parser.has_body or self._parser.message_complete:
+            self._framing.reset()
+        else:
+            self._framing.add(len(data))
+
     @property
     def _lost_end(self) -> _target_runs.RunEnd:
         """Return how the run ended, depending on who ended its connection."""
@@ -274,9 +331,10 @@
     )
 
 
-def _truncated_error() -> _errors.TargetTruncated:
+def _truncated_error(why: str = "") -> _errors.TargetTruncated:
+    reason = f": {why}" if why else ""
     return _errors.TargetTruncated(
-        "the target's answer ended before it was whole",
+        f"the target's answer ended before it was whole{reason}",
         outcome=_errors.Outcome.UNKNOWN,
     )
 
--- a/src/topazlug/targets/_target_poller.py
+++ b/src/topazlug/targets/_target_poller.py
@@ -22,6 +22,8 @@
 
 _log = _logs.logger("watch")
 _TIMEOUT_SECONDS = 0.5
+# Maximum duration of a poll, also if bytes still arrive.
+_MAX_SECONDS = 2.0
 _CONNECT_FAILURES_UNTIL_DEAD = 2
 _ERRORS_UNTIL_DEAD = 4
 _MAX_DOCUMENT_BYTES = 65536
@@ -149,13 +151,21 @@
             request_id=_ids.RequestId("load"),
             is_probe=True,
         )
+        deadline = self._clock.monotonic() + _MAX_SECONDS
         answer = self._connections.exchange(
-            target, request, head_timeout=_TIMEOUT_SECONDS
-        )
-        body = b"".join(answer.chunks(receive_timeout=_TIMEOUT_SECONDS))
-        return msgspec.json.decode(
-            body[:_MAX_DOCUMENT_BYTES], type=LoadDocument
+            target, request, head_timeout=_TIMEOUT_SECONDS, deadline=deadline
         )
+        try:
+            body = bytearray()
+            for data in answer.chunks(
+                receive_timeout=_TIMEOUT_SECONDS, deadline=deadline
+            ):
+                body += data
+                if len(body) > _MAX_DOCUMENT_BYTES:
+                    raise _errors.TargetFailed("the load is too long")
+        finally:
+            answer.close()
+        return msgspec.json.decode(body, type=LoadDocument)
 
     def _handle_document(
         self, target: _targets.Target, document: LoadDocument
