Have the soak send on at once on connections of daemons that stop

Change: in half of the seeds, where slots are not scarce, six callers send streams of 4.2 s on kept connections without a pause, and daemons are stopped one after the other, half of them with a second signal, beside all other faults. Checked: LOST (sent more than 3 s after the signal, ran, cut off by the end of the stop), REFUSED, MIXED, and that no stop takes longer than its grace period. The test of run plans draws 3,200 seeds in place of 1,600, as there are twice as many combinations.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -19,6 +19,7 @@
 
 from soak import _bad_parts
 from soak import _clients
+from soak import _eager_callers
 from soak import _faults
 from soak import _guarantees
 from soak import _load_guarantees
@@ -89,6 +90,8 @@
                     seed,
                 )
             )
+        eager_callers = _start_eager_callers(plan, addresses, seed, until)
+        senders += [greenlet for _, greenlet in eager_callers]
         ended = event.Event()
         replacer = gevent.spawn(_replace_until, ended, world)
         surge = None
@@ -103,6 +106,7 @@
             cuts_daemons=plan.cuts_daemons,
             has_herds=plan.has_bad_parts,
             has_release=plan.has_release,
+            has_stops=plan.has_eager_callers,
         )
         faults.run(until)
         gevent.joinall(senders, raise_error=True)
@@ -116,6 +120,12 @@
             for one in caller.outcomes
         ] + surging_team.outcomes
         violations += _guarantees.find_violations(world, outcomes)
+        long_streams = [
+            one for caller, _ in eager_callers for one in caller.outcomes
+        ]
+        violations += _eager_callers.check(
+            long_streams, world.stops, world.long_runs()
+        )
         violations += _load_guarantees.check_shares(
             surging_team.surges, outcomes
         )
@@ -133,7 +143,9 @@
             f"{', cut daemons' if plan.cuts_daemons else ''}"
             f"{', versions' if plan.has_versions else ''}"
             f"{', bad parts' if plan.has_bad_parts else ''}"
-            f"{', release' if plan.has_release else ''}; {summary}; "
+            f"{', release' if plan.has_release else ''}"
+            f"{', eager callers' if plan.has_eager_callers else ''}; "
+            f"{summary}; {len(long_streams)} long, {len(world.stops)} stops; "
             f"{_stream_guarantees.describe(outcomes)}",
             flush=True,
         )
@@ -147,6 +159,36 @@
         world.stop()
 
 
+def _start_eager_callers(
+    plan: _run_plan.RunPlan,
+    addresses: list[tuple[str, int]],
+    seed: int,
+    until: float,
+) -> list[tuple[_clients.Caller, gevent.Greenlet]]:
+    """Start the callers of long streams, each with a greenlet."""
+    callers = [
+        _clients.Caller(
+            addresses=addresses, key=_world.KEY, seed=f"eager {seed} {number}"
+        )
+        for number in range(
+            _eager_callers.CALLERS if plan.has_eager_callers else 0
+        )
+    ]
+    return [
+        (
+            caller,
+            gevent.spawn(
+                _eager_callers.send_until,
+                caller,
+                len(addresses),
+                until + 1.0,
+                f"{seed} {number}",
+            ),
+        )
+        for number, caller in enumerate(callers)
+    ]
+
+
 def _replace_until(ended: event.Event, world: _world.World) -> None:
     """Replace exited replicas until an event is set, then once more.
 
--- a/soak/_clients.py
+++ b/soak/_clients.py
@@ -231,7 +231,7 @@
         reused = connection is not None
         if connection is None:
             connection = http_client.HTTPConnection(
-                *self._addresses[daemon], timeout=TIMEOUT_SECONDS[path] + 1.0
+                *self._addresses[daemon], timeout=timeout_of(path) + 1.0
             )
         try:
             if connection.sock is None:
@@ -281,7 +281,7 @@
             "Host": HOST,
             "X-Attempt-Id": attempt,
             "Authorization": f"Bearer {key}",
-            "X-Deadline-Ms": str(int(TIMEOUT_SECONDS[path] * 1000)),
+            "X-Deadline-Ms": str(int(timeout_of(path) * 1000)),
         }
         if self._sends_context and path == _expected.STREAM:
             fields.update(_context_fields(attempt))
@@ -337,6 +337,13 @@
         )
 
 
+def timeout_of(path: str) -> float:
+    """Return the seconds that a caller waits for an answer."""
+    if path == _expected.LONG:
+        return _expected.LONG_TIMEOUT_SECONDS
+    return TIMEOUT_SECONDS[path]
+
+
 def outcome_breaks(outcome: Outcome) -> bool:
     """Return whether an answer ended early, and not for its caller."""
     return outcome.completion in (Completion.TRUNCATED, Completion.TIMED_OUT)
--- a/soak/_expected.py
+++ b/soak/_expected.py
@@ -7,6 +7,11 @@
 ONCE: Final = "/once/"
 READ: Final = "/read/"
 STREAM: Final = "/stream/"
+# Streams that take as long as a stop leaves to what runs.
+LONG: Final = "/long/"
+LONG_EVENTS: Final = 14
+LONG_EVENT_SECONDS: Final = 0.3
+LONG_TIMEOUT_SECONDS: Final = 8.0
 SIGNATURE: Final = "soak"
 # Body of a request that crashes each replica that begins to run it.
 CRASHING: Final = b'{"crash": true}'
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -10,6 +10,7 @@
 
 import gevent
 
+from soak import _eager_callers
 from soak import _store
 from soak import _world
 from standins import _cut_link
@@ -101,6 +102,9 @@
         Whether herds of connections come to one daemon.
     has_release : bool
         Whether all replicas are replaced by others of another version.
+    has_stops : bool
+        Whether daemons are stopped as planned, one after the other, some of
+        them with a second signal.
     """
 
     def __init__(
@@ -113,11 +117,14 @@
         cuts_daemons: bool = False,
         has_herds: bool = False,
         has_release: bool = False,
+        has_stops: bool = False,
     ) -> None:
         self._world = world
         self._seed = seed
         self._running: list[gevent.Greenlet] = []
         self._is_briefly_silent = False
+        self._is_stopping = False
+        self._stopped_at = 0.0
         self._has_lost_power = False
         self._is_released = False
         self._is_brittle = False
@@ -157,12 +164,15 @@
         herd_kinds: dict[str, _Inject] = {}
         if has_herds:
             herd_kinds = {"connection-herd": self._crowd_daemon}
+        stop_kinds: dict[str, _Inject] = {}
+        if has_stops:
+            stop_kinds = {"planned-stop": self._stop_as_planned}
         release_kinds: dict[str, _Inject] = {}
         if has_release:
             release_kinds = {"version-released": self._release}
         parts = only.split(",")
         known = [*kinds, *load_kinds, _SURGE_KIND, *owner_kinds, *cut_kinds]
-        known += [*herd_kinds, *release_kinds]
+        known += [*herd_kinds, *release_kinds, *stop_kinds]
         if not any(part in kind for kind in known for part in parts):
             raise ValueError(f"{only!r} is part of none of {known}")
         if surge is not None:
@@ -173,6 +183,7 @@
         self._cut_kinds = _select(cut_kinds, parts)
         self._herd_kinds = _select(herd_kinds, parts)
         self._release_kinds = _select(release_kinds, parts)
+        self._stop_kinds = _select(stop_kinds, parts)
 
     def run(self, until: float) -> None:
         """Inject faults until a point in time, then wait until they end."""
@@ -200,6 +211,7 @@
                     self._release_kinds,
                     _OWNER_PAUSE_SECONDS,
                 ),
+                (f"stop {self._seed}", self._stop_kinds, _OWNER_PAUSE_SECONDS),
             )
             if kinds
         ]
@@ -231,12 +243,44 @@
         daemon = self._world.daemon(number)
         if not daemon.process.is_running():
             return
+        self._stop(daemon)
+
+    def _stop_as_planned(self, number: int, duration: float) -> None:
+        """Stop one daemon, unless another one is being stopped."""
+        daemon = self._world.daemon(number)
+        if self._is_stopping or not daemon.process.is_running():
+            return
+        self._is_stopping = True
+        before = len(daemon.disruptions) + 1
+        began = time.monotonic()
+        if number % 2:
+            self._running.append(
+                gevent.spawn_later(duration, self._signal_again, daemon)
+            )
+        self._stop(daemon)
+        self._world.stops.append(
+            _eager_callers.Stop(
+                daemon=self._world.daemons.index(daemon),
+                began=began,
+                ended=self._stopped_at,
+                # One when it was told, and one as it was started again.
+                is_alone=len(daemon.disruptions) == before + 1,
+            )
+        )
+        self._is_stopping = False
+
+    def _signal_again(self, daemon: _world.Daemon) -> None:
+        if self._is_stopping and daemon.process.is_running():
+            daemon.process.send(signal.SIGTERM)
+
+    def _stop(self, daemon: _world.Daemon) -> None:
         daemon.record_disruption()
         # An overlapping fault may end the daemon too and restart it.
         before = daemon.process.pid
         daemon.process.terminate()
         while daemon.process.is_running() and daemon.process.pid == before:
             gevent.sleep(0.05)
+        self._stopped_at = time.monotonic()
         daemon.start()
 
     def _kill_daemon(self, number: int, duration: float) -> None:
--- a/soak/_replica.py
+++ b/soak/_replica.py
@@ -123,6 +123,8 @@
         )
         if request.path.startswith(_expected.STREAM):
             return self._stream(request, attempt, fields)
+        if request.path.startswith(_expected.LONG):
+            return self._long_stream(attempt, fields)
         if self._random.random() < _FAILURE_PROBABILITY:
             return _http.bytes_answer(500, b"broken", fields)
         answer = _http.bytes_answer(
@@ -229,6 +231,20 @@
         kind = ("Content-Type", "text/event-stream")
         return _http.Answer(status=200, headers=(kind, *fields), body=events())
 
+    def _long_stream(
+        self, attempt: str, fields: tuple[tuple[str, str], ...]
+    ) -> _http.Answer:
+        version = self._settings["version"]
+
+        def events() -> Iterator[bytes]:
+            with self._held(attempt):
+                for number in range(1, _expected.LONG_EVENTS + 1):
+                    yield _expected.format_event(attempt, number, version)
+                    gevent.sleep(_expected.LONG_EVENT_SECONDS)
+
+        kind = ("Content-Type", "text/event-stream")
+        return _http.Answer(status=200, headers=(kind, *fields), body=events())
+
     def _record_run(self, attempt: str, path: str) -> None:
         line = f"{time.monotonic()} {self._settings['id']} {attempt} {path}\n"
         os.write(self._ledger, line.encode())
--- a/soak/_run_plan.py
+++ b/soak/_run_plan.py
@@ -10,6 +10,7 @@
 _VERSIONS_PROBABILITY = 0.5
 _BAD_PARTS_PROBABILITY = 0.5
 _RELEASE_PROBABILITY = 0.5
+_EAGER_CALLERS_PROBABILITY = 0.5
 
 
 class LoadReport(enum.Enum):
@@ -44,6 +45,10 @@
     has_release : bool
         Whether all replicas are replaced by others of a second version. Not
         in runs with two versions from the start.
+    has_eager_callers : bool
+        Whether callers send long streams on kept connections without a pause,
+        while daemons are stopped one after the other. Not in runs with few
+        slots, which the streams would take.
     """
 
     load_report: LoadReport = LoadReport.NONE
@@ -53,6 +58,7 @@
     has_versions: bool = False
     has_bad_parts: bool = False
     has_release: bool = False
+    has_eager_callers: bool = False
 
     @property
     def sends_context(self) -> bool:
@@ -78,4 +84,8 @@
         has_bad_parts=generator.random() < _BAD_PARTS_PROBABILITY,
     )
     has_release = generator.random() < _RELEASE_PROBABILITY
-    return plan._replace(has_release=has_release and not plan.has_versions)
+    has_eager_callers = generator.random() < _EAGER_CALLERS_PROBABILITY
+    return plan._replace(
+        has_release=has_release and not plan.has_versions,
+        has_eager_callers=has_eager_callers and not plan.has_pressure,
+    )
--- a/soak/_world.py
+++ b/soak/_world.py
@@ -17,6 +17,7 @@
 from soak import _bad_parts
 from soak import _clients
 from soak import _cut_daemons
+from soak import _eager_callers
 from soak import _expected
 from soak import _run_plan
 from soak import _store
@@ -281,6 +282,7 @@
         self.brittle_periods = 0
         self.herds: list[_bad_parts.Herd] = []
         self.power_restored_at: list[float] = []
+        self.stops: list[_eager_callers.Stop] = []
         self._evacuated: set[str] = set()
         self._added_keys: list[_clients.AddedKey] = []
         self.change_configuration()
@@ -435,6 +437,7 @@
             _expected.ONCE: ("non_idempotent", False),
             _expected.READ: ("idempotent", False),
             _expected.STREAM: ("streaming", True),
+            _expected.LONG: ("streaming", False),
         }
         routes = [
             {
@@ -442,7 +445,7 @@
                 "host": HOST,
                 "prefix": prefix,
                 "route_kind": kind,
-                "timeout_ms": 4000,
+                "timeout_ms": 8000 if prefix == _expected.LONG else 4000,
                 "target_latency_ms": 300,
                 "itl_target_ms": 300,
                 "service": SERVICE,
@@ -491,11 +494,24 @@
         ]
 
     def runs(self) -> list[tuple[float, str, str]]:
-        """Return the time, replica and attempt of each run."""
+        """Return the time, replica and attempt of each run.
+
+        Those of long streams are left out.
+        """
         return [
-            (float(one[0]), one[1], one[2]) for one in self._read("runs.txt")
+            (float(one[0]), one[1], one[2])
+            for one in self._read("runs.txt")
+            if not one[3].startswith(_expected.LONG)
         ]
 
+    def long_runs(self) -> frozenset[str]:
+        """Return the attempts of long streams that ran."""
+        return frozenset(
+            one[2]
+            for one in self._read("runs.txt")
+            if one[3].startswith(_expected.LONG)
+        )
+
     def reports(self) -> list[ReplicaReport]:
         """Return the reports that replicas made in responses."""
         return [
--- a/tests/soak/test_run_plan.py
+++ b/tests/soak/test_run_plan.py
@@ -2,7 +2,7 @@
 
 from soak import _run_plan
 
-SEEDS = range(1, 1601)
+SEEDS = range(1, 3201)
 
 
 class TestDraw:
@@ -24,6 +24,7 @@
                 has_versions,
                 has_bad_parts,
                 has_release,
+                has_eager_callers,
             )
             for report in _run_plan.LoadReport
             for has_pressure in (False, True)
@@ -32,5 +33,7 @@
             for has_versions in (False, True)
             for has_bad_parts in (False, True)
             for has_release in (False, True)
+            for has_eager_callers in (False, True)
             if not (has_versions and has_release)
+            if not (has_pressure and has_eager_callers)
         }
