Pass on a replica's failure if the daemon stops before a retry

Callers' view: 502 daemon_stopping in place of the 500 that a replica had answered, where the request could have been repeated but the daemon stops. Change: the failure of the attempt before is raised, if it may have run. The wait for the load balancer ends when it is due and not up to 0.05 s later; a counter that the metrics by error code show as well is removed. Test: TestRetry.

--- a/src/topazlug/calls/_attempts.py
+++ b/src/topazlug/calls/_attempts.py
@@ -20,12 +20,8 @@
 # Bounds the attempts of a request whose connections all fail.
 _MAX_CONNECTS = 6
 # Failures that would be the same at any other replica: the request crashes
-# each of them, this daemon reaches none, or it stops before the answer ends.
-_FINAL_ERRORS = (
-    _errors.RequestBlocked,
-    _errors.NoReplicaPath,
-    _errors.DaemonStopping,
-)
+# each of them, or this daemon reaches none.
+_FINAL_ERRORS = (_errors.RequestBlocked, _errors.NoReplicaPath)
 
 ResultT = TypeVar("ResultT")
 MayRepeat = Callable[[_targets.Target], bool]
@@ -136,6 +132,13 @@
                 self._admission.release(placement)
                 error.outcome = outcome
                 raise
+            except _errors.DaemonStopping as error:
+                self._admission.release(placement)
+                error.outcome = outcome
+                if failure is None or outcome is _errors.Outcome.NOT_RUN:
+                    raise
+                # The caller gets what a replica has answered.
+                raise failure from None
             except _errors.RequestError as error:
                 failure = error
                 if error.outcome is not _errors.Outcome.NOT_RUN:
--- a/src/topazlug/forwarding/_graceful_stop.py
+++ b/src/topazlug/forwarding/_graceful_stop.py
@@ -81,9 +81,9 @@
     def _wait_until_unlisted(
         self, schedule: _stop_admission.StopSchedule
     ) -> None:
-        while self._clock.monotonic() < schedule.unlisted_at:
+        while (seconds := schedule.unlisted_at - self._clock.monotonic()) > 0:
             self._refuse_late()
-            self._clock.sleep(_POLL_SECONDS)
+            self._clock.sleep(min(_POLL_SECONDS, seconds))
 
     def _wait_until_idle(self, end: float) -> bool:
         """Return whether the daemon was idle for a while before this time."""
--- a/src/topazlug/forwarding/_stop_admission.py
+++ b/src/topazlug/forwarding/_stop_admission.py
@@ -42,11 +42,6 @@
         Expects how long answers take.
     clock : Clock
         Clock of the daemon.
-
-    Attributes
-    ----------
-    refused_count : int
-        Number of requests that were refused.
     """
 
     def __init__(
@@ -58,7 +53,6 @@
         self._durations = durations
         self._clock = clock
         self._schedule: StopSchedule | None = None
-        self.refused_count = 0
 
     @property
     def is_stopping(self) -> bool:
@@ -121,7 +115,6 @@
         """
         assert self._schedule is not None
         now = self._clock.monotonic()
-        self.refused_count += 1
         left = self._schedule.ends_at - now
         needed = self._seconds_needed(request, now)
         retry_after = None
--- a/tests/topazlug/forwarding/test_stop_admission.py
+++ b/tests/topazlug/forwarding/test_stop_admission.py
@@ -53,7 +53,6 @@
             admission.check(request())
         assert raised.value.outcome is _errors.Outcome.NOT_RUN
         assert raised.value.status == 503
-        assert admission.refused_count == 1
 
     def test_deadline_before_the_end(self, admission, clock):
         """It ends by its deadline, also if others take longer."""
--- a/tests/topazlug_platform/test_requests_at_a_stop.py
+++ b/tests/topazlug_platform/test_requests_at_a_stop.py
@@ -412,6 +412,27 @@
             rig.wait_stopped()
 
 
+class TestRetry:
+    def test_failure_of_a_replica_is_passed_on(self):
+        """A replica's answer was replaced by a failure of the daemon."""
+
+        def script(sock):
+            gevent.sleep(0.8)
+            sock.sendall(platform_rig.answer(b"x", status="500 Failed"))
+
+        with running(slow_route(), script, script) as rig:
+            with Connection(rig) as connection:
+                connection.send()
+                gevent.sleep(0.05)
+                rig.begin_stop()
+                # Another attempt may take until the deadline, as far as the
+                # daemon knows.
+                status, _ = connection.read()
+            assert status == 500
+            assert len(rig.requests) == 1
+            rig.wait_stopped()
+
+
 class TestSecondSignal:
     def test_does_not_end_the_stop(self):
         """A second signal must neither end nor prolong the first stop."""
