Name endless bytes in an error of their own

Cause: the reason for giving an answer up went into the message of every answer that ends early, so that the recorded session of a truncated answer (tests/golden) changed: "was whole: Incomplete response.". Change: endless bytes have a message of their own, with their number; the other message is as before.

--- a/src/topazlug/targets/_target_answer.py
+++ b/src/topazlug/targets/_target_answer.py
@@ -49,8 +49,8 @@
 
         Raises
         ------
-        HTTPParseError
-            They have no end.
+        TargetTruncated
+            There were so many that they have no end.
         """
         now = self._clock.monotonic()
         if not self._blocks:
@@ -62,8 +62,10 @@
             and now - self._began_at > _MAX_FRAMING_SECONDS
         )
         if self._bytes > _MAX_FRAMING_BYTES or is_dripping:
-            raise _response.HTTPParseError(
-                f"{self._bytes} bytes without a part of the body"
+            raise _errors.TargetTruncated(
+                f"the target sent {self._bytes} bytes without a part of its "
+                "answer",
+                outcome=_errors.Outcome.UNKNOWN,
             )
 
 
@@ -223,7 +225,10 @@
             ) from error
         except (OSError, _response.HTTPParseError) as error:
             self.close(self._lost_end)
-            raise _truncated_error(str(error)) from error
+            raise _truncated_error() from error
+        except _errors.TargetTruncated:
+            self.close(self._lost_end)
+            raise
         if not data and not self._parser.message_complete:
             self.close(self._lost_end)
             raise _truncated_error()
@@ -331,10 +336,9 @@
     )
 
 
-def _truncated_error(why: str = "") -> _errors.TargetTruncated:
-    reason = f": {why}" if why else ""
+def _truncated_error() -> _errors.TargetTruncated:
     return _errors.TargetTruncated(
-        f"the target's answer ended before it was whole{reason}",
+        "the target's answer ended before it was whole",
         outcome=_errors.Outcome.UNKNOWN,
     )
 
