Serve new connections after a short pause of the process

Callers' view: connections closed unread for a tenth of a second after the daemon's process had been held up once, for 0.15 to 0.4 s. A caller that has used its retry gets no answer. Cause: a timer that is late once, by less than 0.4 s, counted as overload. Evidence: in whole runs of the tests, collections of the garbage collector hold the process up for 0.165 to 0.33 s, as it has the objects of 2,970 tests. Change: a late timer is confirmed by a second, shorter one before connections are closed. The length of a delay does not count any more. Tests: test_connections_are_served_after_a_short_pause (two lengths) and test_short_pauses_close_no_connection fail on the parent; test_overload_is_noticed_soon guards the other side, and passed before.

--- a/src/topazlug/callers/_listener_load.py
+++ b/src/topazlug/callers/_listener_load.py
@@ -15,8 +15,8 @@
 _MAX_DELAY_SECONDS = 0.15
 # New connections since the last measurement.
 _MIN_ARRIVED = 8
-# Overload begins with shorter delays than this.
-_MIN_PAUSE_SECONDS = 0.4
+# A delay is confirmed by a shorter timer, which is as late in an overload.
+_CONFIRM_SECONDS = 0.05
 
 
 @final
@@ -29,7 +29,7 @@
     """
 
     def __init__(self) -> None:
-        self._was_delayed = False
+        self._is_suspected = False
         self._arrived = 0
         self.is_late = False
 
@@ -40,23 +40,29 @@
     def measure_forever(self) -> None:
         """Measure the delay of a timer again and again."""
         while True:
+            seconds = self._next_seconds()
             began = time.monotonic()
-            gevent.sleep(_INTERVAL_SECONDS)
+            gevent.sleep(seconds)
             elapsed = time.monotonic() - began
-            self.record_delay(elapsed - _INTERVAL_SECONDS)
+            self.record_delay(elapsed - seconds)
+
+    def _next_seconds(self) -> float:
+        return _CONFIRM_SECONDS if self._is_suspected else _INTERVAL_SECONDS
 
     def record_delay(self, seconds: float) -> None:
         """Record by how much a timer was late.
 
-        A single long delay is no overload: the process may have been paused,
-        and can read what has arrived meanwhile. Where few connections arrive,
+        A single delay is no overload: the process may have been paused, and
+        can read what has arrived meanwhile. Where few connections arrive,
         others are not the reason, and closing them frees no time.
         """
         arrived, self._arrived = self._arrived, 0
-        is_delayed = seconds > _MAX_DELAY_SECONDS and arrived >= _MIN_ARRIVED
-        is_pause = seconds > _MIN_PAUSE_SECONDS and not self._was_delayed
-        was_late, self.is_late = self.is_late, is_delayed and not is_pause
-        self._was_delayed = is_delayed
+        # Few may have arrived since the delay that is to be confirmed.
+        has_many = self._is_suspected or arrived >= _MIN_ARRIVED
+        is_delayed = seconds > _MAX_DELAY_SECONDS and has_many
+        was_late = self.is_late
+        self.is_late = is_delayed and (was_late or self._is_suspected)
+        self._is_suspected = is_delayed and not self.is_late
         if self.is_late and not was_late:
             _log.warning(
                 "closing new connections: timers are {delay:.3f} s late",
--- a/tests/topazlug/callers/test_caller_server.py
+++ b/tests/topazlug/callers/test_caller_server.py
@@ -3,8 +3,11 @@
 import errno
 import select
 import socket
+import time
 
+import gevent
 from gevent import event
+from gevent import monkey
 from gevent import socket as gevent_socket
 import pytest
 
@@ -15,6 +18,8 @@
 from topazlug.callers import _listener_filter
 
 REQUEST = wire_fixtures.raw_request("GET", "/v1/models", key=fixtures.KEY)
+# Unlike gevent's sleep(), it holds up all greenlets.
+pause_process = monkey.get_original("time", "sleep")
 
 
 @pytest.fixture
@@ -192,6 +197,13 @@
     made.stop()
 
 
+@pytest.fixture
+def large_herd():
+    made = Herd(max_connections=200)
+    yield made
+    made.stop()
+
+
 class TestConnectionHerd:
     """Most new connections of an availability zone go to one daemon."""
 
@@ -245,6 +257,14 @@
         herd.server.load.record_delay(2.0)
         assert herd.is_answered(herd.connect())
 
+    @pytest.mark.parametrize("seconds", [0.2, 0.35])
+    def test_connections_are_served_after_a_short_pause(self, herd, seconds):
+        """A pause of a fraction of a second counted as an overload."""
+        for _ in range(20):
+            herd.server.load.record_arrival()
+        herd.server.load.record_delay(seconds)
+        assert herd.is_answered(herd.connect())
+
     def test_few_connections_are_served_while_the_daemon_is_late(self, herd):
         """On a busy machine daemons closed the connections of single callers.
 
@@ -269,6 +289,31 @@
         assert herd.is_answered(sock)
 
 
+class TestDelays:
+    """The listener measures the delays of its own timers."""
+
+    def test_short_pauses_close_no_connection(self, large_herd):
+        """Callers were sent away although the daemon could serve them."""
+        for _ in range(5):
+            for _ in range(12):
+                assert large_herd.is_answered(large_herd.connect())
+            pause_process(0.25)
+            assert large_herd.is_answered(large_herd.connect())
+            gevent.sleep(0.3)
+        assert large_herd.server.refused == 0
+
+    def test_overload_is_noticed_soon(self, large_herd):
+        """A daemon without processor time accepted more and more callers."""
+        load = large_herd.server.load
+        began_at = time.monotonic()
+        while not load.is_late and time.monotonic() - began_at < 5.0:
+            for _ in range(20):
+                load.record_arrival()
+            pause_process(0.3)
+            gevent.sleep(0.001)
+        assert time.monotonic() - began_at < 1.5
+
+
 def is_closed(sock):
     """Return whether the listener has closed a connection."""
     sock.settimeout(0.05)
