Don't take a slow caller for a silent replica

Callers' view: none seen; found on reading. A caller that reads its stream slowly (more than 1.5 s for one part) could have it broken off or resumed elsewhere, if the next block that the daemon reads ends within an event. Cause: the time without an event counted from before the last part was sent to the caller. Change: it counts from when that part has been sent. Test: TestSlowCaller; on the parent the stream was given up.

--- a/src/topazlug/forwarding/_event_relay.py
+++ b/src/topazlug/forwarding/_event_relay.py
@@ -191,7 +191,7 @@
         )
 
     def _relay_from_replica(self) -> Iterator[bytes]:
-        last_event_at = self._clock.monotonic()
+        last_event_at = waits_since = self._clock.monotonic()
         receive_timeout = self._receive_timeout()
         chunks = self._answer.chunks(
             receive_timeout=receive_timeout, deadline=self._call.deadline
@@ -205,8 +205,10 @@
                 )
                 last_event_at = now
                 yield events
+                # The caller may have taken long to receive them.
+                waits_since = self._clock.monotonic()
             else:
-                self._check_silence(last_event_at, receive_timeout)
+                self._check_silence(waits_since, receive_timeout)
         if not self._may_be_complete():
             raise _truncated("it ended within an event")
 
--- a/tests/topazlug/forwarding/test_event_relay.py
+++ b/tests/topazlug/forwarding/test_event_relay.py
@@ -224,3 +224,57 @@
             assert not list(pieces)
         assert len(released) == 1
         assert placement.is_outcome_unknown is has_left
+
+
+class Answer:
+    """An answer whose chunks are given."""
+
+    status = 200
+    is_delimited = True
+    is_between_events = None
+
+    def __init__(self, *chunks):
+        self._chunks = chunks
+
+    def chunks(self, **_):
+        return iter(self._chunks)
+
+    def abort(self):
+        pass
+
+    def close(self):
+        pass
+
+
+class TestSlowCaller:
+    def test_it_is_not_taken_for_a_silent_replica(self, call):
+        """A stream was broken off because its caller had read slowly."""
+        clock = claim_fakes.FakeClock()
+        call.head = types.SimpleNamespace(resume_after=None, attempt="a")
+        call.route = types.SimpleNamespace(
+            resumable=True, max_pause=0.1, has_context=True
+        )
+        call.max_replicas = 2
+        call.socket = None
+        call.stream_attempt = "a"
+        relay = _event_relay.EventRelay(
+            call=call,
+            placement=types.SimpleNamespace(
+                target=fixtures.target("i-0"), failed=False
+            ),
+            answer=Answer(b"id: 1\ndata: x\n\n", b"id: 2\nda", b"ta: y\n\n"),
+            tried=1,
+            resumer=types.SimpleNamespace(
+                is_disabled=False, release=lambda *_, **__: None
+            ),
+            call_metrics=types.SimpleNamespace(
+                record_pause=lambda *_: None, record_answer=lambda *_: None
+            ),
+            versions=types.SimpleNamespace(complete=lambda _: None),
+            clock=clock,
+        )
+        received = []
+        for piece in relay.body_pieces(b""):
+            received.append(piece)
+            clock.advance(3.0)
+        assert b"".join(received).endswith(b"id: 2\ndata: y\n\n")
