Answer the first request of its kind while the daemon stops

Callers' view: 503 daemon_stopping for requests of 1 to 2 s on a daemon that has answered none of their kind yet, as after its start. Before they were answered whole. Change: 0.6 of that time counts, so that 4.6 s are enough for a deadline of 7.6 s. Once one answer of the route or its group has ended, its duration counts as before. What this costs: the first answer of its kind that takes longer than 0.6 of its time and runs at the end of the stop is cut off.

--- a/src/topazlug/forwarding/_stop_admission.py
+++ b/src/topazlug/forwarding/_stop_admission.py
@@ -11,6 +11,9 @@
 # Callers that come back after this time find the connection closed, and the
 # load balancer sends them to another daemon.
 _MIN_RETRY_AFTER_SECONDS = 0.05
+# Part of the time until its deadline that an answer may take of which nothing
+# is known. Callers wait for longer than answers usually take.
+_UNKNOWN_PART = 0.6
 
 
 class StopSchedule(NamedTuple):
@@ -95,15 +98,14 @@
     def _seconds_needed(
         self, request: _open_requests.OpenRequest, now: float
     ) -> float:
-        """Return the seconds that an answer may take, until its deadline.
-
-        An answer of which nothing is known may take until its deadline.
-        """
+        """Return the seconds that an answer may take, until its deadline."""
         if request.deadline is None or request.kind is None:
             return 0.0
-        remaining = max(0.0, request.deadline - now)
         expected = self._durations.expected(request.kind)
-        return remaining if expected is None else min(expected, remaining)
+        if expected is None:
+            allowed = request.deadline - request.received_at
+            expected = _UNKNOWN_PART * allowed
+        return min(expected, max(0.0, request.deadline - now))
 
     def refusal(
         self, request: _open_requests.OpenRequest
--- a/tests/topazlug_platform/test_requests_at_a_stop.py
+++ b/tests/topazlug_platform/test_requests_at_a_stop.py
@@ -260,6 +260,15 @@
             assert (status, fields["connection"]) == (200, "close")
             rig.wait_stopped()
 
+    def test_first_request_of_its_kind_is_answered(self):
+        """It was refused for nothing, as its duration was not known."""
+        with running(stream_route(), streaming) as rig:
+            rig.begin_stop()
+            status, _, body = rig.send("X-Deadline-Ms: 2000")
+            assert status == 200
+            assert body.endswith(platform_rig.END)
+            rig.wait_stopped()
+
     def test_request_that_cannot_end_is_refused_at_once(self):
         """It ran at a replica and was cut off by the end of the stop."""
         with running(slow_route(), answering(1.8)) as rig:
