Give up endless bytes in time for a retry before short deadlines

Callers' view: 504 for requests with a deadline of a second whose replica sends a byte each 0.05 s where a head, the size of a chunk, a trailer or the end of a failure is expected, though another replica could answer. Cause: such bytes were given up after a second, and in heads only when no answer could be expected any more. What is left of a short deadline by then is too little for a second try. The body of a failure has at most half of the time that is left.

--- a/src/topazlug/forwarding/_forwarder.py
+++ b/src/topazlug/forwarding/_forwarder.py
@@ -41,9 +41,10 @@
 # of it. If it breaks off, the request is retried or fails with a clean error.
 _MAX_BUFFERED_BYTES = 1 << 20
 # Maximum size and duration of the body of a failure after which the request
-# is sent to another replica.
+# is sent to another replica. A part of the time is left for that one.
 _MAX_FAILURE_BYTES = 65536
 _MAX_FAILURE_SECONDS = 1.0
+_MAX_FAILURE_PART = 0.5
 # A daemon that is cut off notices the end of its cut within about this time.
 _CUT_RETRY_AFTER_SECONDS = 0.5
 # A second replica is tried once the first byte takes longer than this many
@@ -371,15 +372,17 @@
             It is too long, or does not end soon.
         """
         began_at = self._clock.monotonic()
+        max_seconds = min(
+            _MAX_FAILURE_SECONDS,
+            _MAX_FAILURE_PART * max(0.0, call.deadline - began_at),
+        )
         body = bytearray()
         for data in answer.chunks(
-            receive_timeout=_MAX_FAILURE_SECONDS, deadline=call.deadline
+            receive_timeout=max_seconds, deadline=call.deadline
         ):
             body += data
             seconds = self._clock.monotonic() - began_at
-            if len(body) > _MAX_FAILURE_BYTES or (
-                seconds > _MAX_FAILURE_SECONDS
-            ):
+            if len(body) > _MAX_FAILURE_BYTES or seconds > max_seconds:
                 raise _errors.TargetFailed(
                     f"the replica answered {answer.status} with a body that "
                     f"had no end after {len(body)} bytes and {seconds:.1f} s",
--- a/src/topazlug/targets/_answer_heads.py
+++ b/src/topazlug/targets/_answer_heads.py
@@ -7,6 +7,7 @@
 from topazlug import _clock
 from topazlug import _errors
 from topazlug import _ids
+from topazlug.targets import _framing_bound
 from topazlug.targets import _target_answer
 
 _MAX_HEAD = 65536
@@ -69,15 +70,17 @@
             The connection broke, timed out or delivered invalid HTTP.
         """
         parser = _target_answer.AnswerParser(method=method)
+        framing = _framing_bound.FramingBound(clock=self._clock)
         pending = b""
         size = 0
         skipped = 0
         while True:
             head, separator, rest = pending.partition(_HEAD_END)
             if not separator:
-                if len(pending) > _MAX_HEAD:
+                if framing.is_exceeded:
                     raise target_failed_error(
-                        "the head of the answer is too long"
+                        f"the head of the answer had no end after "
+                        f"{framing.size} bytes"
                     )
                 connection.settimeout(self._remaining(end))
                 data = connection.recv(_target_answer.RECEIVE_BYTES)
@@ -86,6 +89,7 @@
                         "the connection ended before the answer"
                     )
                 pending += data
+                framing.add(len(data))
                 continue
             size += len(head)
             if size > _MAX_HEAD:
@@ -110,6 +114,7 @@
                 connection, parser, rest, end, limit=_MAX_SKIPPED - skipped
             )
             skipped += count
+            framing.reset()
             parser = _target_answer.AnswerParser(method=method)
 
     def _echoed(self, parser: _target_answer.AnswerParser) -> set[str]:
--- a/src/topazlug/targets/_target_answer.py
+++ b/src/topazlug/targets/_target_answer.py
@@ -15,58 +15,13 @@
 from topazlug import _clock
 from topazlug import _errors
 from topazlug import _ids
+from topazlug.targets import _framing_bound
 from topazlug.targets import _target_runs
 
 RECEIVE_BYTES = 16384
 MIN_FINAL_STATUS = 200
 _IDLE_SECONDS = 60.0
 IDLE_PER_TARGET = 32
-# Bytes between two parts of a body: the size of a chunk, its extension, or
-# the fields after the last chunk.
-_MAX_FRAMING_BYTES = 65536
-# They arrive in one or two blocks. A target that sends more blocks for longer
-# than this sends them without an end.
-_MAX_FRAMING_BLOCKS = 4
-_MAX_FRAMING_SECONDS = 1.0
-
-
-@final
-class _FramingBound:
-    """Bounds what a target sends between two parts of a body."""
-
-    def __init__(self, *, clock: _clock.Clock) -> None:
-        self._clock = clock
-        self._began_at = 0.0
-        self._bytes = 0
-        self._blocks = 0
-
-    def reset(self) -> None:
-        """Record that a part of the body has arrived."""
-        self._bytes = self._blocks = 0
-
-    def add(self, size: int) -> None:
-        """Record a block without a part of the body.
-
-        Raises
-        ------
-        TargetTruncated
-            There were so many that they have no end.
-        """
-        now = self._clock.monotonic()
-        if not self._blocks:
-            self._began_at = now
-        self._bytes += size
-        self._blocks += 1
-        is_dripping = (
-            self._blocks > _MAX_FRAMING_BLOCKS
-            and now - self._began_at > _MAX_FRAMING_SECONDS
-        )
-        if self._bytes > _MAX_FRAMING_BYTES or is_dripping:
-            raise _errors.TargetTruncated(
-                f"the target sent {self._bytes} bytes without a part of its "
-                "answer",
-                outcome=_errors.Outcome.UNKNOWN,
-            )
 
 
 class AnswerParser(_response.HTTPResponse):
@@ -153,7 +108,7 @@
         self.is_between_events: Callable[[], bool] | None = None
         self._connection = connection
         self._clock = clock
-        self._framing = _FramingBound(clock=clock)
+        self._framing = _framing_bound.FramingBound(clock=clock)
         self._parser = parser
         self._pool = pool
         self._request_id = request_id
@@ -237,8 +192,14 @@
         self._parser.feed(data)
         if self._parser.has_body or self._parser.message_complete:
             self._framing.reset()
-        else:
-            self._framing.add(len(data))
+            return
+        self._framing.add(len(data))
+        if self._framing.is_exceeded:
+            raise _errors.TargetTruncated(
+                f"the target sent {self._framing.size} bytes without a part "
+                "of its answer",
+                outcome=_errors.Outcome.UNKNOWN,
+            )
 
     @property
     def _lost_end(self) -> _target_runs.RunEnd:
--- a/tests/topazlug_platform/test_endless_answers.py
+++ b/tests/topazlug_platform/test_endless_answers.py
@@ -164,6 +164,15 @@
             routing_fixtures.wait_until(lambda: replicas.is_closed)
             assert growth.most < MAX_GROWTH_BYTES
 
+    @pytest.mark.parametrize("place", list(PLACES))
+    def test_short_deadline_leaves_time_for_a_retry(self, place, pace):
+        """Bytes that drip were given up as the deadline passed."""
+        replicas = Endless(PLACES[place], PACES[pace], platform_rig.answer())
+        with running(replicas) as rig:
+            status, _, body = rig.send("X-Deadline-Ms: 1000")
+            assert (status, body) == (200, b"whole")
+            routing_fixtures.wait_until(lambda: replicas.is_closed)
+
     @pytest.mark.parametrize("place", list(STREAM_PLACES))
     def test_stream_is_resumed_elsewhere(self, place, pace):
         rest = platform_rig.chunk(platform_rig.event(2))
