Don't blame a stop for what the next process loses in the soak

Cause: the check of late streams compares them with the signal only. A daemon that stops within 3.6 s is started again, and a stream that the new process loses 7.2 to 9 s after that signal was counted as cut off by it. Test: test_stream_of_the_next_process, fails on the parent. The soak's programs and faults are as they were.

--- a/soak/_eager_callers.py
+++ b/soak/_eager_callers.py
@@ -103,6 +103,9 @@
         ended = one.ended - stop.began
         if not stop.is_alone or one.daemon != stop.daemon:
             continue
+        if one.started >= stop.ended:
+            # It was sent to the process that was started afterwards.
+            continue
         if sent > _EXCUSED_SECONDS and (
             _CUT_SECONDS < ended < GRACE_SECONDS + 1.0
         ):
--- a/tests/soak/test_eager_callers.py
+++ b/tests/soak/test_eager_callers.py
@@ -42,6 +42,11 @@
     def test_stream_that_its_replica_broke(self):
         assert kinds(outcome(ended=15.0)) == []
 
+    def test_stream_of_the_next_process(self):
+        """A stop was blamed for what the next process of its daemon lost."""
+        sent_to_next = outcome(started=16.1, ended=18.72)
+        assert kinds(sent_to_next, stop=STOP._replace(ended=13.6)) == []
+
     def test_stream_that_did_not_run(self):
         assert kinds(outcome(), ran=()) == []
 
