Send second signals of the soak to the process that stops only

Cause: the second signal of a planned stop was sent if any daemon was being stopped and this one ran. The next process of the daemon, which does not handle signals in its first moments, ended by it, and the soak does not start it again: all its callers are refused until the end. Test: TestSignalAgain.

--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -10,6 +10,7 @@
 
 import gevent
 
+from bench.fleets import processes
 from soak import _eager_callers
 from soak import _store
 from soak import _world
@@ -255,7 +256,9 @@
         began = time.monotonic()
         if number % 2:
             self._running.append(
-                gevent.spawn_later(duration, self._signal_again, daemon)
+                gevent.spawn_later(
+                    duration, signal_again, daemon.process, daemon.process.pid
+                )
             )
         self._stop(daemon)
         self._world.stops.append(
@@ -269,10 +272,6 @@
         )
         self._is_stopping = False
 
-    def _signal_again(self, daemon: _world.Daemon) -> None:
-        if self._is_stopping and daemon.process.is_running():
-            daemon.process.send(signal.SIGTERM)
-
     def _stop(self, daemon: _world.Daemon) -> None:
         daemon.record_disruption()
         # An overlapping fault may end the daemon too and restart it.
@@ -477,6 +476,16 @@
         self._world.change_configuration()
 
 
+def signal_again(process: processes.Process, stopping: int) -> None:
+    """Send a second signal to the process that is being stopped.
+
+    The next process of its daemon may not handle signals yet. It would end,
+    and nobody would start it again.
+    """
+    if process.pid == stopping and process.is_running():
+        process.send(signal.SIGTERM)
+
+
 def _select(
     inject_by_kind: dict[str, _Inject], parts: list[str]
 ) -> dict[str, _Inject]:
--- a/tests/soak/test_faults.py
+++ b/tests/soak/test_faults.py
@@ -3,6 +3,7 @@
 import contextlib
 import itertools
 import random
+import signal
 import time
 import types
 
@@ -120,3 +121,18 @@
         one._release(number, 0.5)
         one._release(number, 0.5)
         assert (len(releases), lost) == (1, expected)
+
+
+class TestSignalAgain:
+    @pytest.mark.parametrize(
+        "pid, is_running, signals",
+        [(7, True, [signal.SIGTERM]), (7, False, []), (8, True, [])],
+    )
+    def test_only_the_process_that_stops(self, pid, is_running, signals):
+        """The signal ended the next process, which nobody started again."""
+        sent = []
+        process = types.SimpleNamespace(
+            pid=pid, is_running=lambda: is_running, send=sent.append
+        )
+        _faults.signal_again(process, 7)
+        assert sent == signals
